--- /dev/null
+++ b/apps/caller/main.cc
@@ -0,0 +1,132 @@
+#include <atomic>
+#include <iostream>
+#include <mutex>
+#include <thread>
+
+#include "absl/strings/str_cat.h"
+#include "apps/caller/load_plan.h"
+#include "apps/caller/load_report.h"
+#include "components/fibers/worker_pool.h"
+#include "components/settings/end_signals.h"
+#include "components/settings/flag_set.h"
+
+namespace kingcupstair {
+namespace {
+
+constexpr int kThreads = 2;
+constexpr int kMaxRate = 200'000;
+constexpr int64_t kLongestRunMillis = 600'000;
+constexpr std::chrono::milliseconds kEndPoll{5};
+
+settings::FlagSet MakeFlags(LoadPlan& plan, int& fresh) {
+  settings::FlagSet flags("kingcupstair-caller",
+                          "kingcupstair-caller: sends requests at a fixed "
+                          "rate and reports what came of them.");
+  flags.Add({.name = "hosts",
+             .help = "ADDRESS:PORT,... to send to in turn",
+             .set = settings::SetEndpoints(plan.hosts),
+             .required = true});
+  flags.Add({.name = "method",
+             .help = "method of the requests",
+             .set = settings::SetText(plan.method)});
+  flags.Add({.name = "target",
+             .help = "path of the requests",
+             .set = settings::SetText(plan.target)});
+  flags.Add({.name = "key",
+             .help = "key of the organisation",
+             .set = settings::SetText(plan.key)});
+  flags.Add({.name = "rate",
+             .help = "requests a second",
+             .set = settings::SetInteger(plan.rate, 1, kMaxRate)});
+  flags.Add({.name = "length-ms",
+             .help = "milliseconds to send for",
+             .set = settings::SetMillis(plan.length, 1, kLongestRunMillis)});
+  flags.Add({.name = "timeout-ms",
+             .help = "milliseconds to wait for an answer",
+             .set = settings::SetMillis(plan.timeout, 1, kLongestRunMillis)});
+  flags.Add({.name = "order-prefix",
+             .help = "prefix of the name of each request",
+             .set = settings::SetText(plan.order_prefix)});
+  flags.Add({.name = "fresh-connections",
+             .help = "1 for a new connection for each request",
+             .set = settings::SetInteger(fresh, 0, 1)});
+  return flags;
+}
+
+/// Sends the requests of a plan on time and collects the answers.
+class LoadRun {
+ public:
+  explicit LoadRun(const LoadPlan& plan) : plan(plan) {}
+
+  std::string Run() {
+    fibers::WorkerPool workers(kThreads);
+    const int total =
+        static_cast<int>(plan.rate * ToSeconds(this->plan.length));
+    this->left = total;
+    const Instant start = MonotonicNow();
+    for (int i = 0; i < total; ++i) {
+      const Instant due =
+          start + Duration(int64_t{1'000'000} * i / this->plan.rate);
+      std::this_thread::sleep_until(due);
+      workers.Spawn([this, i] { this->SendOne(i); });
+    }
+    while (this->left > 0) {
+      std::this_thread::sleep_for(kEndPoll);
+    }
+    workers.Stop();
+    return this->report.Text();
+  }
+
+ private:
+  void SendOne(int number) {
+    const std::string order =
+        absl::StrCat(this->plan.order_prefix, "-", number);
+    http::Call call{
+        .server = this->plan.hosts[static_cast<size_t>(number) %
+                                   this->plan.hosts.size()],
+        .request = {.method = this->plan.method,
+                    .target = this->plan.target,
+                    .headers = {{.name = "X-Order", .value = order}}},
+        .timeout = this->plan.timeout,
+        .reuse_connection = !this->plan.fresh_connections};
+    if (!this->plan.key.empty()) {
+      call.request.headers.push_back(
+          {.name = "Authorization", .value = "Bearer " + this->plan.key});
+    }
+    const Instant begun = MonotonicNow();
+    const http::Result result = http::Exchange(call);
+    const Duration latency = MonotonicNow() - begun;
+    {
+      const std::lock_guard lock(this->mutex);
+      this->report.Add(order, result, latency);
+    }
+    --this->left;
+  }
+
+  LoadPlan plan;
+  std::mutex mutex;
+  LoadReport report;
+  std::atomic<int> left{0};
+};
+
+int Main(int argc, char** argv) {
+  LoadPlan plan;
+  int fresh = 0;
+  settings::FlagSet flags = MakeFlags(plan, fresh);
+  std::vector<std::string> words;
+  const auto outcome = flags.Parse(argc, argv, words);
+  if (outcome != settings::ParseOutcome::kRun) {
+    return outcome == settings::ParseOutcome::kExitOk ? settings::kExitOk
+                                                      : settings::kExitUsage;
+  }
+  plan.fresh_connections = fresh == 1;
+  std::cout << LoadRun(plan).Run() << "\n";
+  return settings::kExitOk;
+}
+
+}  // namespace
+}  // namespace kingcupstair
+
+int main(int argc, char** argv) {
+  return kingcupstair::Main(argc, argv);
+}
--- /dev/null
+++ b/apps/kingcupstairctl/host_commands.cc
@@ -0,0 +1,130 @@
+#include "apps/kingcupstairctl/host_commands.h"
+
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <set>
+
+#include "absl/strings/str_split.h"
+#include "components/http/client.h"
+#include "components/limits/share_table.h"
+#include "components/settings/flag_set.h"
+#include "components/store/keys.h"
+
+namespace kingcupstair {
+namespace {
+
+constexpr Duration kHostTimeout{std::chrono::seconds(2)};
+constexpr int kOk = 200;
+
+/// A page of one host's admin port; empty when it could not be had.
+struct Page {
+  Endpoint host;
+  bool reached = false;
+  std::string text;
+};
+
+Page Fetch(const Endpoint& host, const std::string& target) {
+  const http::Result result =
+      http::Exchange({.server = host,
+                      .request = {.method = "GET", .target = target},
+                      .timeout = kHostTimeout});
+  const bool reached = result.ok() && result.response.status == kOk;
+  return {.host = host,
+          .reached = reached,
+          .text = reached ? result.response.body : ""};
+}
+
+std::set<Endpoint> HostsInStore(const CommandLine& line) {
+  std::set<Endpoint> hosts;
+  const auto entry =
+      store::Client({.server = line.store}).Get(store::kSharesKey);
+  const auto table = entry.ok() ? limits::DecodeShareTable(entry->value)
+                                : absl::StatusOr<limits::ShareTable>(
+                                      entry.status());
+  if (!table.ok()) {
+    std::cerr << "the store did not name the hosts; use --hosts\n";
+    return hosts;
+  }
+  for (const auto& [name, share] : table->hosts()) {
+    const auto endpoint = ParseEndpoint(share.admin);
+    if (endpoint.ok()) {
+      hosts.insert(*endpoint);
+    }
+  }
+  return hosts;
+}
+
+std::vector<Page> FetchAll(const CommandLine& line, const std::string& target) {
+  std::set<Endpoint> hosts(line.hosts.begin(), line.hosts.end());
+  if (hosts.empty()) {
+    hosts = HostsInStore(line);
+  }
+  std::vector<Page> pages;
+  for (const Endpoint& host : hosts) {
+    pages.push_back(Fetch(host, target));
+  }
+  return pages;
+}
+
+int ReportUnreached(const std::vector<Page>& pages) {
+  int unreached = 0;
+  for (const Page& page : pages) {
+    if (!page.reached) {
+      std::cout << "not reached: " << ToText(page.host) << "\n";
+      ++unreached;
+    }
+  }
+  const bool none = unreached == static_cast<int>(pages.size());
+  return none ? settings::kExitFailed : settings::kExitOk;
+}
+
+std::vector<events::Event> ReadEvents(const std::string& text) {
+  std::vector<events::Event> read;
+  for (const absl::string_view line : absl::StrSplit(text, '\n')) {
+    const auto event =
+        events::DecodeEvent(std::string_view(line.data(), line.size()));
+    if (event.ok()) {
+      read.push_back(*event);
+    }
+  }
+  return read;
+}
+
+}  // namespace
+
+int ShowStatus(const CommandLine& line) {
+  const std::vector<Page> pages = FetchAll(line, "/status");
+  for (const Page& page : pages) {
+    const auto status = nlohmann::json::parse(page.text, nullptr, false);
+    if (!page.reached || !status.is_object()) {
+      continue;
+    }
+    std::cout << status.value("host", "") << " zone "
+              << status.value("zone", "") << " revision "
+              << status.value("revision", 0)
+              << (status.value("isolated", false) ? " ISOLATED" : "")
+              << (status.value("leaving", false) ? " leaving" : "")
+              << " share " << status.value("share", 0.0) << "\n";
+    for (const auto& upstream : status["upstreams"]) {
+      std::cout << "  " << upstream.value("id", "") << " limit "
+                << upstream.value("limit", 0) << " latency_us "
+                << upstream.value("latency_us", 0) << " errors "
+                << upstream.value("error_share", 0.0) << "\n";
+    }
+  }
+  return ReportUnreached(pages);
+}
+
+int ShowTimeline(const CommandLine& line) {
+  const std::vector<Page> pages = FetchAll(line, "/events");
+  std::vector<std::vector<events::Event>> hosts;
+  for (const Page& page : pages) {
+    hosts.push_back(ReadEvents(page.text));
+  }
+  for (const auto& event : events::MergeTimeline(hosts, line.filter)) {
+    std::cout << ToText(event) << "\n";
+  }
+  return ReportUnreached(pages);
+}
+
+}  // namespace kingcupstair
--- /dev/null
+++ b/apps/kingcupstairctl/main.cc
@@ -0,0 +1,92 @@
+#include <unistd.h>
+
+#include <future>
+#include <iostream>
+
+#include "absl/time/time.h"
+#include "apps/kingcupstairctl/commands.h"
+#include "components/fibers/worker_pool.h"
+#include "components/settings/flag_set.h"
+
+namespace kingcupstair {
+namespace {
+
+settings::Setter SetTime(int64_t& target) {
+  return [&target](const std::string& text) -> absl::Status {
+    absl::Time time;
+    std::string error;
+    if (!absl::ParseTime(absl::RFC3339_full, text, &time, &error)) {
+      return absl::InvalidArgumentError(
+          "expected a time such as 2026-01-31T10:00:00Z");
+    }
+    target = absl::ToUnixMillis(time);
+    return absl::OkStatus();
+  };
+}
+
+settings::FlagSet MakeFlags(CommandLine& line) {
+  settings::FlagSet flags(
+      "kingcupstairctl",
+      "kingcupstairctl: drives the fleet.\n\n" + CommandsHelp());
+  flags.Add({.name = "store",
+             .help = "ADDRESS:PORT of the platform's key-value store",
+             .set = settings::SetEndpoint(line.store)});
+  flags.Add({.name = "hosts",
+             .help = "ADDRESS:PORT,... of admin ports, in place of the "
+                     "hosts that the store names",
+             .set = settings::SetEndpoints(line.hosts)});
+  flags.Add({.name = "author",
+             .help = "who asks; written into rules and revisions",
+             .set = settings::SetText(line.author)});
+  flags.Add({.name = "organisation",
+             .help = "timeline: events of this organisation only",
+             .set = settings::SetText(line.filter.organisation)});
+  flags.Add({.name = "upstream",
+             .help = "timeline: events of this upstream only",
+             .set = settings::SetText(line.filter.upstream)});
+  flags.Add({.name = "kind",
+             .help = "timeline: events of this kind only",
+             .set = settings::SetText(line.filter.kind)});
+  flags.Add({.name = "from",
+             .help = "timeline: from this time on",
+             .set = SetTime(line.filter.from_ms)});
+  flags.Add({.name = "until",
+             .help = "timeline: up to this time",
+             .set = SetTime(line.filter.until_ms)});
+  return flags;
+}
+
+bool NeedsStore(const CommandLine& line) {
+  const std::string command = line.words.empty() ? "" : line.words[0];
+  const bool asks_hosts = command == "status" || command == "timeline";
+  return command != "check" && !(asks_hosts && !line.hosts.empty());
+}
+
+int Main(int argc, char** argv) {
+  CommandLine line;
+  const char* user = getlogin();
+  line.author = user == nullptr ? "unknown" : user;
+  settings::FlagSet flags = MakeFlags(line);
+  const auto outcome = flags.Parse(argc, argv, line.words);
+  if (outcome != settings::ParseOutcome::kRun) {
+    return outcome == settings::ParseOutcome::kExitOk ? settings::kExitOk
+                                                      : settings::kExitUsage;
+  }
+  if (NeedsStore(line) && line.store.port == 0) {
+    std::cerr << "kingcupstairctl: --store or KINGCUPSTAIR_STORE must be set\n";
+    return settings::kExitUsage;
+  }
+  fibers::WorkerPool workers(1);
+  std::promise<int> exit_code;
+  workers.Spawn([&] { exit_code.set_value(RunCommand(line)); });
+  const int code = exit_code.get_future().get();
+  workers.Stop();
+  return code;
+}
+
+}  // namespace
+}  // namespace kingcupstair
+
+int main(int argc, char** argv) {
+  return kingcupstair::Main(argc, argv);
+}
--- /dev/null
+++ b/apps/kingcupstaird/daemon.cc
@@ -0,0 +1,373 @@
+#include "apps/kingcupstaird/daemon.h"
+
+#include <nlohmann/json.hpp>
+#include <random>
+#include <thread>
+#include <utility>
+
+#include "components/base/hash.h"
+#include "components/logging/log.h"
+
+namespace kingcupstair {
+namespace {
+
+constexpr Duration kGuardTick{std::chrono::milliseconds(10)};
+constexpr Duration kRefreshInterval{std::chrono::milliseconds(100)};
+constexpr Duration kPlanInterval{std::chrono::milliseconds(50)};
+constexpr Duration kFollowInterval{std::chrono::milliseconds(20)};
+constexpr Duration kLeavePoll{std::chrono::milliseconds(20)};
+constexpr Duration kLongestLeave{std::chrono::seconds(60)};
+constexpr int kRandomIncarnationBits = 16;
+
+/// Rises with each start; the low bits tell starts in the same millisecond
+/// apart.
+uint64_t NewIncarnation() {
+  std::random_device device;
+  const uint64_t low = device() & ((1U << kRandomIncarnationBits) - 1);
+  return (static_cast<uint64_t>(WallClockMillis()) << kRandomIncarnationBits) |
+         low;
+}
+
+control::Places PlacesOf(const DaemonSettings& settings) {
+  control::Places places{.host = ToText(settings.peer_listen),
+                         .zone = settings.zone,
+                         .region = settings.region,
+                         .admin = ToText(settings.admin_listen)};
+  for (const Endpoint& seed : settings.seeds) {
+    places.seeds.push_back(ToText(seed));
+  }
+  return places;
+}
+
+membership::HostRecord RecordOf(const control::Places& places,
+                                uint64_t incarnation) {
+  return {.host = places.host,
+          .incarnation = incarnation,
+          .version = 1,
+          .zone = places.zone,
+          .region = places.region,
+          .admin = places.admin};
+}
+
+}  // namespace
+
+Daemon::Daemon(DaemonSettings given)
+    : settings(std::move(given)),
+      incarnation(NewIncarnation()),
+      workers(this->settings.threads),
+      recorder({.host = ToText(this->settings.peer_listen),
+                .revision = [this] { return this->config.Revision(); }}),
+      directory({}, RecordOf(PlacesOf(this->settings), this->incarnation)),
+      rates({.host = ToText(this->settings.peer_listen)},
+            this->config.snapshot()),
+      isolation({.start = MonotonicNow()}),
+      peers(this->rpc_loop,
+            {.own_host = ToText(this->settings.peer_listen),
+             .incarnation = this->incarnation,
+             .fleet_key = this->settings.fleet_key}),
+      store({.server = this->settings.store}),
+      fleet{.places = PlacesOf(this->settings),
+            .config = this->config,
+            .directory = this->directory,
+            .rates = this->rates,
+            .crashes = this->crashes,
+            .isolation = this->isolation,
+            .peers = this->peers,
+            .store = this->store,
+            .recorder = this->recorder},
+      config_loop(this->fleet),
+      gossip_loop(this->fleet, this->incarnation),
+      loan_loop(this->fleet),
+      share_loop(this->fleet),
+      permits(this->fleet),
+      guard({.zone = this->settings.zone,
+             .incarnation =
+                 [this] { return this->directory.OwnIncarnation(); },
+             .isolated = [this] { return this->IsIsolated(); }},
+            this->config.snapshot(),
+            this->crashes,
+            this->recorder),
+      board({.own_zone = this->settings.zone, .seed = this->incarnation}),
+      runner({.own_host = this->fleet.places.host},
+             this->guard,
+             this->peers,
+             this->board),
+      ingress({.isolated = [this] { return this->IsIsolated(); },
+               .acquire =
+                   [this](const std::string& organisation) {
+                     return this->permits.Acquire(organisation);
+                   }},
+              this->config.snapshot(),
+              this->board,
+              this->runner,
+              this->crashes,
+              this->recorder),
+      peer_server(this->rpc_loop,
+                  {.listen = this->settings.peer_listen,
+                   .fleet_key = this->settings.fleet_key},
+                  this->MakeHandlers()),
+      caller_server(this->workers,
+                    {.listen = this->settings.listen},
+                    [this](const http::Request& request) {
+                      return this->ingress.Handle(request);
+                    }),
+      admin_server(this->workers,
+                   {.listen = this->settings.admin_listen},
+                   [this](const http::Request& request) {
+                     return this->HandleAdmin(request);
+                   }) {}
+
+// The loops and the RPC thread use the members, so they end first.
+Daemon::~Daemon() {
+  this->stopping = true;
+  this->rpc_loop.Stop();
+  this->workers.Stop();
+}
+
+absl::Status Daemon::Start() {
+  this->permits.UpdatePoolHosts();
+  if (const auto status = this->admin_server.Start(); !status.ok()) {
+    return status;
+  }
+  if (const auto status = this->peer_server.Start(); !status.ok()) {
+    return status;
+  }
+  if (const auto status = this->caller_server.Start(); !status.ok()) {
+    return status;
+  }
+  this->StartLoops();
+  this->recorder.Record({.kind = "host_started", .zone = this->settings.zone});
+  return absl::OkStatus();
+}
+
+void Daemon::Loop(std::function<void()> step) {
+  ++this->loops_running;
+  this->workers.Spawn([this, step = std::move(step)] {
+    while (!this->stopping) {
+      step();
+    }
+    --this->loops_running;
+  });
+}
+
+void Daemon::StartLoops() {
+  this->Loop([this] { this->config_loop.Step(); });
+  this->Loop([this] { this->gossip_loop.Step(); });
+  this->Loop([this] { this->loan_loop.Step(); });
+  this->Loop([this] { this->share_loop.Step(); });
+  this->Loop([this] { this->FollowPeers(); });
+  this->Loop([this] {
+    this->guard.Tick();
+    fibers::SleepFor(kGuardTick);
+  });
+  this->Loop([this] {
+    this->PublishOwn();
+    this->RefreshBoard();
+    this->crashes.Expire(MonotonicNow());
+    fibers::SleepFor(kRefreshInterval);
+  });
+  this->Loop([this] { this->PlanEjections(); });
+}
+
+void Daemon::FollowPeers() {
+  const std::string ahead = this->gossip_loop.TakePeerAhead();
+  if (!ahead.empty() && this->config_loop.FetchFromPeer(ahead)) {
+    this->gossip_loop.SpreadNow();
+  }
+  fibers::SleepFor(kFollowInterval);
+}
+
+membership::HostRecord Daemon::OwnRecord() const {
+  membership::HostRecord record =
+      RecordOf(this->fleet.places, this->incarnation);
+  record.leaving = this->leaving;
+  record.upstreams = this->guard.Upstreams();
+  return record;
+}
+
+// Peers must hear at once of upstreams that came or went, and of a revision
+// that this host was the first to see.
+void Daemon::PublishOwn() {
+  const membership::HostRecord record = this->OwnRecord();
+  const bool changed = this->directory.PublishOwn(record);
+  const bool upstreams_changed =
+      changed && record.upstreams.size() != this->upstreams_published;
+  this->upstreams_published = record.upstreams.size();
+  if (upstreams_changed || this->config.Revision() != this->board_revision) {
+    this->workers.Spawn([this] { this->gossip_loop.SpreadNow(); });
+  }
+}
+
+void Daemon::RefreshBoard() {
+  const uint64_t digest = this->directory.Digest();
+  const uint64_t revision = this->config.Revision();
+  if (digest == this->board_digest && revision == this->board_revision) {
+    return;
+  }
+  this->board_digest = digest;
+  this->board_revision = revision;
+  this->permits.UpdatePoolHosts();
+  this->board.Update(this->directory.Present(),
+                     *this->config.snapshot().Read());
+}
+
+void Daemon::PlanEjections() {
+  for (const auto& change : this->board.Plan(MonotonicNow())) {
+    this->recorder.Record({.kind = change.ejected ? "ejected" : "returned",
+                           .upstream = change.upstream,
+                           .detail = ToText(change.fault)});
+  }
+  fibers::SleepFor(kPlanInterval);
+}
+
+bool Daemon::IsIsolated() const {
+  return this->isolation.IsIsolated(this->directory.size(), MonotonicNow());
+}
+
+rpc::PeerHandlers Daemon::MakeHandlers() {
+  return {
+      .gossip =
+          [this](const rpc::GossipMessage& message) {
+            return this->gossip_loop.OnGossip(message);
+          },
+      .sync =
+          [this](const auto& versions) {
+            return this->directory.NewerThan(versions);
+          },
+      .probe =
+          [this](const std::string& host, std::function<void(bool)> done) {
+            this->workers.Spawn([this, host, done = std::move(done)] {
+              done(this->gossip_loop.Reaches(host));
+            });
+          },
+      .head = [this] { return this->config.HeadText(); },
+      .chunks =
+          [this](const std::vector<std::string>& ids) {
+            return this->config.ChunkTexts(ids);
+          },
+      .lend =
+          [this](limits::ShardId shard, const std::string& asker) {
+            return this->rates.Lend(shard, asker);
+          },
+      .give_back =
+          [this](limits::ShardId shard, const std::string& asker) {
+            this->rates.GiveBack(shard, asker);
+          },
+      .acquire =
+          [this](const std::string& organisation, int wanted) {
+            return this->rates.Acquire(organisation, wanted);
+          },
+      .submit =
+          [this](const once::RunRequest& request, rpc::RunDone done) {
+            auto answer = this->guard.Accept(request);
+            if (auto* refused = std::get_if<rpc::RunResult>(&answer)) {
+              done(std::move(*refused));
+              return;
+            }
+            this->workers.Spawn(
+                [this, run = std::get<guard::AcceptedRun>(std::move(answer)),
+                 done = std::move(done)] { done(this->guard.Run(run)); });
+          },
+      .resolve =
+          [this](const std::string& request_id, uint64_t asked_incarnation) {
+            return this->guard.Resolve(request_id, asked_incarnation);
+          }};
+}
+
+// New work goes elsewhere first; then what runs is finished; the port closes
+// last, when its queue is empty.
+void Daemon::Leave() {
+  this->recorder.Record({.kind = "host_leaving", .zone = this->settings.zone});
+  this->leaving = true;
+  this->guard.BeginDrain();
+  this->caller_server.BeginShutdown();
+  this->workers.Spawn([this] {
+    this->PublishOwn();
+    this->gossip_loop.SpreadNow();
+    this->loan_loop.GiveBackAll();
+  });
+  std::this_thread::sleep_for(this->settings.leave_time);
+  this->caller_server.StopAccepting();
+  const Instant latest = MonotonicNow() + kLongestLeave;
+  while (MonotonicNow() < latest &&
+         (this->caller_server.Accepting() > 0 ||
+          this->caller_server.InFlight() > 0 || this->guard.InFlight() > 0)) {
+    std::this_thread::sleep_for(kLeavePoll);
+  }
+  // Answers are handed over to the RPC thread, which needs a moment to send
+  // the last of them.
+  std::this_thread::sleep_for(kLeavePoll * 5);
+}
+
+http::Response Daemon::HandleAdmin(const http::Request& request) {
+  if (request.method == "POST" && request.target == "/announce") {
+    return this->HandleAnnouncement(request);
+  }
+  if (request.target == "/status") {
+    return http::JsonResponse(200, this->StatusText());
+  }
+  if (request.target == "/metrics") {
+    return {.status = 200,
+            .headers = {{.name = "Content-Type", .value = "text/plain"}},
+            .body = this->recorder.counters().Text()};
+  }
+  if (request.target == "/events") {
+    std::string lines;
+    for (const events::Event& event : this->recorder.ring().All()) {
+      lines += events::EncodeEvent(event) + "\n";
+    }
+    return http::JsonResponse(200, lines);
+  }
+  if (request.target == "/config") {
+    return {.status = 200, .body = this->config.Text()};
+  }
+  return http::JsonResponse(404, "{\"error\":\"no such page\"}\n");
+}
+
+http::Response Daemon::HandleAnnouncement(const http::Request& request) {
+  const auto announcement = guard::DecodeAnnouncement(request.body);
+  if (!announcement.ok()) {
+    const auto message = announcement.status().message();
+    return http::JsonResponse(
+        400, nlohmann::json{{"error", std::string(message.data(),
+                                                  message.size())}}
+                     .dump() +
+                 "\n");
+  }
+  this->guard.Announce(*announcement);
+  return http::JsonResponse(200, "{}\n");
+}
+
+std::string Daemon::StatusText() const {
+  nlohmann::json hosts = nlohmann::json::array();
+  for (const auto& update : this->directory.All()) {
+    hosts.push_back({{"host", update.record.host},
+                     {"zone", update.record.zone},
+                     {"admin", update.record.admin},
+                     {"liveness", ToText(update.liveness)},
+                     {"leaving", update.record.leaving},
+                     {"upstreams", update.record.upstreams.size()}});
+  }
+  nlohmann::json upstreams = nlohmann::json::array();
+  for (const auto& upstream : this->guard.Upstreams()) {
+    upstreams.push_back({{"id", upstream.id},
+                         {"service", upstream.service},
+                         {"limit", upstream.limit},
+                         {"latency_us", upstream.latency.count()},
+                         {"error_share", upstream.error_share},
+                         {"finished", upstream.finished}});
+  }
+  return nlohmann::json{{"host", this->fleet.places.host},
+                        {"zone", this->fleet.places.zone},
+                        {"region", this->fleet.places.region},
+                        {"revision", this->config.Revision()},
+                        {"isolated", this->IsIsolated()},
+                        {"leaving", this->leaving.load()},
+                        {"share", this->rates.Share()},
+                        {"hosts", hosts},
+                        {"upstreams", upstreams}}
+             .dump() +
+         "\n";
+}
+
+}  // namespace kingcupstair
--- /dev/null
+++ b/apps/kingcupstaird/daemon_settings.cc
@@ -0,0 +1,84 @@
+#include "apps/kingcupstaird/daemon_settings.h"
+
+#include <iostream>
+
+namespace kingcupstair {
+namespace {
+
+constexpr size_t kShortestFleetKey = 16;
+constexpr int kMaxThreads = 64;
+constexpr int64_t kLongestLeaveMillis = 60'000;
+
+settings::Setter SetFleetKey(std::string& target) {
+  return [&target](const std::string& text) -> absl::Status {
+    if (text.size() < kShortestFleetKey) {
+      return absl::InvalidArgumentError("expected at least 16 characters");
+    }
+    target = text;
+    return absl::OkStatus();
+  };
+}
+
+settings::FlagSet MakeFlags(DaemonSettings& settings) {
+  settings::FlagSet flags(
+      "kingcupstaird",
+      "kingcupstaird: takes callers' requests and guards this host's "
+      "upstreams.");
+  flags.Add({.name = "listen",
+             .help = "ADDRESS:PORT for callers",
+             .set = settings::SetEndpoint(settings.listen),
+             .required = true});
+  flags.Add({.name = "peer-listen",
+             .help = "ADDRESS:PORT for other hosts; names this host",
+             .set = settings::SetEndpoint(settings.peer_listen),
+             .required = true});
+  flags.Add({.name = "admin-listen",
+             .help = "ADDRESS:PORT for upstreams here and operators' tools",
+             .set = settings::SetEndpoint(settings.admin_listen),
+             .required = true});
+  flags.Add({.name = "store",
+             .help = "ADDRESS:PORT of the platform's key-value store",
+             .set = settings::SetEndpoint(settings.store),
+             .required = true});
+  flags.Add({.name = "zone",
+             .help = "availability zone of this host",
+             .set = settings::SetText(settings.zone),
+             .required = true});
+  flags.Add({.name = "region",
+             .help = "region of this host",
+             .set = settings::SetText(settings.region)});
+  flags.Add({.name = "fleet-key",
+             .help = "secret shared by all hosts, at least 16 characters; "
+                     "better set in the environment",
+             .set = SetFleetKey(settings.fleet_key),
+             .required = true});
+  flags.Add({.name = "seeds",
+             .help = "ADDRESS:PORT,... of peers to ask first",
+             .set = settings::SetEndpoints(settings.seeds)});
+  flags.Add({.name = "threads",
+             .help = "threads for requests, 1 to 64",
+             .set = settings::SetInteger(settings.threads, 1, kMaxThreads)});
+  flags.Add({.name = "leave-ms",
+             .help = "milliseconds for which a leaving host still takes "
+                     "requests, at most 60000",
+             .set = settings::SetMillis(settings.leave_time, 0,
+                                        kLongestLeaveMillis)});
+  return flags;
+}
+
+}  // namespace
+
+settings::ParseOutcome ReadSettings(int argc,
+                                    char** argv,
+                                    DaemonSettings& settings) {
+  settings::FlagSet flags = MakeFlags(settings);
+  std::vector<std::string> words;
+  const auto outcome = flags.Parse(argc, argv, words);
+  if (outcome == settings::ParseOutcome::kRun && !words.empty()) {
+    std::cerr << "kingcupstaird: '" << words.front() << "' is no setting\n";
+    return settings::ParseOutcome::kExitUsage;
+  }
+  return outcome;
+}
+
+}  // namespace kingcupstair
--- /dev/null
+++ b/apps/kingcupstaird/daemon_settings.h
@@ -0,0 +1,38 @@
+#ifndef APPS_KINGCUPSTAIRD_DAEMON_SETTINGS_H_
+#define APPS_KINGCUPSTAIRD_DAEMON_SETTINGS_H_
+
+#include <string>
+#include <vector>
+
+#include "components/base/endpoint.h"
+#include "components/settings/flag_set.h"
+
+namespace kingcupstair {
+
+/// The settings of the daemon.
+struct DaemonSettings {
+  /// Where callers reach this host.
+  Endpoint listen;
+  /// Where peers reach this host; names it in the fleet.
+  Endpoint peer_listen;
+  /// Where upstreams on this host and operators' tools reach it.
+  Endpoint admin_listen;
+  Endpoint store;
+  std::string zone;
+  std::string region = "default";
+  std::string fleet_key;
+  /// Peers to ask first when the store is out.
+  std::vector<Endpoint> seeds;
+  int threads = 2;
+  /// How long a leaving host goes on taking requests for other hosts.
+  Duration leave_time{std::chrono::seconds(2)};
+};
+
+/// Reads and checks the settings.
+settings::ParseOutcome ReadSettings(int argc,
+                                    char** argv,
+                                    DaemonSettings& settings);
+
+}  // namespace kingcupstair
+
+#endif  // APPS_KINGCUPSTAIRD_DAEMON_SETTINGS_H_
--- /dev/null
+++ b/apps/kingcupstaird/main.cc
@@ -0,0 +1,43 @@
+#include <iostream>
+
+#include "apps/kingcupstaird/daemon.h"
+#include "components/logging/log.h"
+#include "components/settings/end_signals.h"
+
+namespace kingcupstair {
+namespace {
+
+int Main(int argc, char** argv) {
+  DaemonSettings settings;
+  switch (ReadSettings(argc, argv, settings)) {
+    case settings::ParseOutcome::kExitOk:
+      return settings::kExitOk;
+    case settings::ParseOutcome::kExitUsage:
+      return settings::kExitUsage;
+    case settings::ParseOutcome::kRun:
+      break;
+  }
+  logging::Init("kingcupstaird");
+  const settings::EndSignals end_signals;
+  Daemon daemon(settings);
+  if (const auto status = daemon.Start(); !status.ok()) {
+    const auto message = status.message();
+    std::cerr << "kingcupstaird: "
+              << std::string(message.data(), message.size()) << "\n";
+    return settings::kExitFailed;
+  }
+  logging::Write(logging::Level::kInfo, "serving",
+                 {{.name = "peer", .value = ToText(settings.peer_listen)},
+                  {.name = "zone", .value = settings.zone}});
+  end_signals.Wait();
+  daemon.Leave();
+  logging::Write(logging::Level::kInfo, "left");
+  return settings::kExitOk;
+}
+
+}  // namespace
+}  // namespace kingcupstair
+
+int main(int argc, char** argv) {
+  return kingcupstair::Main(argc, argv);
+}
--- /dev/null
+++ b/apps/store_standin/main.cc
@@ -0,0 +1,49 @@
+#include <iostream>
+
+#include "apps/store_standin/store_service.h"
+#include "components/fibers/worker_pool.h"
+#include "components/http/server.h"
+#include "components/settings/end_signals.h"
+#include "components/settings/flag_set.h"
+
+namespace kingcupstair {
+namespace {
+
+int Main(int argc, char** argv) {
+  Endpoint listen;
+  settings::FlagSet flags(
+      "store-standin",
+      "store-standin: a small stand-in for the platform's key-value store.");
+  flags.Add({.name = "listen",
+             .help = "ADDRESS:PORT to serve",
+             .set = settings::SetEndpoint(listen),
+             .required = true});
+  std::vector<std::string> words;
+  const auto outcome = flags.Parse(argc, argv, words);
+  if (outcome != settings::ParseOutcome::kRun) {
+    return outcome == settings::ParseOutcome::kExitOk ? settings::kExitOk
+                                                      : settings::kExitUsage;
+  }
+  const settings::EndSignals end_signals;
+  StoreService service;
+  fibers::WorkerPool workers(1);
+  http::Server server(workers, {.listen = listen},
+                      [&service](const http::Request& request) {
+                        return service.Handle(request);
+                      });
+  if (const auto status = server.Start(); !status.ok()) {
+    const auto message = status.message();
+    std::cerr << std::string(message.data(), message.size()) << "\n";
+    return settings::kExitFailed;
+  }
+  end_signals.Wait();
+  workers.Stop();
+  return settings::kExitOk;
+}
+
+}  // namespace
+}  // namespace kingcupstair
+
+int main(int argc, char** argv) {
+  return kingcupstair::Main(argc, argv);
+}
--- /dev/null
+++ b/apps/store_standin/store_service.cc
@@ -0,0 +1,145 @@
+#include "apps/store_standin/store_service.h"
+
+#include <nlohmann/json.hpp>
+
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "components/fibers/worker_pool.h"
+
+namespace kingcupstair {
+namespace {
+
+constexpr size_t kMaxValueBytes = 1024 * 1024;
+constexpr char kKeyPrefix[] = "/v1/kv/";
+constexpr Duration kWatchPoll{std::chrono::milliseconds(5)};
+
+uint64_t QueryNumber(const std::string& query, const std::string& name) {
+  uint64_t value = 0;
+  for (const absl::string_view part : absl::StrSplit(query, '&')) {
+    const std::string prefix = name + "=";
+    if (absl::StartsWith(part, prefix) &&
+        !absl::SimpleAtoi(part.substr(prefix.size()), &value)) {
+      return 0;
+    }
+  }
+  return value;
+}
+
+http::Response Plain(int status, const std::string& text) {
+  return {.status = status, .body = text};
+}
+
+http::Response ValueResponse(const StoredValue& value) {
+  return {.status = 200,
+          .headers = {{.name = "X-Version",
+                       .value = absl::StrCat(value.version)}},
+          .body = value.value};
+}
+
+}  // namespace
+
+http::Response StoreService::Handle(const http::Request& request) {
+  if (request.target == "/v1/faults") {
+    return this->SetFaults(request.body);
+  }
+  if (request.target == "/v1/counts") {
+    return this->Counts();
+  }
+  if (this->faults.down) {
+    return {.status = http::kCloseWithoutAnswer};
+  }
+  if (this->faults.delay_ms > 0) {
+    fibers::SleepFor(std::chrono::milliseconds(this->faults.delay_ms));
+  }
+  const http::Response response = this->HandleKey(request);
+  if (request.method != "GET" && this->faults.lose_answers > 0) {
+    --this->faults.lose_answers;
+    return {.status = http::kCloseWithoutAnswer};
+  }
+  return this->faults.down ? http::Response{.status = http::kCloseWithoutAnswer}
+                           : response;
+}
+
+http::Response StoreService::HandleKey(const http::Request& request) {
+  const std::vector<std::string> parts =
+      absl::StrSplit(request.target, absl::MaxSplits('?', 1));
+  if (!absl::StartsWith(parts[0], kKeyPrefix)) {
+    return Plain(404, "no such page\n");
+  }
+  const std::string key = parts[0].substr(std::string(kKeyPrefix).size());
+  if (request.method == "GET") {
+    return this->Read(key, parts.size() > 1 ? parts[1] : "");
+  }
+  if (request.method == "PUT") {
+    return this->Write(key, request);
+  }
+  if (request.method == "DELETE") {
+    ++this->counts["write"];
+    this->state.Delete(key);
+    return Plain(200, "");
+  }
+  return Plain(405, "GET, PUT or DELETE\n");
+}
+
+http::Response StoreService::Read(const std::string& key,
+                                  const std::string& query) {
+  const uint64_t after = QueryNumber(query, "after");
+  const Duration wait =
+      std::chrono::milliseconds(QueryNumber(query, "wait_ms"));
+  ++this->counts[wait > Duration{} ? "watch" : "read"];
+  const Instant until = MonotonicNow() + wait;
+  while (true) {
+    const auto value = this->state.Get(key, MonotonicNow());
+    const bool news = value.has_value() && value->version > after;
+    if (news || MonotonicNow() >= until || this->faults.down) {
+      return value.has_value() ? ValueResponse(*value) : Plain(404, "");
+    }
+    fibers::SleepFor(kWatchPoll);
+  }
+}
+
+http::Response StoreService::Write(const std::string& key,
+                                   const http::Request& request) {
+  ++this->counts["write"];
+  if (request.body.size() > kMaxValueBytes) {
+    return Plain(413, "a value has at most 1 MB\n");
+  }
+  const Instant now = MonotonicNow();
+  StoredValue value{.value = request.body};
+  int64_t lease_ms = 0;
+  const std::string lease(http::Find(request.headers, "X-Lease-Ms"));
+  if (absl::SimpleAtoi(lease, &lease_ms)) {
+    value.expires = now + std::chrono::milliseconds(lease_ms);
+  }
+  std::optional<uint64_t> expected;
+  uint64_t number = 0;
+  const std::string header(http::Find(request.headers, "X-Expect-Version"));
+  if (absl::SimpleAtoi(header, &number)) {
+    expected = number;
+  }
+  const auto version = this->state.Put(key, value, expected, now);
+  if (!version.has_value()) {
+    return Plain(409, "the key stands at another version\n");
+  }
+  return {.status = 200,
+          .headers = {{.name = "X-Version", .value = absl::StrCat(*version)}}};
+}
+
+http::Response StoreService::SetFaults(const std::string& body) {
+  const auto json = nlohmann::json::parse(body, nullptr, false);
+  if (!json.is_object()) {
+    return Plain(400, "expected a JSON object\n");
+  }
+  this->faults = {.down = json.value("down", false),
+                  .delay_ms = json.value("delay_ms", 0),
+                  .lose_answers = json.value("lose_answers", 0)};
+  return Plain(200, "");
+}
+
+http::Response StoreService::Counts() const {
+  return http::JsonResponse(200, nlohmann::json(this->counts).dump() + "\n");
+}
+
+}  // namespace kingcupstair
--- /dev/null
+++ b/apps/store_standin/store_service.h
@@ -0,0 +1,43 @@
+#ifndef APPS_STORE_STANDIN_STORE_SERVICE_H_
+#define APPS_STORE_STANDIN_STORE_SERVICE_H_
+
+#include <map>
+#include <string>
+
+#include "apps/store_standin/store_state.h"
+#include "components/http/message.h"
+
+namespace kingcupstair {
+
+/// The HTTP face of the stand-in store. All requests run on one thread.
+///
+///   GET    /v1/kv/KEY[?after=VERSION&wait_ms=N]   a read, or a watch
+///   PUT    /v1/kv/KEY     X-Expect-Version, X-Lease-Ms
+///   DELETE /v1/kv/KEY
+///   GET    /v1/counts     calls by kind
+///   POST   /v1/faults     {"down":bool,"delay_ms":N,"lose_answers":N}
+class StoreService {
+ public:
+  http::Response Handle(const http::Request& request);
+
+ private:
+  struct Faults {
+    bool down = false;
+    int delay_ms = 0;
+    int lose_answers = 0;
+  };
+
+  http::Response HandleKey(const http::Request& request);
+  http::Response Read(const std::string& key, const std::string& query);
+  http::Response Write(const std::string& key, const http::Request& request);
+  http::Response SetFaults(const std::string& body);
+  http::Response Counts() const;
+
+  StoreState state;
+  Faults faults;
+  std::map<std::string, int> counts;
+};
+
+}  // namespace kingcupstair
+
+#endif  // APPS_STORE_STANDIN_STORE_SERVICE_H_
--- /dev/null
+++ b/apps/upstream_standin/upstream_service.cc
@@ -0,0 +1,131 @@
+#include "apps/upstream_standin/upstream_service.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <nlohmann/json.hpp>
+
+#include "absl/strings/str_cat.h"
+#include "components/fibers/worker_pool.h"
+
+namespace kingcupstair {
+namespace {
+
+constexpr Duration kHangTime{std::chrono::seconds(30)};
+constexpr int kCrashExitCode = 70;
+/// How much longer work takes for each request above what a cold upstream
+/// bears.
+constexpr int kOverloadFactor = 10;
+
+}  // namespace
+
+UpstreamService::UpstreamService(Options options)
+    : options(std::move(options)) {}
+
+http::Response UpstreamService::Handle(const http::Request& request) {
+  if (request.target == "/health") {
+    return this->Health();
+  }
+  if (request.target == "/load") {
+    const int at_call = this->in_flight;
+    fibers::SleepFor(std::chrono::milliseconds(this->faults.load_lag_ms));
+    return http::JsonResponse(
+        200, nlohmann::json{{"in_flight", at_call},
+                            {"slots", this->options.slots}}
+                     .dump() +
+                 "\n");
+  }
+  if (request.target == "/counts") {
+    return this->Counts();
+  }
+  if (request.target == "/faults" && request.method == "POST") {
+    return this->SetFaults(request.body);
+  }
+  return this->Work(request);
+}
+
+http::Response UpstreamService::Work(const http::Request& request) {
+  if (!http::Find(request.headers, "X-Crash").empty()) {
+    std::_Exit(kCrashExitCode);
+  }
+  const bool key_shown =
+      !http::Find(request.headers, "Authorization").empty() ||
+      !http::Find(request.headers, "X-Api-Key").empty();
+  this->keys_seen += key_shown ? 1 : 0;
+  const std::string order(http::Find(request.headers, "X-Order"));
+  if (!order.empty()) {
+    ++this->runs[order];
+  }
+  ++this->in_flight;
+  this->most_at_once = std::max(this->most_at_once, this->in_flight);
+  const bool over = this->in_flight > this->BearsAtOnce();
+  this->overloaded += over ? 1 : 0;
+  fibers::SleepFor(this->TimeToWork());
+  --this->in_flight;
+  if (this->faults.cut) {
+    return {.status = http::kCloseWithoutAnswer};
+  }
+  std::bernoulli_distribution fails(this->faults.error_share);
+  if (fails(this->random)) {
+    return {.status = 500, .body = "failed\n"};
+  }
+  ++this->answered;
+  return {.status = 200,
+          .headers = {{.name = "X-Order", .value = order},
+                      {.name = "X-Upstream", .value = this->options.id}},
+          .body = absl::StrCat(request.method, " ", request.target, " by ",
+                               this->options.id, "\n")};
+}
+
+Duration UpstreamService::TimeToWork() const {
+  if (this->faults.hang) {
+    return kHangTime;
+  }
+  const int above = std::max(0, this->in_flight - this->BearsAtOnce());
+  return this->options.work * (1 + kOverloadFactor * above) +
+         std::chrono::milliseconds(this->faults.slow_ms);
+}
+
+int UpstreamService::BearsAtOnce() const {
+  if (this->answered >= this->options.cold_requests) {
+    return this->options.slots;
+  }
+  const int steps = this->answered * 10 / this->options.cold_requests;
+  return std::min(this->options.slots, 1 + steps);
+}
+
+http::Response UpstreamService::Health() const {
+  const bool well = !this->faults.hang && this->faults.error_share == 0 &&
+                    this->faults.slow_ms == 0;
+  return well || this->faults.lie ? http::Response{.body = "ok\n"}
+                                  : http::Response{.status = 503};
+}
+
+http::Response UpstreamService::SetFaults(const std::string& body) {
+  const auto json = nlohmann::json::parse(body, nullptr, false);
+  if (!json.is_object()) {
+    return {.status = 400, .body = "expected a JSON object\n"};
+  }
+  this->faults = {.slow_ms = json.value("slow_ms", 0),
+                  .error_share = json.value("error_share", 0.0),
+                  .hang = json.value("hang", false),
+                  .lie = json.value("lie", false),
+                  .cut = json.value("cut", false),
+                  .load_lag_ms = json.value("load_lag_ms", 0)};
+  if (json.value("cold", false)) {
+    this->answered = 0;
+  }
+  return {};
+}
+
+http::Response UpstreamService::Counts() const {
+  return http::JsonResponse(
+      200, nlohmann::json{{"runs", this->runs},
+                          {"keys_seen", this->keys_seen},
+                          {"most_at_once", this->most_at_once},
+                          {"overloaded", this->overloaded},
+                          {"answered", this->answered}}
+                   .dump() +
+               "\n");
+}
+
+}  // namespace kingcupstair
--- /dev/null
+++ b/components/admission/upstream_gate.cc
@@ -0,0 +1,134 @@
+#include "components/admission/upstream_gate.h"
+
+#include <algorithm>
+
+namespace kingcupstair::admission {
+namespace {
+
+constexpr double kLatencyWeight = 0.25;
+constexpr double kErrorWeight = 0.2;
+constexpr Duration kRetryWhenFull{std::chrono::seconds(1)};
+
+RefuseTicket Refuse(TicketId ticket, once::RefusalReason reason) {
+  const bool busy = reason == once::RefusalReason::kQueueFull ||
+                    reason == once::RefusalReason::kQueueTimeout;
+  return {.ticket = ticket,
+          .refusal = {.reason = reason,
+                      .retry_after = busy ? kRetryWhenFull : Duration{}}};
+}
+
+}  // namespace
+
+UpstreamGate::UpstreamGate(Options options)
+    : options(options), concurrency({.slots = options.slots}), queue({}) {}
+
+std::vector<GateDecision> UpstreamGate::Offer(TicketId ticket,
+                                              const std::string& organisation,
+                                              Instant deadline,
+                                              Instant now) {
+  std::vector<GateDecision> decisions;
+  const Instant expires = std::min(deadline, now + this->options.max_wait);
+  if (expires <= now) {
+    decisions.push_back(Refuse(ticket, once::RefusalReason::kQueueTimeout));
+    return decisions;
+  }
+  if (!this->queue.Push(ticket, organisation, expires)) {
+    decisions.push_back(Refuse(ticket, once::RefusalReason::kQueueFull));
+    return decisions;
+  }
+  this->StartWaiting(now, decisions);
+  return decisions;
+}
+
+std::vector<GateDecision> UpstreamGate::Finish(TicketId ticket,
+                                               RunEnd end,
+                                               Instant now) {
+  std::vector<GateDecision> decisions;
+  const auto found = this->running.find(ticket);
+  if (found == this->running.end()) {
+    return decisions;
+  }
+  const Duration latency = now - found->second;
+  const int in_flight = this->in_flight();
+  this->running.erase(found);
+  if (end == RunEnd::kSuccess) {
+    this->NoteLatency(latency);
+    this->error_share *= 1 - kErrorWeight;
+    this->concurrency.OnSuccess(latency, in_flight, now);
+    ++this->finished;
+  } else if (end == RunEnd::kFailure) {
+    this->error_share += kErrorWeight * (1 - this->error_share);
+    this->concurrency.OnFailure(now);
+    ++this->finished;
+  }
+  this->StartWaiting(now, decisions);
+  return decisions;
+}
+
+void UpstreamGate::Cancel(TicketId ticket) {
+  this->queue.Remove(ticket);
+}
+
+std::vector<GateDecision> UpstreamGate::Tick(Instant now) {
+  std::vector<GateDecision> decisions;
+  for (const TicketId ticket : this->queue.TakeExpired(now)) {
+    decisions.push_back(Refuse(ticket, once::RefusalReason::kQueueTimeout));
+  }
+  this->StartWaiting(now, decisions);
+  return decisions;
+}
+
+std::vector<GateDecision> UpstreamGate::RefuseWaiting(
+    once::RefusalReason reason) {
+  std::vector<GateDecision> decisions;
+  for (const TicketId ticket : this->queue.TakeAll()) {
+    decisions.push_back(Refuse(ticket, reason));
+  }
+  return decisions;
+}
+
+void UpstreamGate::Restart() {
+  this->concurrency = ConcurrencyLimit({.slots = this->options.slots});
+  this->latency_micros = 0;
+  this->error_share = 0;
+  this->finished = 0;
+}
+
+// A hung upstream answers nothing, so the age of what it runs counts as
+// latency too.
+GateReport UpstreamGate::Report(Instant now) const {
+  Duration oldest{};
+  for (const auto& [ticket, started] : this->running) {
+    oldest = std::max(oldest, now - started);
+  }
+  const Duration average(static_cast<int64_t>(this->latency_micros));
+  return {.in_flight = this->in_flight(),
+          .queued = static_cast<int>(this->queue.size()),
+          .limit = this->concurrency.limit(),
+          .cold = this->concurrency.cold(),
+          .latency = std::max(average, oldest),
+          .error_share = this->error_share,
+          .finished = this->finished};
+}
+
+void UpstreamGate::StartWaiting(Instant now,
+                                std::vector<GateDecision>& decisions) {
+  while (this->in_flight() < this->concurrency.limit()) {
+    const std::optional<TicketId> next = this->queue.Pop(now);
+    if (!next.has_value()) {
+      return;
+    }
+    this->running[*next] = now;
+    decisions.push_back(StartTicket{.ticket = *next});
+  }
+}
+
+void UpstreamGate::NoteLatency(Duration latency) {
+  const auto micros = static_cast<double>(latency.count());
+  if (this->latency_micros == 0) {
+    this->latency_micros = micros;
+  }
+  this->latency_micros += kLatencyWeight * (micros - this->latency_micros);
+}
+
+}  // namespace kingcupstair::admission
--- /dev/null
+++ b/components/admission/upstream_gate.h
@@ -0,0 +1,105 @@
+#ifndef COMPONENTS_ADMISSION_UPSTREAM_GATE_H_
+#define COMPONENTS_ADMISSION_UPSTREAM_GATE_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "components/admission/concurrency_limit.h"
+#include "components/admission/fair_queue.h"
+#include "components/base/time.h"
+#include "components/once/outcome.h"
+
+namespace kingcupstair::admission {
+
+/// The request may go to the upstream now.
+struct StartTicket {
+  TicketId ticket = 0;
+
+  bool operator==(const StartTicket&) const = default;
+};
+
+/// The request is refused without having run.
+struct RefuseTicket {
+  TicketId ticket = 0;
+  once::NotRun refusal;
+
+  bool operator==(const RefuseTicket&) const = default;
+};
+
+using GateDecision = std::variant<StartTicket, RefuseTicket>;
+
+/// How a request that was started ended at the upstream.
+enum class RunEnd { kSuccess, kFailure, kCancelled };
+
+/// What the gate of one upstream tells ingresses about it.
+struct GateReport {
+  int in_flight = 0;
+  int queued = 0;
+  int limit = 1;
+  bool cold = true;
+  /// Exponentially weighted, the age of the oldest running request included.
+  Duration latency{};
+  /// Exponentially weighted share of failed requests, 0 to 1.
+  double error_share = 0;
+  /// Requests that ended since the upstream started.
+  uint64_t finished = 0;
+
+  bool operator==(const GateReport&) const = default;
+};
+
+/// Decides which requests one upstream runs, in what order and how many at
+/// once. All requests to the upstream pass here, so no agreement is needed.
+class UpstreamGate {
+ public:
+  struct Options {
+    int slots = 1;
+    /// Longest wait for a slot.
+    Duration max_wait{std::chrono::seconds(1)};
+  };
+
+  explicit UpstreamGate(Options options);
+
+  /// Offers a request that must end before `deadline`.
+  std::vector<GateDecision> Offer(TicketId ticket,
+                                  const std::string& organisation,
+                                  Instant deadline,
+                                  Instant now);
+
+  /// A started request has ended.
+  std::vector<GateDecision> Finish(TicketId ticket, RunEnd end, Instant now);
+
+  /// Gives up a waiting request; nothing when it does not wait.
+  void Cancel(TicketId ticket);
+
+  /// Lets time pass: refuses what has waited too long.
+  std::vector<GateDecision> Tick(Instant now);
+
+  /// Refuses everything that waits, for `reason`.
+  std::vector<GateDecision> RefuseWaiting(once::RefusalReason reason);
+
+  /// The upstream has started anew.
+  void Restart();
+
+  GateReport Report(Instant now) const;
+
+  int in_flight() const { return static_cast<int>(this->running.size()); }
+
+ private:
+  void StartWaiting(Instant now, std::vector<GateDecision>& decisions);
+  void NoteLatency(Duration latency);
+
+  Options options;
+  ConcurrencyLimit concurrency;
+  FairQueue queue;
+  std::map<TicketId, Instant> running;
+  double latency_micros = 0;
+  double error_share = 0;
+  uint64_t finished = 0;
+};
+
+}  // namespace kingcupstair::admission
+
+#endif  // COMPONENTS_ADMISSION_UPSTREAM_GATE_H_
--- /dev/null
+++ b/components/base/endpoint.h
@@ -0,0 +1,28 @@
+#ifndef COMPONENTS_BASE_ENDPOINT_H_
+#define COMPONENTS_BASE_ENDPOINT_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "absl/status/statusor.h"
+
+namespace kingcupstair {
+
+/// An IP address by number and a port.
+struct Endpoint {
+  std::string address;
+  uint16_t port = 0;
+
+  auto operator<=>(const Endpoint&) const = default;
+};
+
+/// Parses "127.0.0.1:8080" or "[::1]:8080"; host names are refused.
+absl::StatusOr<Endpoint> ParseEndpoint(std::string_view text);
+
+/// The text form that ParseEndpoint reads.
+std::string ToText(const Endpoint& endpoint);
+
+}  // namespace kingcupstair
+
+#endif  // COMPONENTS_BASE_ENDPOINT_H_
--- /dev/null
+++ b/components/config/configuration.h
@@ -0,0 +1,69 @@
+#ifndef COMPONENTS_CONFIG_CONFIGURATION_H_
+#define COMPONENTS_CONFIG_CONFIGURATION_H_
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "components/config/parse.h"
+
+namespace kingcupstair::config {
+
+/// The operators' rules at one revision, checked as a whole and indexed.
+class Configuration {
+ public:
+  /// Configuration at revision 0: no rules at all.
+  Configuration() = default;
+
+  /// Parses and checks `text`; gives every fault when there is any.
+  static std::variant<Configuration, std::vector<RuleError>> Build(
+      uint64_t revision,
+      std::string_view text);
+
+  uint64_t revision() const { return this->revision_number; }
+
+  /// The route with the longest prefix that covers `path`, or null.
+  const RouteRule* FindRoute(std::string_view method,
+                             std::string_view path) const;
+
+  /// The service named `name`, or null.
+  const ServiceRule* FindService(std::string_view name) const;
+
+  /// The organisation named `name`, or null.
+  const OrganisationRule* FindOrganisation(std::string_view name) const;
+
+  /// The organisation that holds the key with this digest, or null.
+  const OrganisationRule* FindByKeyDigest(std::string_view digest) const;
+
+  bool IsZoneOut(const std::string& zone) const;
+  bool IsUpstreamOut(const std::string& upstream) const;
+
+  size_t route_count() const { return this->routes.size(); }
+  size_t organisation_count() const { return this->organisations.size(); }
+  const std::set<std::string>& zones_out() const { return this->zones; }
+  const std::set<std::string>& upstreams_out() const {
+    return this->upstreams;
+  }
+
+  bool operator==(const Configuration&) const = default;
+
+ private:
+  class Builder;
+
+  uint64_t revision_number = 0;
+  std::unordered_map<std::string, ServiceRule> services;
+  /// By method, a space and the prefix.
+  std::unordered_map<std::string, RouteRule> routes;
+  std::unordered_map<std::string, OrganisationRule> organisations;
+  std::unordered_map<std::string, std::string> organisation_by_digest;
+  std::set<std::string> zones;
+  std::set<std::string> upstreams;
+};
+
+}  // namespace kingcupstair::config
+
+#endif  // COMPONENTS_CONFIG_CONFIGURATION_H_
--- /dev/null
+++ b/components/config/line_reader.cc
@@ -0,0 +1,111 @@
+#include "components/config/line_reader.h"
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+
+namespace kingcupstair::config {
+namespace {
+
+constexpr std::string_view kBlanks = " \t\r";
+
+std::vector<Word> SplitWords(std::string_view line) {
+  std::vector<Word> words;
+  size_t start = line.find_first_not_of(kBlanks);
+  while (start != std::string_view::npos) {
+    size_t end = line.find_first_of(kBlanks, start);
+    if (end == std::string_view::npos) {
+      end = line.size();
+    }
+    words.push_back({.text = std::string(line.substr(start, end - start)),
+                     .column = static_cast<int>(start) + 1});
+    start = line.find_first_not_of(kBlanks, end);
+  }
+  return words;
+}
+
+std::string Text(std::string_view view) {
+  return std::string(view);
+}
+
+}  // namespace
+
+std::string ToText(const RuleError& error) {
+  return absl::StrCat("line ", error.line, ", column ", error.column, ": ",
+                      error.reason);
+}
+
+LineReader::LineReader(std::string_view line, int line_number)
+    : words(SplitWords(line)),
+      line_number(line_number),
+      end_column(static_cast<int>(line.size()) + 1) {}
+
+std::optional<Word> LineReader::Next() {
+  if (this->position == this->words.size()) {
+    return std::nullopt;
+  }
+  return this->words[this->position++];
+}
+
+std::string LineReader::Take(std::string_view what) {
+  const std::optional<Word> word = this->Next();
+  if (word.has_value()) {
+    return word->text;
+  }
+  if (!this->error.has_value()) {
+    this->error =
+        RuleError{.line = this->line_number,
+                  .column = this->end_column,
+                  .reason = absl::StrCat("expected ", Text(what),
+                                         " before the end of the rule")};
+  }
+  return "";
+}
+
+double LineReader::TakeNumber(std::string_view what, double low, double high) {
+  const std::string text = this->Take(what);
+  double value = 0;
+  if (this->failed()) {
+    return low;
+  }
+  if (!absl::SimpleAtod(text, &value) || !(value >= low && value <= high)) {
+    this->Fail(absl::StrCat("'", text, "' is no ", Text(what), " from ", low,
+                            " to ", high));
+    return low;
+  }
+  return value;
+}
+
+Duration LineReader::TakeDuration(std::string_view what) {
+  const std::string text = this->Take(what);
+  if (this->failed()) {
+    return {};
+  }
+  const size_t unit_start = text.find_first_not_of("0123456789");
+  int64_t count = 0;
+  const bool counted =
+      unit_start != std::string::npos &&
+      absl::SimpleAtoi(text.substr(0, unit_start), &count) && count > 0;
+  const std::string unit = counted ? text.substr(unit_start) : "";
+  if (unit == "ms" && count <= 600'000) {
+    return std::chrono::milliseconds(count);
+  }
+  if (unit == "s" && count <= 600) {
+    return std::chrono::seconds(count);
+  }
+  this->Fail(absl::StrCat("'", text, "' is no ", Text(what),
+                          " such as 250ms or 2s, at most 600s"));
+  return {};
+}
+
+void LineReader::Fail(std::string reason) {
+  if (this->error.has_value()) {
+    return;
+  }
+  const int column =
+      this->position == 0 ? 1 : this->words[this->position - 1].column;
+  this->error = RuleError{.line = this->line_number,
+                          .column = column,
+                          .reason = std::move(reason)};
+}
+
+}  // namespace kingcupstair::config
--- /dev/null
+++ b/components/control/config_keeper.cc
@@ -0,0 +1,58 @@
+#include "components/control/config_keeper.h"
+
+namespace kingcupstair::control {
+
+bool ConfigKeeper::OfferHead(const std::string& text) {
+  const auto head = config::DecodeHead(text);
+  if (!head.ok()) {
+    return false;
+  }
+  const std::lock_guard lock(this->mutex);
+  return this->replica.Offer(*head) == config::OfferResult::kPending;
+}
+
+std::vector<std::string> ConfigKeeper::MissingChunks() const {
+  const std::lock_guard lock(this->mutex);
+  return this->replica.MissingChunks();
+}
+
+bool ConfigKeeper::AddChunk(const std::string& id, const std::string& text) {
+  const std::lock_guard lock(this->mutex);
+  return this->replica.AddChunk(id, text);
+}
+
+Adoption ConfigKeeper::TryAdopt() {
+  const std::lock_guard lock(this->mutex);
+  const auto faults = this->replica.TryAdopt();
+  if (!faults.has_value()) {
+    return {};
+  }
+  if (!faults->empty()) {
+    return {.faults = *faults};
+  }
+  this->current.Publish(this->replica.Current());
+  return {.adopted = true};
+}
+
+std::string ConfigKeeper::HeadText() const {
+  const std::lock_guard lock(this->mutex);
+  return config::EncodeHead(this->replica.CurrentHead());
+}
+
+std::vector<std::string> ConfigKeeper::ChunkTexts(
+    const std::vector<std::string>& ids) const {
+  const std::lock_guard lock(this->mutex);
+  std::vector<std::string> texts;
+  for (const std::string& id : ids) {
+    const std::string* text = this->replica.FindChunk(id);
+    texts.push_back(text == nullptr ? "" : *text);
+  }
+  return texts;
+}
+
+std::string ConfigKeeper::Text() const {
+  const std::lock_guard lock(this->mutex);
+  return this->replica.CurrentText();
+}
+
+}  // namespace kingcupstair::control
--- /dev/null
+++ b/components/control/directory_keeper.cc
@@ -0,0 +1,84 @@
+#include "components/control/directory_keeper.h"
+
+namespace kingcupstair::control {
+
+DirectoryKeeper::DirectoryKeeper(membership::Directory::Options options,
+                                 membership::HostRecord own)
+    : directory(options, std::move(own)) {}
+
+bool DirectoryKeeper::PublishOwn(const membership::HostRecord& own) {
+  const std::lock_guard lock(this->mutex);
+  return membership::WorthPublishing(this->directory.own(), own) &&
+         this->directory.UpdateOwn(own);
+}
+
+int DirectoryKeeper::Merge(
+    const std::vector<membership::HostUpdate>& updates) {
+  const std::lock_guard lock(this->mutex);
+  const Instant now = MonotonicNow();
+  int news = 0;
+  for (const membership::HostUpdate& update : updates) {
+    news += this->directory.Merge(update, now) ? 1 : 0;
+  }
+  return news;
+}
+
+void DirectoryKeeper::Suspect(const std::string& host) {
+  const std::lock_guard lock(this->mutex);
+  this->directory.Suspect(host, MonotonicNow());
+}
+
+std::vector<std::string> DirectoryKeeper::Tick() {
+  const std::lock_guard lock(this->mutex);
+  return this->directory.Tick(MonotonicNow());
+}
+
+std::vector<membership::HostUpdate> DirectoryKeeper::PickGossip(size_t count) {
+  const std::lock_guard lock(this->mutex);
+  return this->directory.PickGossip(count);
+}
+
+uint64_t DirectoryKeeper::Digest() const {
+  const std::lock_guard lock(this->mutex);
+  return this->directory.Digest();
+}
+
+std::map<std::string, membership::RecordVersion> DirectoryKeeper::Versions()
+    const {
+  const std::lock_guard lock(this->mutex);
+  return this->directory.Versions();
+}
+
+std::vector<membership::HostUpdate> DirectoryKeeper::NewerThan(
+    const std::map<std::string, membership::RecordVersion>& versions) const {
+  const std::lock_guard lock(this->mutex);
+  return this->directory.NewerThan(versions);
+}
+
+std::vector<membership::HostRecord> DirectoryKeeper::Present() const {
+  const std::lock_guard lock(this->mutex);
+  return this->directory.Present();
+}
+
+std::vector<std::string> DirectoryKeeper::PoolHosts(
+    const std::string& region) const {
+  const std::lock_guard lock(this->mutex);
+  return this->directory.PoolHosts(region);
+}
+
+std::vector<membership::HostUpdate> DirectoryKeeper::All() const {
+  const std::lock_guard lock(this->mutex);
+  return this->directory.All();
+}
+
+size_t DirectoryKeeper::size() const {
+  const std::lock_guard lock(this->mutex);
+  return this->directory.size();
+}
+
+uint64_t DirectoryKeeper::OwnIncarnation() const {
+  const std::lock_guard lock(this->mutex);
+  return this->directory.own().incarnation;
+}
+
+}  // namespace kingcupstair::control
--- /dev/null
+++ b/components/control/gossip_loop.cc
@@ -0,0 +1,154 @@
+#include "components/control/gossip_loop.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "components/fibers/worker_pool.h"
+
+namespace kingcupstair::control {
+namespace {
+
+constexpr Duration kPeriod{std::chrono::milliseconds(500)};
+constexpr Duration kProbeTimeout{std::chrono::milliseconds(300)};
+constexpr Duration kSyncTimeout{std::chrono::seconds(2)};
+constexpr size_t kUpdatesPerMessage = 8;
+constexpr size_t kCrashesPerMessage = 16;
+constexpr size_t kHelpers = 2;
+constexpr size_t kSpreadTargets = 3;
+/// Probes in a row that found a peer knowing something else, after which all
+/// versions are compared.
+constexpr int kUnlikeRoundsBeforeSync = 3;
+
+}  // namespace
+
+GossipLoop::GossipLoop(Fleet& fleet, uint64_t seed)
+    : fleet(fleet), prober(seed) {}
+
+void GossipLoop::Step() {
+  const Instant start = MonotonicNow();
+  for (const std::string& host : this->fleet.directory.Tick()) {
+    this->fleet.recorder.Record({.kind = "host_dead", .detail = host});
+  }
+  std::optional<std::string> target;
+  {
+    const std::lock_guard lock(this->mutex);
+    target = this->prober.Next(this->Targets());
+  }
+  if (target.has_value() && !this->Exchange(*target)) {
+    this->AskHelpers(*target);
+  }
+  const Duration spent = MonotonicNow() - start;
+  fibers::SleepFor(std::max(kPeriod - spent, Duration(1000)));
+}
+
+std::vector<std::string> GossipLoop::Targets() const {
+  std::set<std::string> targets;
+  for (const auto& record : this->fleet.directory.Present()) {
+    targets.insert(record.host);
+  }
+  if (targets.size() <= 1) {
+    targets.insert(this->fleet.places.seeds.begin(),
+                   this->fleet.places.seeds.end());
+  }
+  targets.erase(this->fleet.places.host);
+  return {targets.begin(), targets.end()};
+}
+
+bool GossipLoop::Exchange(const std::string& host) {
+  const auto reply =
+      this->fleet.peers.Gossip(host, this->MakeMessage(), kProbeTimeout);
+  if (!reply.ok()) {
+    return false;
+  }
+  this->TakeIn(*reply);
+  const bool unlike = reply->digest != this->fleet.directory.Digest();
+  this->rounds_unlike = unlike ? this->rounds_unlike + 1 : 0;
+  const bool alone = this->fleet.directory.size() == 1;
+  if (alone || this->rounds_unlike >= kUnlikeRoundsBeforeSync) {
+    this->rounds_unlike = 0;
+    this->SyncWith(host);
+  }
+  return true;
+}
+
+void GossipLoop::SyncWith(const std::string& host) {
+  const auto updates = this->fleet.peers.Sync(
+      host, this->fleet.directory.Versions(), kSyncTimeout);
+  if (updates.ok()) {
+    this->fleet.directory.Merge(*updates);
+  }
+}
+
+// The path from here may be cut while the host is well, so others are asked
+// before it is suspected.
+void GossipLoop::AskHelpers(const std::string& host) {
+  std::vector<std::string> helpers;
+  {
+    const std::lock_guard lock(this->mutex);
+    helpers = this->prober.Helpers(this->Targets(), host, kHelpers);
+  }
+  for (const std::string& helper : helpers) {
+    const auto reached =
+        this->fleet.peers.Probe(helper, host, kProbeTimeout * 3);
+    if (reached.ok() && *reached) {
+      this->fleet.recorder.Record(
+          {.kind = "path_cut",
+           .detail = absl::StrCat(host, " answers ", helper, " but not here")});
+      return;
+    }
+  }
+  this->fleet.directory.Suspect(host);
+}
+
+bool GossipLoop::Reaches(const std::string& host) {
+  return this->fleet.peers.Gossip(host, this->MakeMessage(), kProbeTimeout)
+      .ok();
+}
+
+void GossipLoop::SpreadNow() {
+  std::vector<std::string> targets;
+  {
+    const std::lock_guard lock(this->mutex);
+    targets = this->prober.Helpers(this->Targets(), "", kSpreadTargets);
+  }
+  for (const std::string& target : targets) {
+    this->Exchange(target);
+  }
+}
+
+rpc::GossipMessage GossipLoop::OnGossip(const rpc::GossipMessage& message) {
+  this->TakeIn(message);
+  return this->MakeMessage();
+}
+
+std::string GossipLoop::TakePeerAhead() {
+  const std::lock_guard lock(this->mutex);
+  return std::exchange(this->peer_ahead, "");
+}
+
+rpc::GossipMessage GossipLoop::MakeMessage() {
+  auto crashes = this->fleet.crashes.Current(MonotonicNow());
+  crashes.resize(std::min(crashes.size(), kCrashesPerMessage));
+  return {.host = this->fleet.places.host,
+          .digest = this->fleet.directory.Digest(),
+          .revision = this->fleet.config.Revision(),
+          .updates = this->fleet.directory.PickGossip(kUpdatesPerMessage),
+          .crashes = std::move(crashes)};
+}
+
+void GossipLoop::TakeIn(const rpc::GossipMessage& message) {
+  const Instant now = MonotonicNow();
+  this->fleet.isolation.OnHeard(now);
+  this->fleet.directory.Merge(message.updates);
+  for (const once::AgedEvidence& crash : message.crashes) {
+    this->fleet.crashes.Add(crash.evidence, crash.age, now);
+  }
+  if (message.revision > this->fleet.config.Revision()) {
+    const std::lock_guard lock(this->mutex);
+    this->peer_ahead = message.host;
+  }
+}
+
+}  // namespace kingcupstair::control
--- /dev/null
+++ b/components/control/gossip_loop.h
@@ -0,0 +1,51 @@
+#ifndef COMPONENTS_CONTROL_GOSSIP_LOOP_H_
+#define COMPONENTS_CONTROL_GOSSIP_LOOP_H_
+
+#include <mutex>
+#include <set>
+#include <string>
+
+#include "components/control/fleet.h"
+#include "components/membership/prober.h"
+
+namespace kingcupstair::control {
+
+/// Probes one peer after the other, and with each probe passes on what is new:
+/// host records, crash evidence, the revision in force.
+class GossipLoop {
+ public:
+  GossipLoop(Fleet& fleet, uint64_t seed);
+
+  /// Probes one peer and sleeps out the period.
+  void Step();
+
+  /// Answers a probe. On the RPC thread.
+  rpc::GossipMessage OnGossip(const rpc::GossipMessage& message);
+
+  /// Sends news to a few peers now, without waiting for the next period.
+  void SpreadNow();
+
+  /// True when `host` answers a probe from here.
+  bool Reaches(const std::string& host);
+
+  /// A peer was seen with a higher revision; taken by the configuration fiber.
+  std::string TakePeerAhead();
+
+ private:
+  rpc::GossipMessage MakeMessage();
+  void TakeIn(const rpc::GossipMessage& message);
+  bool Exchange(const std::string& host);
+  void AskHelpers(const std::string& host);
+  void SyncWith(const std::string& host);
+  std::vector<std::string> Targets() const;
+
+  Fleet& fleet;
+  std::mutex mutex;
+  membership::Prober prober;
+  std::string peer_ahead;
+  int rounds_unlike = 0;
+};
+
+}  // namespace kingcupstair::control
+
+#endif  // COMPONENTS_CONTROL_GOSSIP_LOOP_H_
--- /dev/null
+++ b/components/control/loan_loop.cc
@@ -0,0 +1,123 @@
+#include "components/control/loan_loop.h"
+
+#include <algorithm>
+
+#include "components/fibers/worker_pool.h"
+
+namespace kingcupstair::control {
+namespace {
+
+constexpr Duration kRound{std::chrono::milliseconds(200)};
+constexpr Duration kShortestLoan{std::chrono::seconds(2)};
+constexpr Duration kLoanPerHost{std::chrono::milliseconds(100)};
+constexpr Duration kAskTimeout{std::chrono::milliseconds(300)};
+constexpr Duration kPauseAfterFailure{std::chrono::milliseconds(500)};
+/// A loan is renewed when this part of its life has passed.
+constexpr int kRenewDivisor = 2;
+
+}  // namespace
+
+Duration LoanLife(size_t hosts) {
+  return std::max(kShortestLoan,
+                  kLoanPerHost * static_cast<int64_t>(hosts));
+}
+
+LoanLoop::LoanLoop(Fleet& fleet) : fleet(fleet) {}
+
+void LoanLoop::Step() {
+  const auto hosts =
+      this->fleet.directory.PoolHosts(this->fleet.places.region);
+  this->fleet.rates.SetLoanLife(LoanLife(hosts.size()));
+  const ShardList pooled = this->ShardsPooledHere(hosts);
+  this->GiveBackUnpooled({pooled.begin(), pooled.end()});
+  if (!pooled.empty()) {
+    for (const std::string& lender : hosts) {
+      if (this->ask_again[lender] <= MonotonicNow()) {
+        this->AskFor(lender, pooled);
+      }
+    }
+  }
+  this->fleet.rates.ForgetIdle();
+  fibers::SleepFor(kRound);
+}
+
+LoanLoop::ShardList LoanLoop::ShardsPooledHere(
+    const std::vector<std::string>& hosts) const {
+  ShardList pooled;
+  for (limits::ShardId shard = 0; shard < limits::kShardCount; ++shard) {
+    if (limits::PoolHostOf(shard, hosts) == this->fleet.places.host) {
+      pooled.push_back(shard);
+    }
+  }
+  return pooled;
+}
+
+// The time of a loan runs from before the ask, so whatever happens to the
+// message only makes it shorter.
+void LoanLoop::AskFor(const std::string& lender, const ShardList& shards) {
+  const Instant asked = MonotonicNow();
+  std::vector<limits::LoanGrant> grants;
+  if (lender == this->fleet.places.host) {
+    for (const limits::ShardId shard : shards) {
+      grants.push_back(this->fleet.rates.Lend(shard, lender));
+    }
+  } else {
+    auto answer = this->fleet.peers.Lend(lender, shards, kAskTimeout);
+    if (!answer.ok() || answer->size() != shards.size()) {
+      this->ask_again[lender] = MonotonicNow() + kPauseAfterFailure;
+      return;
+    }
+    grants = *std::move(answer);
+  }
+  Duration life{};
+  for (size_t i = 0; i < shards.size(); ++i) {
+    this->fleet.rates.AddLoan(shards[i], lender, grants[i], asked);
+    if (grants[i].fraction > 0) {
+      this->borrowed[lender].insert(shards[i]);
+      life = life == Duration{} ? grants[i].life
+                                : std::min(life, grants[i].life);
+    }
+  }
+  const bool whole = std::all_of(
+      grants.begin(), grants.end(),
+      [](const limits::LoanGrant& grant) { return grant.fraction > 0; });
+  this->ask_again[lender] =
+      asked + (whole ? life / kRenewDivisor : kPauseAfterFailure);
+}
+
+void LoanLoop::GiveBackUnpooled(const std::set<limits::ShardId>& pooled) {
+  for (auto& [lender, shards] : this->borrowed) {
+    ShardList unpooled;
+    for (const limits::ShardId shard : shards) {
+      if (!pooled.contains(shard)) {
+        unpooled.push_back(shard);
+      }
+    }
+    if (!unpooled.empty()) {
+      this->GiveBack(lender, unpooled);
+    }
+    for (const limits::ShardId shard : unpooled) {
+      shards.erase(shard);
+    }
+  }
+}
+
+void LoanLoop::GiveBackAll() {
+  this->GiveBackUnpooled({});
+}
+
+// The loans are dropped here before the lender is told that it may spend.
+void LoanLoop::GiveBack(const std::string& lender, const ShardList& shards) {
+  for (const limits::ShardId shard : shards) {
+    this->fleet.rates.DropLoan(shard, lender);
+  }
+  if (lender != this->fleet.places.host) {
+    this->fleet.peers.GiveBack(lender, shards, kAskTimeout).IgnoreError();
+    return;
+  }
+  for (const limits::ShardId shard : shards) {
+    this->fleet.rates.GiveBack(shard, lender);
+  }
+}
+
+}  // namespace kingcupstair::control
--- /dev/null
+++ b/components/control/loan_loop.h
@@ -0,0 +1,45 @@
+#ifndef COMPONENTS_CONTROL_LOAN_LOOP_H_
+#define COMPONENTS_CONTROL_LOAN_LOOP_H_
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "components/control/fleet.h"
+
+namespace kingcupstair::control {
+
+/// How long a loan lasts in a region of `hosts` hosts. It grows with the region
+/// so that a pool's asks stay within its control traffic.
+Duration LoanLife(size_t hosts);
+
+/// Keeps the loans of the shards that this host pools: asks every host of the
+/// region for its share, all shards in one message, well before loans end.
+class LoanLoop {
+ public:
+  explicit LoanLoop(Fleet& fleet);
+
+  /// One round: asks whoever is due, gives back what is no longer pooled here.
+  void Step();
+
+  /// Gives back all loans before this host leaves.
+  void GiveBackAll();
+
+ private:
+  using ShardList = std::vector<limits::ShardId>;
+
+  ShardList ShardsPooledHere(const std::vector<std::string>& hosts) const;
+  void AskFor(const std::string& lender, const ShardList& shards);
+  void GiveBack(const std::string& lender, const ShardList& shards);
+  void GiveBackUnpooled(const std::set<limits::ShardId>& pooled);
+
+  Fleet& fleet;
+  /// By lender: which shards it has lent, and when to ask again.
+  std::map<std::string, std::set<limits::ShardId>> borrowed;
+  std::map<std::string, Instant> ask_again;
+};
+
+}  // namespace kingcupstair::control
+
+#endif  // COMPONENTS_CONTROL_LOAN_LOOP_H_
--- /dev/null
+++ b/components/control/rate_keeper.cc
@@ -0,0 +1,104 @@
+#include "components/control/rate_keeper.h"
+
+namespace kingcupstair::control {
+
+RateKeeper::RateKeeper(Options options,
+                       const Snapshot<config::Configuration>& configuration)
+    : options(std::move(options)),
+      configuration(configuration),
+      lender(this->options.lender) {}
+
+void RateKeeper::SetShare(double fraction) {
+  const std::lock_guard lock(this->mutex);
+  this->lender.SetShare(fraction);
+}
+
+void RateKeeper::SetLoanLife(Duration life) {
+  const std::lock_guard lock(this->mutex);
+  this->lender.SetLoanLife(life);
+}
+
+void RateKeeper::HoldBackUntil(Instant until) {
+  const std::lock_guard lock(this->mutex);
+  this->lender.HoldBackUntil(until);
+}
+
+double RateKeeper::Share() const {
+  const std::lock_guard lock(this->mutex);
+  return this->lender.current_share();
+}
+
+Instant RateKeeper::FreeOfOldLoans(double fraction) const {
+  const std::lock_guard lock(this->mutex);
+  return this->lender.FreeOfOldLoans(fraction);
+}
+
+limits::LoanGrant RateKeeper::Lend(limits::ShardId shard,
+                                   const std::string& holder) {
+  const std::lock_guard lock(this->mutex);
+  return this->lender.Lend(shard, holder, MonotonicNow());
+}
+
+void RateKeeper::GiveBack(limits::ShardId shard, const std::string& holder) {
+  const std::lock_guard lock(this->mutex);
+  this->lender.Return(shard, holder);
+}
+
+void RateKeeper::AddLoan(limits::ShardId shard,
+                         const std::string& from,
+                         const limits::LoanGrant& grant,
+                         Instant asked) {
+  const std::lock_guard lock(this->mutex);
+  this->pool.AddLoan(shard, from, grant, asked);
+}
+
+void RateKeeper::DropLoan(limits::ShardId shard, const std::string& from) {
+  const std::lock_guard lock(this->mutex);
+  this->pool.DropLoan(shard, from, MonotonicNow());
+}
+
+limits::PermitGrant RateKeeper::Acquire(const std::string& organisation,
+                                        int wanted) {
+  const std::lock_guard lock(this->mutex);
+  return this->AcquireLocked(organisation, wanted);
+}
+
+limits::PermitGrant RateKeeper::AcquireFromOwnShare(
+    const std::string& organisation,
+    int wanted) {
+  const std::lock_guard lock(this->mutex);
+  const limits::ShardId shard = limits::ShardOf(organisation);
+  const Instant now = MonotonicNow();
+  const auto grant = this->lender.Lend(shard, this->options.host, now);
+  this->pool.AddLoan(shard, this->options.host, grant, now);
+  return this->AcquireLocked(organisation, wanted);
+}
+
+limits::PermitGrant RateKeeper::AcquireLocked(const std::string& organisation,
+                                              int wanted) {
+  const auto current = this->configuration.Read();
+  const auto* rule = current->FindOrganisation(organisation);
+  if (rule == nullptr) {
+    return {};
+  }
+  return this->pool.Acquire(organisation, wanted,
+                            {.rate = rule->rate, .depth = rule->burst},
+                            MonotonicNow());
+}
+
+double RateKeeper::PooledFraction(limits::ShardId shard) {
+  const std::lock_guard lock(this->mutex);
+  return this->pool.Fraction(shard, MonotonicNow());
+}
+
+void RateKeeper::ForgetIdle() {
+  const std::lock_guard lock(this->mutex);
+  this->pool.ForgetIdle(MonotonicNow());
+}
+
+size_t RateKeeper::BucketCount() const {
+  const std::lock_guard lock(this->mutex);
+  return this->pool.bucket_count();
+}
+
+}  // namespace kingcupstair::control
--- /dev/null
+++ b/components/control/rate_keeper.h
@@ -0,0 +1,66 @@
+#ifndef COMPONENTS_CONTROL_RATE_KEEPER_H_
+#define COMPONENTS_CONTROL_RATE_KEEPER_H_
+
+#include <mutex>
+#include <string>
+
+#include "components/base/snapshot.h"
+#include "components/config/configuration.h"
+#include "components/limits/rate_pool.h"
+#include "components/limits/share_lender.h"
+
+namespace kingcupstair::control {
+
+/// This process's part in the rate limits: the lender of its own share and the
+/// pool of what others lend it. Safe to use from several threads.
+class RateKeeper {
+ public:
+  struct Options {
+    std::string host;
+    limits::ShareLender::Options lender;
+  };
+
+  RateKeeper(Options options,
+             const Snapshot<config::Configuration>& configuration);
+
+  void SetShare(double fraction);
+  void SetLoanLife(Duration life);
+  void HoldBackUntil(Instant until);
+  double Share() const;
+  Instant FreeOfOldLoans(double fraction) const;
+
+  limits::LoanGrant Lend(limits::ShardId shard, const std::string& holder);
+  void GiveBack(limits::ShardId shard, const std::string& holder);
+
+  void AddLoan(limits::ShardId shard,
+               const std::string& lender,
+               const limits::LoanGrant& grant,
+               Instant asked);
+  void DropLoan(limits::ShardId shard, const std::string& lender);
+
+  /// Takes permits from the pool of this host.
+  limits::PermitGrant Acquire(const std::string& organisation, int wanted);
+
+  /// Takes permits from this host's own share, for when the pool of the shard
+  /// can't be reached. Nothing is granted while the share is lent to it.
+  limits::PermitGrant AcquireFromOwnShare(const std::string& organisation,
+                                          int wanted);
+
+  double PooledFraction(limits::ShardId shard);
+  void ForgetIdle();
+  size_t BucketCount() const;
+
+ private:
+  limits::PermitGrant AcquireLocked(const std::string& organisation,
+                                    int wanted);
+
+  Options options;
+  const Snapshot<config::Configuration>& configuration;
+  mutable std::mutex mutex;
+  limits::ShareLender lender;
+  limits::RatePool pool;
+};
+
+}  // namespace kingcupstair::control
+
+#endif  // COMPONENTS_CONTROL_RATE_KEEPER_H_
--- /dev/null
+++ b/components/guard/announcement.h
@@ -0,0 +1,35 @@
+#ifndef COMPONENTS_GUARD_ANNOUNCEMENT_H_
+#define COMPONENTS_GUARD_ANNOUNCEMENT_H_
+
+#include <string>
+#include <string_view>
+
+#include "absl/status/statusor.h"
+#include "components/base/endpoint.h"
+
+namespace kingcupstair::guard {
+
+/// What an upstream tells the process on its host, again and again while it
+/// runs.
+struct Announcement {
+  std::string id;
+  std::string service;
+  Endpoint endpoint;
+  /// Differs after each start of the upstream.
+  std::string incarnation;
+  /// Requests it can run at once; 0 leaves it to the configuration.
+  int slots = 0;
+  /// It finishes what runs and wants nothing new.
+  bool draining = false;
+
+  bool operator==(const Announcement&) const = default;
+};
+
+/// Reads the JSON body of an announcement.
+absl::StatusOr<Announcement> DecodeAnnouncement(std::string_view text);
+
+std::string EncodeAnnouncement(const Announcement& announcement);
+
+}  // namespace kingcupstair::guard
+
+#endif  // COMPONENTS_GUARD_ANNOUNCEMENT_H_
--- /dev/null
+++ b/components/ingress/attempt_runner.cc
@@ -0,0 +1,99 @@
+#include "components/ingress/attempt_runner.h"
+
+#include <algorithm>
+
+#include "components/fibers/worker_pool.h"
+
+namespace kingcupstair::ingress {
+namespace {
+
+constexpr Duration kAcceptTimeout{std::chrono::milliseconds(300)};
+/// After this long without a result the host is asked about the request: the
+/// connection may have gone silent. Longer than any wait in its queue.
+constexpr Duration kPatience{std::chrono::milliseconds(1200)};
+constexpr Duration kResolveTimeout{std::chrono::milliseconds(300)};
+constexpr Duration kShortestResolvePause{std::chrono::milliseconds(20)};
+constexpr Duration kLongestResolvePause{std::chrono::milliseconds(500)};
+
+}  // namespace
+
+AttemptRunner::AttemptRunner(Options options,
+                             guard::Guard& guard,
+                             rpc::PeerClients& peers,
+                             FleetBoard& board)
+    : options(std::move(options)),
+      guard(guard),
+      peers(peers),
+      board(board) {}
+
+once::Outcome AttemptRunner::Run(const Choice& choice,
+                                 const once::RunRequest& request) {
+  if (choice.host != this->options.own_host) {
+    return this->RunThere(choice.host, request);
+  }
+  const rpc::RunResult result = this->RunHere(request);
+  this->board.OnResult(result, MonotonicNow());
+  return result.outcome;
+}
+
+rpc::RunResult AttemptRunner::RunHere(const once::RunRequest& request) {
+  const guard::AcceptAnswer answer = this->guard.Accept(request);
+  if (const auto* refused = std::get_if<rpc::RunResult>(&answer)) {
+    return *refused;
+  }
+  return this->guard.Run(std::get<guard::AcceptedRun>(answer));
+}
+
+once::Outcome AttemptRunner::RunThere(const std::string& host,
+                                      const once::RunRequest& request) {
+  const Instant deadline = MonotonicNow() + request.time_left;
+  const rpc::SubmitResult submitted = this->peers.Submit(
+      host, request, std::min(kAcceptTimeout, request.time_left),
+      std::min(kPatience, request.time_left));
+  const Instant now = MonotonicNow();
+  if (submitted.ok()) {
+    this->board.OnPathReached(host);
+    this->board.OnResult(submitted.run, now);
+    return submitted.run.outcome;
+  }
+  if (submitted.stage == rpc::SubmitStage::kNotAccepted) {
+    this->board.OnPathLost(host, now);
+    if (request.idempotent) {
+      return once::NotRun{.reason = once::RefusalReason::kConnectFailed};
+    }
+  }
+  return this->FindOut(host, request, deadline);
+}
+
+// Asking fences a request that the host has not sent on, so "not run" stays
+// true even if a copy of the request still arrives there. The host is asked
+// once more after the deadline, since what it says then is final.
+once::Outcome AttemptRunner::FindOut(const std::string& host,
+                                     const once::RunRequest& request,
+                                     Instant deadline) {
+  Duration pause = kShortestResolvePause;
+  while (true) {
+    const bool last = MonotonicNow() >= deadline;
+    const auto answer = this->peers.Resolve(
+        host, request.request_id, request.incarnation, kResolveTimeout);
+    if (!answer.ok()) {
+      this->board.OnPathLost(host, MonotonicNow());
+    } else if (std::holds_alternative<rpc::OtherIncarnation>(*answer)) {
+      return once::Unknown{
+          .detail = "the host was restarted before it told the outcome"};
+    } else {
+      const auto& resolution = std::get<once::Resolution>(*answer);
+      if (const auto* outcome = std::get_if<once::Outcome>(&resolution)) {
+        this->board.OnPathReached(host);
+        return *outcome;
+      }
+    }
+    if (last) {
+      return once::Unknown{.detail = "no outcome before the deadline"};
+    }
+    fibers::SleepFor(pause);
+    pause = std::min(pause * 2, kLongestResolvePause);
+  }
+}
+
+}  // namespace kingcupstair::ingress
--- /dev/null
+++ b/components/ingress/caller_answer.h
@@ -0,0 +1,35 @@
+#ifndef COMPONENTS_INGRESS_CALLER_ANSWER_H_
+#define COMPONENTS_INGRESS_CALLER_ANSWER_H_
+
+#include <string>
+
+#include "components/base/time.h"
+#include "components/http/message.h"
+#include "components/once/outcome.h"
+
+namespace kingcupstair::ingress {
+
+/// A refusal or a failure as the caller gets it.
+struct Problem {
+  int status = 503;
+  /// "not-run" or "unknown".
+  std::string outcome = "not-run";
+  std::string reason;
+  std::string request_id;
+  /// When coming back makes sense; zero when it does not.
+  Duration retry_after{};
+
+  bool operator==(const Problem&) const = default;
+};
+
+/// The answer that tells the caller of a problem: the documented headers and a
+/// JSON body.
+http::Response AnswerFor(const Problem& problem);
+
+/// The caller's answer to the outcome of its last attempt.
+http::Response AnswerFor(const once::Outcome& outcome,
+                         const std::string& request_id);
+
+}  // namespace kingcupstair::ingress
+
+#endif  // COMPONENTS_INGRESS_CALLER_ANSWER_H_
--- /dev/null
+++ b/components/ingress/fleet_board.cc
@@ -0,0 +1,209 @@
+#include "components/ingress/fleet_board.h"
+
+#include <optional>
+#include <utility>
+
+#include "components/base/hash.h"
+
+namespace kingcupstair::ingress {
+namespace {
+
+/// What came with an answer outweighs gossip for this long.
+constexpr Duration kAnswerOutweighsGossip{std::chrono::seconds(1)};
+
+health::UpstreamView ViewOf(const membership::HostRecord& host,
+                            const membership::UpstreamRecord& upstream) {
+  return {.id = upstream.id,
+          .host = host.host,
+          .zone = host.zone,
+          .limit = upstream.limit,
+          .slots = upstream.slots,
+          .latency = upstream.latency,
+          .error_share = upstream.error_share,
+          .finished = upstream.finished};
+}
+
+}  // namespace
+
+FleetBoard::FleetBoard(Options options)
+    : chooser({.own_zone = options.own_zone, .seed = options.seed}) {}
+
+void FleetBoard::Update(const std::vector<membership::HostRecord>& hosts,
+                        const config::Configuration& configuration) {
+  Listed listed = this->ListUpstreams(hosts, configuration);
+  const std::lock_guard lock(this->mutex);
+  std::erase_if(this->services, [&](const auto& entry) {
+    return !listed.contains(entry.first);
+  });
+  this->service_of.clear();
+  for (auto& [name, upstreams] : listed) {
+    const auto* rule = configuration.FindService(name);
+    const double floor = rule == nullptr ? 1 : rule->floor;
+    auto found = this->services.find(name);
+    if (found != this->services.end() && found->second.floor != floor) {
+      this->services.erase(found);
+      found = this->services.end();
+    }
+    if (found == this->services.end()) {
+      found = this->services.emplace(name, Service(floor)).first;
+    }
+    for (const auto& [id, known] : upstreams) {
+      this->service_of[id] = name;
+    }
+    this->MergeKnown(found->second, std::move(upstreams));
+  }
+}
+
+FleetBoard::Listed FleetBoard::ListUpstreams(
+    const std::vector<membership::HostRecord>& hosts,
+    const config::Configuration& configuration) const {
+  Listed listed;
+  for (const membership::HostRecord& host : hosts) {
+    if (host.leaving || configuration.IsZoneOut(host.zone)) {
+      continue;
+    }
+    for (const membership::UpstreamRecord& upstream : host.upstreams) {
+      if (!configuration.IsUpstreamOut(upstream.id)) {
+        listed[upstream.service][upstream.id] = {
+            .view = ViewOf(host, upstream), .incarnation = host.incarnation};
+      }
+    }
+  }
+  return listed;
+}
+
+void FleetBoard::MergeKnown(Service& service,
+                            std::map<std::string, Known> listed) {
+  const Instant now = MonotonicNow();
+  for (auto& [id, known] : listed) {
+    const auto before = service.upstreams.find(id);
+    if (before == service.upstreams.end() ||
+        now - before->second.answered_at > kAnswerOutweighsGossip) {
+      continue;
+    }
+    health::UpstreamView view = before->second.view;
+    view.host = known.view.host;
+    view.zone = known.view.zone;
+    known.view = view;
+    known.answered_at = before->second.answered_at;
+  }
+  service.upstreams = std::move(listed);
+}
+
+void FleetBoard::OnResult(const rpc::RunResult& result, Instant now) {
+  const std::lock_guard lock(this->mutex);
+  const auto service = this->services.find(result.report.service);
+  if (service == this->services.end()) {
+    return;
+  }
+  const auto found = service->second.upstreams.find(result.report.id);
+  if (found == service->second.upstreams.end()) {
+    return;
+  }
+  health::UpstreamView& view = found->second.view;
+  view.in_flight = result.in_flight;
+  view.queued = result.queued;
+  view.limit = result.report.limit;
+  view.latency = result.report.latency;
+  view.error_share = result.report.error_share;
+  view.finished = result.report.finished;
+  found->second.answered_at = now;
+}
+
+void FleetBoard::OnPathReached(const std::string& host) {
+  const std::lock_guard lock(this->mutex);
+  this->paths.OnReached(host);
+}
+
+void FleetBoard::OnPathLost(const std::string& host, Instant now) {
+  const std::lock_guard lock(this->mutex);
+  this->paths.OnLost(host, now);
+}
+
+std::vector<health::EjectionChange> FleetBoard::Plan(Instant now) {
+  const std::lock_guard lock(this->mutex);
+  std::vector<health::EjectionChange> changes;
+  for (auto& [name, service] : this->services) {
+    std::vector<health::UpstreamView> views;
+    for (const auto& [id, known] : service.upstreams) {
+      views.push_back(known.view);
+    }
+    for (auto& change : service.planner.Plan(views, now)) {
+      changes.push_back(std::move(change));
+    }
+  }
+  return changes;
+}
+
+std::vector<balancing::Candidate> FleetBoard::Candidates(
+    const Service& service,
+    Instant now) const {
+  std::vector<balancing::Candidate> candidates;
+  for (const auto& [id, known] : service.upstreams) {
+    const bool on_trial = service.planner.IsOnTrial(id, now);
+    if (service.planner.IsEjected(id) && !on_trial) {
+      continue;
+    }
+    balancing::Candidate candidate{.view = known.view, .on_trial = on_trial};
+    candidate.view.path_open = this->paths.IsOpen(known.view.host, now);
+    candidates.push_back(std::move(candidate));
+  }
+  return candidates;
+}
+
+Choice FleetBoard::ChoiceOf(const Service& service,
+                            const std::string& upstream) {
+  const Known& known = service.upstreams.at(upstream);
+  return {.upstream = upstream,
+          .host = known.view.host,
+          .incarnation = known.incarnation};
+}
+
+std::optional<Choice> FleetBoard::Choose(const std::string& name,
+                                         const std::set<std::string>& tried,
+                                         Instant now) {
+  const std::lock_guard lock(this->mutex);
+  const auto service = this->services.find(name);
+  if (service == this->services.end()) {
+    return std::nullopt;
+  }
+  const auto chosen =
+      this->chooser.Choose(this->Candidates(service->second, now), tried);
+  if (!chosen.has_value()) {
+    return std::nullopt;
+  }
+  return ChoiceOf(service->second, *chosen);
+}
+
+// Ejections and paths are left aside: the home of a key must be the same from
+// every ingress.
+std::optional<Choice> FleetBoard::ChooseHome(const std::string& name,
+                                             const std::string& key,
+                                             Instant now) {
+  const std::lock_guard lock(this->mutex);
+  const auto service = this->services.find(name);
+  if (service == this->services.end()) {
+    return std::nullopt;
+  }
+  std::map<uint64_t, std::string> ranked;
+  for (const auto& [id, known] : service->second.upstreams) {
+    ranked[StableHash(key, StableHash(known.view.host))] = known.view.host;
+  }
+  if (ranked.empty()) {
+    return std::nullopt;
+  }
+  auto candidates = this->Candidates(service->second, now);
+  std::erase_if(candidates, [&](const balancing::Candidate& candidate) {
+    return candidate.view.host != ranked.rbegin()->second;
+  });
+  for (balancing::Candidate& candidate : candidates) {
+    candidate.view.path_open = true;
+  }
+  const auto chosen = this->chooser.Choose(candidates, {});
+  if (!chosen.has_value()) {
+    return std::nullopt;
+  }
+  return ChoiceOf(service->second, *chosen);
+}
+
+}  // namespace kingcupstair::ingress
--- /dev/null
+++ b/components/ingress/fleet_board.h
@@ -0,0 +1,98 @@
+#ifndef COMPONENTS_INGRESS_FLEET_BOARD_H_
+#define COMPONENTS_INGRESS_FLEET_BOARD_H_
+
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "components/balancing/chooser.h"
+#include "components/config/configuration.h"
+#include "components/health/ejection_planner.h"
+#include "components/health/path_health.h"
+#include "components/membership/host_record.h"
+#include "components/rpc/messages.h"
+
+namespace kingcupstair::ingress {
+
+/// Where a chosen upstream is.
+struct Choice {
+  std::string upstream;
+  std::string host;
+  /// The life of the host that the choice is meant for.
+  uint64_t incarnation = 0;
+
+  bool operator==(const Choice&) const = default;
+};
+
+/// What one ingress knows of all upstreams: the newest of what their hosts
+/// tell by gossip and with each answer, its own judgement of paths, and the
+/// ejections that follow. Safe to use from several threads.
+class FleetBoard {
+ public:
+  struct Options {
+    std::string own_zone;
+    uint64_t seed = 0;
+  };
+
+  explicit FleetBoard(Options options);
+
+  /// Takes in the hosts and the rules in force; what is withdrawn, leaving or
+  /// gone is no longer chosen.
+  void Update(const std::vector<membership::HostRecord>& hosts,
+              const config::Configuration& configuration);
+
+  /// Takes in what came with an answer.
+  void OnResult(const rpc::RunResult& result, Instant now);
+
+  void OnPathReached(const std::string& host);
+  void OnPathLost(const std::string& host, Instant now);
+
+  /// Judges all services anew; gives what has changed.
+  std::vector<health::EjectionChange> Plan(Instant now);
+
+  /// Chooses an upstream of `service` that is not among `tried`.
+  std::optional<Choice> Choose(const std::string& service,
+                               const std::set<std::string>& tried,
+                               Instant now);
+
+  /// Chooses on the one host that is the home of `key` for `service`.
+  std::optional<Choice> ChooseHome(const std::string& service,
+                                   const std::string& key,
+                                   Instant now);
+
+ private:
+  struct Known {
+    health::UpstreamView view;
+    uint64_t incarnation = 0;
+    Instant answered_at;
+  };
+
+  struct Service {
+    explicit Service(double floor) : planner({.floor = floor}), floor(floor) {}
+
+    std::map<std::string, Known> upstreams;
+    health::EjectionPlanner planner;
+    double floor;
+  };
+
+  using Listed = std::map<std::string, std::map<std::string, Known>>;
+
+  Listed ListUpstreams(const std::vector<membership::HostRecord>& hosts,
+                       const config::Configuration& configuration) const;
+  void MergeKnown(Service& service, std::map<std::string, Known> listed);
+  std::vector<balancing::Candidate> Candidates(const Service& service,
+                                               Instant now) const;
+  static Choice ChoiceOf(const Service& service, const std::string& upstream);
+
+  mutable std::mutex mutex;
+  std::map<std::string, Service> services;
+  std::map<std::string, std::string> service_of;
+  health::PathHealth paths;
+  balancing::Chooser chooser;
+};
+
+}  // namespace kingcupstair::ingress
+
+#endif  // COMPONENTS_INGRESS_FLEET_BOARD_H_
--- /dev/null
+++ b/components/limits/share_lender.cc
@@ -0,0 +1,46 @@
+#include "components/limits/share_lender.h"
+
+#include <algorithm>
+
+namespace kingcupstair::limits {
+
+ShareLender::ShareLender(Options options) : options(options) {}
+
+void ShareLender::HoldBackUntil(Instant until) {
+  for (Loan& loan : this->loans) {
+    loan = {.fraction = 1, .expires = until + this->options.margin};
+  }
+}
+
+LoanGrant ShareLender::Lend(ShardId shard,
+                            const std::string& holder,
+                            Instant now) {
+  Loan& loan = this->loans[static_cast<size_t>(shard)];
+  const bool taken = loan.expires > now && loan.holder != holder;
+  if (taken || this->share <= 0) {
+    return {};
+  }
+  loan.holder = holder;
+  loan.fraction = this->share;
+  loan.expires = now + this->options.loan_life + this->options.margin;
+  return {.fraction = this->share, .life = this->options.loan_life};
+}
+
+void ShareLender::Return(ShardId shard, const std::string& holder) {
+  Loan& loan = this->loans[static_cast<size_t>(shard)];
+  if (loan.holder == holder) {
+    loan = Loan{};
+  }
+}
+
+Instant ShareLender::FreeOfOldLoans(double fraction) const {
+  Instant free;
+  for (const Loan& loan : this->loans) {
+    if (loan.fraction > fraction) {
+      free = std::max(free, loan.expires);
+    }
+  }
+  return free;
+}
+
+}  // namespace kingcupstair::limits
--- /dev/null
+++ b/components/logging/log.h
@@ -0,0 +1,29 @@
+#ifndef COMPONENTS_LOGGING_LOG_H_
+#define COMPONENTS_LOGGING_LOG_H_
+
+#include <string>
+#include <vector>
+
+namespace kingcupstair::logging {
+
+enum class Level { kDebug, kInfo, kWarning, kError };
+
+/// One named value of a log line.
+struct Field {
+  std::string name;
+  std::string value;
+
+  bool operator==(const Field&) const = default;
+};
+
+/// Sends all logs of the process to the error stream as JSON lines.
+void Init(const std::string& program);
+
+/// Writes one JSON line with the fields under "context_map".
+void Write(Level level,
+           const std::string& message,
+           const std::vector<Field>& fields = {});
+
+}  // namespace kingcupstair::logging
+
+#endif  // COMPONENTS_LOGGING_LOG_H_
--- /dev/null
+++ b/components/membership/host_record.cc
@@ -0,0 +1,62 @@
+#include "components/membership/host_record.h"
+
+#include <algorithm>
+
+namespace kingcupstair::membership {
+namespace {
+
+/// A value that grew or shrank by this factor is news.
+constexpr double kNewsFactor = 2;
+constexpr double kErrorShareNews = 0.2;
+constexpr Duration kLatencyNoise{std::chrono::milliseconds(2)};
+
+bool IsFarFrom(double before, double after) {
+  return std::max(before, after) > std::min(before, after) * kNewsFactor;
+}
+
+bool IsNews(const UpstreamRecord& before, const UpstreamRecord& after) {
+  const Duration latency_change =
+      std::max(before.latency, after.latency) -
+      std::min(before.latency, after.latency);
+  const bool latency_news =
+      latency_change > kLatencyNoise &&
+      IsFarFrom(static_cast<double>(before.latency.count()),
+                static_cast<double>(after.latency.count()));
+  const double error_change = before.error_share - after.error_share;
+  return before.id != after.id || before.service != after.service ||
+         before.slots != after.slots ||
+         IsFarFrom(before.limit, after.limit) || latency_news ||
+         error_change > kErrorShareNews || -error_change > kErrorShareNews;
+}
+
+}  // namespace
+
+bool WorthPublishing(const HostRecord& before, const HostRecord& after) {
+  const bool same_places = before.zone == after.zone &&
+                           before.region == after.region &&
+                           before.admin == after.admin;
+  if (!same_places || before.leaving != after.leaving ||
+      before.upstreams.size() != after.upstreams.size()) {
+    return true;
+  }
+  for (size_t i = 0; i < before.upstreams.size(); ++i) {
+    if (IsNews(before.upstreams[i], after.upstreams[i])) {
+      return true;
+    }
+  }
+  return false;
+}
+
+const char* ToText(Liveness liveness) {
+  switch (liveness) {
+    case Liveness::kAlive:
+      return "alive";
+    case Liveness::kSuspect:
+      return "suspect";
+    case Liveness::kDead:
+      return "dead";
+  }
+  return "alive";
+}
+
+}  // namespace kingcupstair::membership
--- /dev/null
+++ b/components/membership/prober.cc
@@ -0,0 +1,37 @@
+#include "components/membership/prober.h"
+
+#include <algorithm>
+
+namespace kingcupstair::membership {
+
+Prober::Prober(uint64_t seed) : random(seed) {}
+
+std::optional<std::string> Prober::Next(const std::vector<std::string>& hosts) {
+  while (!this->round.empty()) {
+    const std::string next = this->round.back();
+    this->round.pop_back();
+    if (std::find(hosts.begin(), hosts.end(), next) != hosts.end()) {
+      return next;
+    }
+  }
+  if (hosts.empty()) {
+    return std::nullopt;
+  }
+  this->round = hosts;
+  std::shuffle(this->round.begin(), this->round.end(), this->random);
+  const std::string next = this->round.back();
+  this->round.pop_back();
+  return next;
+}
+
+std::vector<std::string> Prober::Helpers(const std::vector<std::string>& hosts,
+                                         const std::string& target,
+                                         size_t count) {
+  std::vector<std::string> helpers = hosts;
+  std::erase(helpers, target);
+  std::shuffle(helpers.begin(), helpers.end(), this->random);
+  helpers.resize(std::min(count, helpers.size()));
+  return helpers;
+}
+
+}  // namespace kingcupstair::membership
--- /dev/null
+++ b/components/once/outcome.cc
@@ -0,0 +1,31 @@
+#include "components/once/outcome.h"
+
+namespace kingcupstair::once {
+
+const char* ToText(RefusalReason reason) {
+  switch (reason) {
+    case RefusalReason::kNone:
+      return "none";
+    case RefusalReason::kWrongIncarnation:
+      return "wrong_incarnation";
+    case RefusalReason::kFenced:
+      return "fenced";
+    case RefusalReason::kWithdrawn:
+      return "withdrawn";
+    case RefusalReason::kDraining:
+      return "draining";
+    case RefusalReason::kUpstreamGone:
+      return "upstream_gone";
+    case RefusalReason::kQueueFull:
+      return "queue_full";
+    case RefusalReason::kQueueTimeout:
+      return "queue_timeout";
+    case RefusalReason::kConnectFailed:
+      return "connect_failed";
+    case RefusalReason::kIsolated:
+      return "isolated";
+  }
+  return "none";
+}
+
+}  // namespace kingcupstair::once
--- /dev/null
+++ b/components/rpc/convert.h
@@ -0,0 +1,50 @@
+#ifndef COMPONENTS_RPC_CONVERT_H_
+#define COMPONENTS_RPC_CONVERT_H_
+
+#include <map>
+#include <string>
+
+#include "components/limits/rate_pool.h"
+#include "components/membership/directory.h"
+#include "components/once/run_request.h"
+#include "components/rpc/messages.h"
+#include "components/rpc/peer.capnp.h"
+
+namespace kingcupstair::rpc {
+
+/// Conversions between the wire's structures and the modules' value types.
+void Write(const GossipMessage& message, wire::Gossip::Builder out);
+GossipMessage Read(wire::Gossip::Reader in);
+
+void Write(const std::vector<membership::HostUpdate>& updates,
+           capnp::List<wire::HostUpdate>::Builder out);
+std::vector<membership::HostUpdate> Read(
+    capnp::List<wire::HostUpdate>::Reader in);
+
+void Write(const std::map<std::string, membership::RecordVersion>& versions,
+           capnp::List<wire::Version>::Builder out);
+std::map<std::string, membership::RecordVersion> Read(
+    capnp::List<wire::Version>::Reader in);
+
+void Write(const membership::UpstreamRecord& record,
+           wire::Upstream::Builder out);
+membership::UpstreamRecord Read(wire::Upstream::Reader in);
+
+void Write(const once::RunRequest& request, wire::Run::Builder out);
+once::RunRequest Read(wire::Run::Reader in);
+
+void Write(const once::Outcome& outcome, wire::Outcome::Builder out);
+once::Outcome Read(wire::Outcome::Reader in);
+
+void Write(const ResolveAnswer& answer, wire::Resolution::Builder out);
+ResolveAnswer Read(wire::Resolution::Reader in);
+
+void Write(const limits::PermitGrant& grant, wire::Grant::Builder out);
+limits::PermitGrant Read(wire::Grant::Reader in);
+
+void Write(const limits::LoanGrant& grant, wire::Loan::Builder out);
+limits::LoanGrant Read(wire::Loan::Reader in);
+
+}  // namespace kingcupstair::rpc
+
+#endif  // COMPONENTS_RPC_CONVERT_H_
--- /dev/null
+++ b/components/rpc/messages.h
@@ -0,0 +1,47 @@
+#ifndef COMPONENTS_RPC_MESSAGES_H_
+#define COMPONENTS_RPC_MESSAGES_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "components/membership/host_record.h"
+#include "components/once/crash_ledger.h"
+#include "components/once/outcome.h"
+#include "components/once/run_ledger.h"
+
+namespace kingcupstair::rpc {
+
+/// What two hosts tell each other at a probe.
+struct GossipMessage {
+  std::string host;
+  uint64_t digest = 0;
+  uint64_t revision = 0;
+  std::vector<membership::HostUpdate> updates;
+  std::vector<once::AgedEvidence> crashes;
+
+  bool operator==(const GossipMessage&) const = default;
+};
+
+/// The outcome of a run and how its upstream stands after it.
+struct RunResult {
+  once::Outcome outcome;
+  membership::UpstreamRecord report;
+  int in_flight = 0;
+  int queued = 0;
+
+  bool operator==(const RunResult&) const = default;
+};
+
+/// The host asked is another life of that address and knows nothing.
+struct OtherIncarnation {
+  bool operator==(const OtherIncarnation&) const = default;
+};
+
+/// The answer to a query for the fate of a request.
+using ResolveAnswer = std::variant<once::Resolution, OtherIncarnation>;
+
+}  // namespace kingcupstair::rpc
+
+#endif  // COMPONENTS_RPC_MESSAGES_H_
--- /dev/null
+++ b/components/rpc/peer.capnp
@@ -0,0 +1,161 @@
+@0xd4f1a3c0b7e95c21;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("kingcupstair::rpc::wire");
+
+# What processes of the fleet say to each other.
+
+interface Door {
+  # All that a stranger sees of a host.
+
+  challenge @0 () -> (nonce :Data);
+  # A random value that the next `enter` must answer.
+
+  enter @1 (caller :Caller, nonce :Data, proof :Data) -> (peer :Peer);
+  # `proof` is the HMAC-SHA256 under the fleet key of the nonce and the caller.
+}
+
+struct Caller {
+  host @0 :Text;
+  incarnation @1 :UInt64;
+  link @2 :UInt64;
+  # Counts the caller's connections to this host. Once a higher number has
+  # entered, requests over lower ones are refused.
+}
+
+interface Peer {
+  gossip @0 (message :Gossip) -> (message :Gossip);
+  sync @1 (versions :List(Version)) -> (updates :List(HostUpdate));
+  probe @2 (host :Text) -> (reached :Bool);
+  # Asks this host to probe another.
+
+  head @3 () -> (head :Text);
+  chunks @4 (ids :List(Text)) -> (texts :List(Text));
+
+  lend @5 (shards :List(UInt16)) -> (loans :List(Loan));
+  # Asks for this host's share of the limits of some shards.
+  acquire @6 (organisation :Text, wanted :UInt32) -> (grant :Grant);
+  # Asks the pool for permits.
+  giveBack @7 (shards :List(UInt16)) -> ();
+  # The pool returns loans early.
+
+  submit @8 (run :Run) -> (ticket :Ticket);
+  # Returns as soon as the request is accepted.
+  resolve @9 (requestId :Text, incarnation :UInt64) -> (resolution :Resolution);
+}
+
+struct Gossip {
+  host @0 :Text;
+  digest @1 :UInt64;
+  revision @2 :UInt64;
+  updates @3 :List(HostUpdate);
+  crashes @4 :List(Crash);
+}
+
+struct Version {
+  host @0 :Text;
+  incarnation @1 :UInt64;
+  version @2 :UInt64;
+  liveness @3 :UInt8;
+}
+
+struct HostUpdate {
+  host @0 :Text;
+  incarnation @1 :UInt64;
+  version @2 :UInt64;
+  liveness @3 :UInt8;
+  leaving @4 :Bool;
+  zone @5 :Text;
+  region @6 :Text;
+  admin @7 :Text;
+  upstreams @8 :List(Upstream);
+}
+
+struct Upstream {
+  id @0 :Text;
+  service @1 :Text;
+  slots @2 :UInt16;
+  limit @3 :UInt16;
+  latencyMicros @4 :UInt32;
+  errorPermille @5 :UInt16;
+  finished @6 :UInt64;
+}
+
+struct Crash {
+  fingerprint @0 :UInt64;
+  upstream @1 :Text;
+  ageMillis @2 :UInt32;
+}
+
+struct Loan {
+  fraction @0 :Float64;
+  lifeMicros @1 :UInt64;
+}
+
+struct Grant {
+  granted @0 :UInt32;
+  retryAfterMicros @1 :UInt64;
+  lifeMicros @2 :UInt64;
+}
+
+struct Header {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct Run {
+  requestId @0 :Text;
+  incarnation @1 :UInt64;
+  # The life of the host that the request is meant for.
+  organisation @2 :Text;
+  upstream @3 :Text;
+  fingerprint @4 :UInt64;
+  repeatable @5 :Bool;
+  timeLeftMicros @6 :UInt64;
+  method @7 :Text;
+  target @8 :Text;
+  headers @9 :List(Header);
+  body @10 :Data;
+  dedupeKey @11 :Text;
+}
+
+interface Ticket {
+  outcome @0 () -> (outcome :Outcome, report :Upstream, load :Load);
+}
+
+struct Load {
+  inFlight @0 :UInt32;
+  queued @1 :UInt32;
+}
+
+struct Outcome {
+  union {
+    ran @0 :Response;
+    notRun @1 :Refusal;
+    unknown @2 :UnknownOutcome;
+  }
+}
+
+struct Response {
+  status @0 :UInt16;
+  headers @1 :List(Header);
+  body @2 :Data;
+}
+
+struct Refusal {
+  reason @0 :UInt8;
+  retryAfterMicros @1 :UInt64;
+}
+
+struct UnknownOutcome {
+  detail @0 :Text;
+  upstreamBroke @1 :Bool;
+}
+
+struct Resolution {
+  union {
+    outcome @0 :Outcome;
+    running @1 :Void;
+    otherIncarnation @2 :Void;
+  }
+}
--- /dev/null
+++ b/components/rpc/peer_server.cc
@@ -0,0 +1,256 @@
+#include "components/rpc/peer_server.h"
+
+#include <capnp/rpc-twoparty.h>
+
+#include <deque>
+#include <map>
+#include <utility>
+
+#include "components/base/hash.h"
+#include "components/rpc/convert.h"
+#include "components/rpc/credentials.h"
+#include "components/rpc/network.h"
+
+namespace kingcupstair::rpc {
+namespace {
+
+constexpr size_t kMaxOpenNonces = 1024;
+
+std::string ToString(capnp::Data::Reader data) {
+  return {reinterpret_cast<const char*>(data.begin()), data.size()};
+}
+
+}  // namespace
+
+struct PeerServer::State {
+  Options options;
+  PeerHandlers handlers;
+  /// The newest connection of each caller.
+  std::map<std::string, CallerId> newest;
+  std::deque<std::string> nonces;
+  kj::Own<capnp::TwoPartyServer> server;
+  kj::Own<kj::ConnectionReceiver> receiver;
+};
+
+/// The outcome of one submitted run, shared by everyone who asks for it.
+class PeerServer::TicketImpl final : public wire::Ticket::Server {
+ public:
+  explicit TicketImpl(kj::Promise<RunResult> result)
+      : result(result.fork()) {}
+
+  kj::Promise<void> outcome(OutcomeContext context) override {
+    return this->result.addBranch().then([context](RunResult run) mutable {
+      auto out = context.getResults();
+      Write(run.outcome, out.initOutcome());
+      Write(run.report, out.initReport());
+      auto load = out.initLoad();
+      load.setInFlight(static_cast<uint32_t>(run.in_flight));
+      load.setQueued(static_cast<uint32_t>(run.queued));
+    });
+  }
+
+ private:
+  kj::ForkedPromise<RunResult> result;
+};
+
+class PeerServer::PeerImpl final : public wire::Peer::Server {
+ public:
+  PeerImpl(Loop& loop, State& state, CallerId caller)
+      : loop(loop), state(state), caller(std::move(caller)) {}
+
+  kj::Promise<void> gossip(GossipContext context) override {
+    const GossipMessage reply = this->state.handlers.gossip(
+        Read(context.getParams().getMessage()));
+    Write(reply, context.getResults().initMessage());
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> sync(SyncContext context) override {
+    const auto updates =
+        this->state.handlers.sync(Read(context.getParams().getVersions()));
+    Write(updates, context.getResults().initUpdates(
+                       static_cast<unsigned>(updates.size())));
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> probe(ProbeContext context) override {
+    auto [promise, done] = this->MakeReply<bool>();
+    this->state.handlers.probe(context.getParams().getHost(), done);
+    return promise.then([context](bool reached) mutable {
+      context.getResults().setReached(reached);
+    });
+  }
+
+  kj::Promise<void> head(HeadContext context) override {
+    context.getResults().setHead(this->state.handlers.head());
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> chunks(ChunksContext context) override {
+    std::vector<std::string> ids;
+    for (const auto id : context.getParams().getIds()) {
+      ids.emplace_back(id.cStr());
+    }
+    const auto texts = this->state.handlers.chunks(ids);
+    auto out =
+        context.getResults().initTexts(static_cast<unsigned>(texts.size()));
+    for (unsigned i = 0; i < texts.size(); ++i) {
+      out.set(i, texts[i]);
+    }
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> lend(LendContext context) override {
+    const auto shards = context.getParams().getShards();
+    auto out = context.getResults().initLoans(shards.size());
+    for (unsigned i = 0; i < shards.size(); ++i) {
+      if (IsShard(shards[i])) {
+        Write(this->state.handlers.lend(shards[i], this->caller.host), out[i]);
+      }
+    }
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> giveBack(GiveBackContext context) override {
+    for (const auto shard : context.getParams().getShards()) {
+      if (IsShard(shard)) {
+        this->state.handlers.give_back(shard, this->caller.host);
+      }
+    }
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> acquire(AcquireContext context) override {
+    const auto params = context.getParams();
+    const auto grant = this->state.handlers.acquire(
+        params.getOrganisation(), static_cast<int>(params.getWanted()));
+    Write(grant, context.getResults().initGrant());
+    return kj::READY_NOW;
+  }
+
+  // A request that comes over a connection which its sender has since replaced
+  // may already have been resolved as "not run", so it is refused.
+  kj::Promise<void> submit(SubmitContext context) override {
+    const once::RunRequest request = Read(context.getParams().getRun());
+    auto [promise, done] = this->MakeReply<RunResult>();
+    if (this->IsReplaced()) {
+      done(RunResult{.outcome = once::NotRun{
+                         .reason = once::RefusalReason::kFenced}});
+    } else {
+      this->state.handlers.submit(request, done);
+    }
+    context.getResults().setTicket(kj::heap<TicketImpl>(kj::mv(promise)));
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> resolve(ResolveContext context) override {
+    const auto params = context.getParams();
+    const ResolveAnswer answer = this->state.handlers.resolve(
+        params.getRequestId(), params.getIncarnation());
+    Write(answer, context.getResults().initResolution());
+    return kj::READY_NOW;
+  }
+
+ private:
+  static bool IsShard(unsigned number) {
+    return number < static_cast<unsigned>(limits::kShardCount);
+  }
+
+  bool IsReplaced() const {
+    return this->caller < this->state.newest[this->caller.host];
+  }
+
+  /// A promise of the loop and a function that fulfils it once, from any
+  /// thread. The fulfiller is dropped on the loop's thread.
+  template <typename T>
+  std::pair<kj::Promise<T>, std::function<void(T)>> MakeReply() {
+    auto pair = kj::newPromiseAndFulfiller<T>();
+    auto fulfiller =
+        std::make_shared<kj::Own<kj::PromiseFulfiller<T>>>(
+            kj::mv(pair.fulfiller));
+    std::function<void(T)> done = [&loop = this->loop, fulfiller](T value) {
+      loop.Post([fulfiller, value = std::move(value)]() mutable {
+        auto owned = kj::mv(*fulfiller);
+        owned->fulfill(std::move(value));
+      });
+    };
+    return {kj::mv(pair.promise), std::move(done)};
+  }
+
+  Loop& loop;
+  State& state;
+  CallerId caller;
+};
+
+class PeerServer::DoorImpl final : public wire::Door::Server {
+ public:
+  DoorImpl(Loop& loop, State& state) : loop(loop), state(state) {}
+
+  kj::Promise<void> challenge(ChallengeContext context) override {
+    const std::string nonce = RandomId();
+    this->state.nonces.push_back(nonce);
+    if (this->state.nonces.size() > kMaxOpenNonces) {
+      this->state.nonces.pop_front();
+    }
+    context.getResults().setNonce(
+        capnp::Data::Reader(reinterpret_cast<const kj::byte*>(nonce.data()),
+                            nonce.size()));
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> enter(EnterContext context) override {
+    const auto params = context.getParams();
+    const std::string nonce = ToString(params.getNonce());
+    const auto wire_caller = params.getCaller();
+    const CallerId caller{.host = wire_caller.getHost(),
+                          .incarnation = wire_caller.getIncarnation(),
+                          .link = wire_caller.getLink()};
+    const bool fresh = std::erase(this->state.nonces, nonce) > 0;
+    const bool proved = EqualInConstantTime(
+        ToString(params.getProof()),
+        ProofOf(this->state.options.fleet_key, nonce, caller));
+    if (!fresh || !proved) {
+      return KJ_EXCEPTION(FAILED, "the fleet key was not proved");
+    }
+    CallerId& newest = this->state.newest[caller.host];
+    newest = std::max(newest, caller);
+    context.getResults().setPeer(
+        kj::heap<PeerImpl>(this->loop, this->state, caller));
+    return kj::READY_NOW;
+  }
+
+ private:
+  Loop& loop;
+  State& state;
+};
+
+PeerServer::PeerServer(Loop& loop, Options options, PeerHandlers handlers)
+    : loop(loop), state(std::make_unique<State>()) {
+  this->state->options = std::move(options);
+  this->state->handlers = std::move(handlers);
+}
+
+PeerServer::~PeerServer() = default;
+
+absl::Status PeerServer::Start() {
+  absl::Status status;
+  this->loop.PostAndWait([&] {
+    const Endpoint& listen = this->state->options.listen;
+    auto receiver = ListenOn(this->loop, listen);
+    if (!receiver.ok()) {
+      status = receiver.status();
+      return;
+    }
+    this->state->receiver = kj::mv(*receiver);
+    this->state->server = kj::heap<capnp::TwoPartyServer>(
+        kj::heap<DoorImpl>(this->loop, *this->state));
+    this->loop.Keep(this->state->server->listen(*this->state->receiver));
+    this->loop.AtEnd([state = this->state.get()] {
+      state->server = nullptr;
+      state->receiver = nullptr;
+    });
+  });
+  return status;
+}
+
+}  // namespace kingcupstair::rpc
--- /dev/null
+++ b/components/settings/end_signals.h
@@ -0,0 +1,23 @@
+#ifndef COMPONENTS_SETTINGS_END_SIGNALS_H_
+#define COMPONENTS_SETTINGS_END_SIGNALS_H_
+
+#include <csignal>
+
+namespace kingcupstair::settings {
+
+/// Takes the signals that ask a process to end. Made before any thread is
+/// started, so that all threads leave the signals to it.
+class EndSignals {
+ public:
+  EndSignals();
+
+  /// Waits for SIGTERM or SIGINT.
+  void Wait() const;
+
+ private:
+  sigset_t signals;
+};
+
+}  // namespace kingcupstair::settings
+
+#endif  // COMPONENTS_SETTINGS_END_SIGNALS_H_
--- /dev/null
+++ b/components/store/keys.h
@@ -0,0 +1,18 @@
+#ifndef COMPONENTS_STORE_KEYS_H_
+#define COMPONENTS_STORE_KEYS_H_
+
+#include <string>
+
+namespace kingcupstair::store {
+
+/// Names of the records that the fleet keeps in the store.
+inline constexpr char kHeadKey[] = "kingcupstair/head";
+inline constexpr char kSharesKey[] = "kingcupstair/shares";
+
+inline std::string ChunkKey(const std::string& id) {
+  return "kingcupstair/chunk/" + id;
+}
+
+}  // namespace kingcupstair::store
+
+#endif  // COMPONENTS_STORE_KEYS_H_
