--- a/apps/caller/load_report.cc
+++ b/apps/caller/load_report.cc
@@ -46,8 +46,8 @@
   }
   std::vector<Duration> sorted = this->latencies;
   std::sort(sorted.begin(), sorted.end());
-  const auto index = static_cast<size_t>(
-      share * static_cast<double>(sorted.size() - 1));
+  const auto index =
+      static_cast<size_t>(share * static_cast<double>(sorted.size() - 1));
   return static_cast<double>(sorted[index].count()) / kMicrosPerMilli;
 }
 
--- a/apps/caller/main.cc
+++ b/apps/caller/main.cc
@@ -82,8 +82,9 @@
     const std::string order =
         absl::StrCat(this->plan.order_prefix, "-", number);
     http::Call call{
-        .server = this->plan.hosts[static_cast<size_t>(number) %
-                                   this->plan.hosts.size()],
+        .server =
+            this->plan
+                .hosts[static_cast<size_t>(number) % this->plan.hosts.size()],
         .request = {.method = this->plan.method,
                     .target = this->plan.target,
                     .headers = {{.name = "X-Order", .value = order}}},
--- a/apps/kingcupstairctl/host_commands.cc
+++ b/apps/kingcupstairctl/host_commands.cc
@@ -38,9 +38,9 @@
   std::set<Endpoint> hosts;
   const auto entry =
       store::Client({.server = line.store}).Get(store::kSharesKey);
-  const auto table = entry.ok() ? limits::DecodeShareTable(entry->value)
-                                : absl::StatusOr<limits::ShareTable>(
-                                      entry.status());
+  const auto table = entry.ok()
+                         ? limits::DecodeShareTable(entry->value)
+                         : absl::StatusOr<limits::ShareTable>(entry.status());
   if (!table.ok()) {
     std::cerr << "the store did not name the hosts; use --hosts\n";
     return hosts;
@@ -103,8 +103,8 @@
               << status.value("zone", "") << " revision "
               << status.value("revision", 0)
               << (status.value("isolated", false) ? " ISOLATED" : "")
-              << (status.value("leaving", false) ? " leaving" : "")
-              << " share " << status.value("share", 0.0) << "\n";
+              << (status.value("leaving", false) ? " leaving" : "") << " share "
+              << status.value("share", 0.0) << "\n";
     for (const auto& upstream : status["upstreams"]) {
       std::cout << "  " << upstream.value("id", "") << " limit "
                 << upstream.value("limit", 0) << " latency_us "
--- a/apps/kingcupstaird/daemon.cc
+++ b/apps/kingcupstaird/daemon.cc
@@ -81,8 +81,7 @@
       share_loop(this->fleet),
       permits(this->fleet),
       guard({.zone = this->settings.zone,
-             .incarnation =
-                 [this] { return this->directory.OwnIncarnation(); },
+             .incarnation = [this] { return this->directory.OwnIncarnation(); },
              .isolated = [this] { return this->IsIsolated(); }},
             this->config.snapshot(),
             this->crashes,
@@ -207,8 +206,8 @@
   this->board_digest = digest;
   this->board_revision = revision;
   this->permits.UpdatePoolHosts();
-  this->board.Update(this->directory.Present(),
-                     *this->config.snapshot().Read());
+  this->board.Update(this->directory.Present(), *this->config.snapshot().Read(),
+                     MonotonicNow());
 }
 
 void Daemon::PlanEjections() {
@@ -329,10 +328,10 @@
   if (!announcement.ok()) {
     const auto message = announcement.status().message();
     return http::JsonResponse(
-        400, nlohmann::json{{"error", std::string(message.data(),
-                                                  message.size())}}
-                     .dump() +
-                 "\n");
+        400,
+        nlohmann::json{{"error", std::string(message.data(), message.size())}}
+                .dump() +
+            "\n");
   }
   this->guard.Announce(*announcement);
   return http::JsonResponse(200, "{}\n");
--- a/apps/store_standin/store_service.cc
+++ b/apps/store_standin/store_service.cc
@@ -32,10 +32,10 @@
 }
 
 http::Response ValueResponse(const StoredValue& value) {
-  return {.status = 200,
-          .headers = {{.name = "X-Version",
-                       .value = absl::StrCat(value.version)}},
-          .body = value.value};
+  return {
+      .status = 200,
+      .headers = {{.name = "X-Version", .value = absl::StrCat(value.version)}},
+      .body = value.value};
 }
 
 }  // namespace
--- a/apps/upstream_standin/upstream_service.cc
+++ b/apps/upstream_standin/upstream_service.cc
@@ -29,10 +29,10 @@
     const int at_call = this->in_flight;
     fibers::SleepFor(std::chrono::milliseconds(this->faults.load_lag_ms));
     return http::JsonResponse(
-        200, nlohmann::json{{"in_flight", at_call},
-                            {"slots", this->options.slots}}
-                     .dump() +
-                 "\n");
+        200,
+        nlohmann::json{{"in_flight", at_call}, {"slots", this->options.slots}}
+                .dump() +
+            "\n");
   }
   if (request.target == "/counts") {
     return this->Counts();
@@ -118,14 +118,14 @@
 }
 
 http::Response UpstreamService::Counts() const {
-  return http::JsonResponse(
-      200, nlohmann::json{{"runs", this->runs},
-                          {"keys_seen", this->keys_seen},
-                          {"most_at_once", this->most_at_once},
-                          {"overloaded", this->overloaded},
-                          {"answered", this->answered}}
-                   .dump() +
-               "\n");
+  return http::JsonResponse(200,
+                            nlohmann::json{{"runs", this->runs},
+                                           {"keys_seen", this->keys_seen},
+                                           {"most_at_once", this->most_at_once},
+                                           {"overloaded", this->overloaded},
+                                           {"answered", this->answered}}
+                                    .dump() +
+                                "\n");
 }
 
 }  // namespace kingcupstair
--- a/components/admission/concurrency_limit.cc
+++ b/components/admission/concurrency_limit.cc
@@ -71,8 +71,8 @@
 }
 
 bool ConcurrencyLimit::LooksCold(double micros) {
-  const bool slow = this->usual > 0 &&
-                    micros > this->usual * kColdMultiple + kNoiseMicros;
+  const bool slow =
+      this->usual > 0 && micros > this->usual * kColdMultiple + kNoiseMicros;
   this->slow_in_row = slow ? this->slow_in_row + 1 : 0;
   return this->slow_in_row >= kColdAnswersInRow && this->value > 1;
 }
--- a/components/admission/fair_queue.cc
+++ b/components/admission/fair_queue.cc
@@ -29,10 +29,9 @@
     const std::string organisation = this->turns.front();
     this->turns.pop_front();
     Queue& queue = this->queues[organisation];
-    const auto ready =
-        std::find_if(queue.begin(), queue.end(), [&](const Waiting& waiting) {
-          return waiting.expires > now;
-        });
+    const auto ready = std::find_if(
+        queue.begin(), queue.end(),
+        [&](const Waiting& waiting) { return waiting.expires > now; });
     if (ready == queue.end()) {
       this->turns.push_back(organisation);
       continue;
@@ -71,9 +70,9 @@
 
 bool FairQueue::Remove(TicketId ticket) {
   for (auto& [organisation, queue] : this->queues) {
-    const size_t removed = std::erase_if(
-        queue,
-        [&](const Waiting& waiting) { return waiting.ticket == ticket; });
+    const size_t removed = std::erase_if(queue, [&](const Waiting& waiting) {
+      return waiting.ticket == ticket;
+    });
     if (removed > 0) {
       --this->total;
       this->DropEmpty();
--- a/components/config/configuration.cc
+++ b/components/config/configuration.cc
@@ -13,7 +13,8 @@
 }
 
 template <typename Map>
-auto FindIn(const Map& map, std::string_view key) -> decltype(&map.begin()->second) {
+auto FindIn(const Map& map, std::string_view key)
+    -> decltype(&map.begin()->second) {
   const auto found = map.find(std::string(key));
   return found == map.end() ? nullptr : &found->second;
 }
@@ -104,8 +105,7 @@
   if (auto* errors = std::get_if<std::vector<RuleError>>(&parsed)) {
     return std::move(*errors);
   }
-  return Builder(revision,
-                 std::get<std::vector<PlacedRule>>(std::move(parsed)))
+  return Builder(revision, std::get<std::vector<PlacedRule>>(std::move(parsed)))
       .Build();
 }
 
@@ -115,8 +115,7 @@
                                           std::string_view path) const {
   path = path.substr(0, path.find_first_of("?#"));
   while (!path.empty()) {
-    if (const RouteRule* route =
-            FindIn(this->routes, RouteKey(method, path))) {
+    if (const RouteRule* route = FindIn(this->routes, RouteKey(method, path))) {
       return route;
     }
     path = path.substr(0, path.rfind('/'));
--- a/components/config/configuration.h
+++ b/components/config/configuration.h
@@ -45,9 +45,7 @@
   size_t route_count() const { return this->routes.size(); }
   size_t organisation_count() const { return this->organisations.size(); }
   const std::set<std::string>& zones_out() const { return this->zones; }
-  const std::set<std::string>& upstreams_out() const {
-    return this->upstreams;
-  }
+  const std::set<std::string>& upstreams_out() const { return this->upstreams; }
 
   bool operator==(const Configuration&) const = default;
 
--- a/components/config/edit.cc
+++ b/components/config/edit.cc
@@ -25,8 +25,8 @@
 
 bool TakesOut(const std::string& line, OutKind kind, std::string_view name) {
   LineReader reader(std::string_view(line).substr(0, line.find('#')), 1);
-  return reader.Take("kind") == KindWord(kind) &&
-         reader.Take("name") == name && reader.Take("out") == "out";
+  return reader.Take("kind") == KindWord(kind) && reader.Take("name") == name &&
+         reader.Take("out") == "out";
 }
 
 void AppendMissing(const std::vector<std::string>& from,
--- a/components/config/head.cc
+++ b/components/config/head.cc
@@ -5,12 +5,10 @@
 namespace kingcupstair::config {
 
 std::string EncodeHead(const Head& head) {
-  return nlohmann::json{{"revision", head.revision},
-                        {"write_id", head.write_id},
-                        {"author", head.author},
-                        {"summary", head.summary},
-                        {"chunks", head.chunks},
-                        {"superseded", head.superseded}}
+  return nlohmann::json{
+      {"revision", head.revision}, {"write_id", head.write_id},
+      {"author", head.author},     {"summary", head.summary},
+      {"chunks", head.chunks},     {"superseded", head.superseded}}
       .dump();
 }
 
@@ -20,13 +18,13 @@
     return absl::DataLossError("the configuration head is no JSON object");
   }
   try {
-    return Head{.revision = json.at("revision").get<uint64_t>(),
-                .write_id = json.at("write_id").get<std::string>(),
-                .author = json.at("author").get<std::string>(),
-                .summary = json.at("summary").get<std::string>(),
-                .chunks = json.at("chunks").get<std::vector<std::string>>(),
-                .superseded =
-                    json.at("superseded").get<std::vector<std::string>>()};
+    return Head{
+        .revision = json.at("revision").get<uint64_t>(),
+        .write_id = json.at("write_id").get<std::string>(),
+        .author = json.at("author").get<std::string>(),
+        .summary = json.at("summary").get<std::string>(),
+        .chunks = json.at("chunks").get<std::vector<std::string>>(),
+        .superseded = json.at("superseded").get<std::vector<std::string>>()};
   } catch (const nlohmann::json::exception& error) {
     return absl::DataLossError(error.what());
   }
--- a/components/config/line_reader.cc
+++ b/components/config/line_reader.cc
@@ -82,9 +82,9 @@
   }
   const size_t unit_start = text.find_first_not_of("0123456789");
   int64_t count = 0;
-  const bool counted =
-      unit_start != std::string::npos &&
-      absl::SimpleAtoi(text.substr(0, unit_start), &count) && count > 0;
+  const bool counted = unit_start != std::string::npos &&
+                       absl::SimpleAtoi(text.substr(0, unit_start), &count) &&
+                       count > 0;
   const std::string unit = counted ? text.substr(unit_start) : "";
   if (unit == "ms" && count <= 600'000) {
     return std::chrono::milliseconds(count);
@@ -103,9 +103,8 @@
   }
   const int column =
       this->position == 0 ? 1 : this->words[this->position - 1].column;
-  this->error = RuleError{.line = this->line_number,
-                          .column = column,
-                          .reason = std::move(reason)};
+  this->error = RuleError{
+      .line = this->line_number, .column = column, .reason = std::move(reason)};
 }
 
 }  // namespace kingcupstair::config
--- a/components/config/parse.cc
+++ b/components/config/parse.cc
@@ -99,8 +99,8 @@
   }
   const bool named = text.substr(0, kScheme.size()) == kScheme;
   const std::string digest = named ? text.substr(kScheme.size()) : "";
-  const bool hexadecimal = digest.find_first_not_of("0123456789abcdef") ==
-                           std::string::npos;
+  const bool hexadecimal =
+      digest.find_first_not_of("0123456789abcdef") == std::string::npos;
   if (digest.size() != kDigestLength || !hexadecimal) {
     reader.Fail("a key is written as sha256: and 64 lower-case hex digits");
   }
@@ -193,10 +193,9 @@
         hash == std::string_view::npos ? "" : Trim(line.substr(hash + 1));
     if (comment.substr(0, kAskedBy.size()) != kAskedBy ||
         Trim(comment.substr(kAskedBy.size())).empty()) {
-      this->errors.push_back(
-          {.line = number,
-           .column = static_cast<int>(body.size()) + 1,
-           .reason = "a rule ends in '# asked by: NAME'"});
+      this->errors.push_back({.line = number,
+                              .column = static_cast<int>(body.size()) + 1,
+                              .reason = "a rule ends in '# asked by: NAME'"});
       return;
     }
     LineReader reader(body, number);
--- a/components/config/parse.h
+++ b/components/config/parse.h
@@ -20,7 +20,8 @@
 };
 
 /// All rules of a text, or every fault found in it.
-using ParseResult = std::variant<std::vector<PlacedRule>, std::vector<RuleError>>;
+using ParseResult =
+    std::variant<std::vector<PlacedRule>, std::vector<RuleError>>;
 
 /// Reads the operators' file: one rule a line, each ending in
 /// "# asked by: NAME". Blank lines and lines that are only a comment are
--- a/components/config/replica.cc
+++ b/components/config/replica.cc
@@ -78,9 +78,8 @@
 void Replica::DropUnused() {
   const std::set<std::string> used(this->head.chunks.begin(),
                                    this->head.chunks.end());
-  std::erase_if(this->chunks, [&](const auto& entry) {
-    return !used.contains(entry.first);
-  });
+  std::erase_if(this->chunks,
+                [&](const auto& entry) { return !used.contains(entry.first); });
 }
 
 }  // namespace kingcupstair::config
--- a/components/config/replica.h
+++ b/components/config/replica.h
@@ -38,9 +38,7 @@
   std::optional<std::vector<RuleError>> TryAdopt();
 
   /// The configuration in force.
-  std::shared_ptr<const Configuration> Current() const {
-    return this->current;
-  }
+  std::shared_ptr<const Configuration> Current() const { return this->current; }
 
   /// The head in force; revision 0 before the first.
   const Head& CurrentHead() const { return this->head; }
--- a/components/control/directory_keeper.cc
+++ b/components/control/directory_keeper.cc
@@ -12,8 +12,7 @@
          this->directory.UpdateOwn(own);
 }
 
-int DirectoryKeeper::Merge(
-    const std::vector<membership::HostUpdate>& updates) {
+int DirectoryKeeper::Merge(const std::vector<membership::HostUpdate>& updates) {
   const std::lock_guard lock(this->mutex);
   const Instant now = MonotonicNow();
   int news = 0;
--- a/components/control/loan_loop.cc
+++ b/components/control/loan_loop.cc
@@ -18,15 +18,13 @@
 }  // namespace
 
 Duration LoanLife(size_t hosts) {
-  return std::max(kShortestLoan,
-                  kLoanPerHost * static_cast<int64_t>(hosts));
+  return std::max(kShortestLoan, kLoanPerHost * static_cast<int64_t>(hosts));
 }
 
 LoanLoop::LoanLoop(Fleet& fleet) : fleet(fleet) {}
 
 void LoanLoop::Step() {
-  const auto hosts =
-      this->fleet.directory.PoolHosts(this->fleet.places.region);
+  const auto hosts = this->fleet.directory.PoolHosts(this->fleet.places.region);
   this->fleet.rates.SetLoanLife(LoanLife(hosts.size()));
   const ShardList pooled = this->ShardsPooledHere(hosts);
   this->GiveBackUnpooled({pooled.begin(), pooled.end()});
@@ -74,8 +72,8 @@
     this->fleet.rates.AddLoan(shards[i], lender, grants[i], asked);
     if (grants[i].fraction > 0) {
       this->borrowed[lender].insert(shards[i]);
-      life = life == Duration{} ? grants[i].life
-                                : std::min(life, grants[i].life);
+      life =
+          life == Duration{} ? grants[i].life : std::min(life, grants[i].life);
     }
   }
   const bool whole = std::all_of(
--- a/components/control/permit_source.cc
+++ b/components/control/permit_source.cc
@@ -10,8 +10,7 @@
 PermitSource::PermitSource(Fleet& fleet) : fleet(fleet) {}
 
 void PermitSource::UpdatePoolHosts() {
-  const auto hosts =
-      this->fleet.directory.PoolHosts(this->fleet.places.region);
+  const auto hosts = this->fleet.directory.PoolHosts(this->fleet.places.region);
   PoolHosts updated;
   for (limits::ShardId shard = 0; shard < limits::kShardCount; ++shard) {
     updated[static_cast<size_t>(shard)] =
--- a/components/control/share_loop.cc
+++ b/components/control/share_loop.cc
@@ -27,9 +27,9 @@
     this->Follow();
   }
   const auto hosts = static_cast<int64_t>(this->fleet.directory.size());
-  fibers::SleepFor(this->joined ? std::max(kShortestPause,
-                                           kPausePerHost * hosts)
-                                : kShortestPause);
+  fibers::SleepFor(this->joined
+                       ? std::max(kShortestPause, kPausePerHost * hosts)
+                       : kShortestPause);
 }
 
 absl::StatusOr<ShareLoop::StoredTable> ShareLoop::Read() const {
@@ -63,17 +63,17 @@
   }
   const Places& places = this->fleet.places;
   const bool had_former_life = stored->table.Find(places.host) != nullptr;
-  stored->table.Join(places.host, {.zone = places.zone,
-                                   .region = places.region,
-                                   .admin = places.admin});
+  stored->table.Join(
+      places.host,
+      {.zone = places.zone, .region = places.region, .admin = places.admin});
   if (!this->Write(stored->table, stored->version)) {
     return;
   }
   this->joined = true;
   this->unsettled = false;
   if (had_former_life) {
-    this->fleet.rates.HoldBackUntil(
-        this->start + LoanLife(stored->table.hosts().size()));
+    this->fleet.rates.HoldBackUntil(this->start +
+                                    LoanLife(stored->table.hosts().size()));
   }
   this->fleet.rates.SetShare(stored->table.Fraction(places.host));
 }
--- a/components/guard/announcement.cc
+++ b/components/guard/announcement.cc
@@ -10,8 +10,7 @@
     return absl::InvalidArgumentError("an announcement is a JSON object");
   }
   try {
-    const auto endpoint =
-        ParseEndpoint(json.at("endpoint").get<std::string>());
+    const auto endpoint = ParseEndpoint(json.at("endpoint").get<std::string>());
     if (!endpoint.ok()) {
       return endpoint.status();
     }
--- a/components/guard/guard.cc
+++ b/components/guard/guard.cc
@@ -83,8 +83,8 @@
   }
   if (announcement.draining && !before.draining) {
     this->RecordUpstream("upstream_draining", announcement, "");
-    this->Dispatch(
-        upstream.gate->RefuseWaiting(once::RefusalReason::kDraining), wakes);
+    this->Dispatch(upstream.gate->RefuseWaiting(once::RefusalReason::kDraining),
+                   wakes);
   }
 }
 
@@ -129,8 +129,7 @@
   if (this->ledger.Accept(request.request_id, now) !=
       once::AcceptResult::kAccepted) {
     return this->ResultFor(
-        request.upstream,
-        once::NotRun{.reason = once::RefusalReason::kFenced});
+        request.upstream, once::NotRun{.reason = once::RefusalReason::kFenced});
   }
   ++this->in_flight;
   return accepted;
@@ -186,7 +185,8 @@
     Upstream& upstream = this->upstreams.at(request.upstream);
     if (!this->ledger.BeginForward(request.request_id)) {
       this->Dispatch(upstream.gate->Finish(
-          ticket, admission::RunEnd::kCancelled, MonotonicNow()), wakes);
+                         ticket, admission::RunEnd::kCancelled, MonotonicNow()),
+                     wakes);
       --this->in_flight;
       return this->ResultFor(
           request.upstream,
@@ -245,7 +245,8 @@
     }
     this->waiters[ticket] = std::move(waiter);
     this->Dispatch(found->second.gate->Offer(ticket, request.organisation,
-                                             deadline, MonotonicNow()), wakes);
+                                             deadline, MonotonicNow()),
+                   wakes);
   }
   return decided.get();
 }
@@ -275,9 +276,8 @@
     return once::NotRun{.reason = once::RefusalReason::kConnectFailed};
   }
   const auto message = result.failure.status.message();
-  return once::Unknown{
-      .detail = std::string(message.data(), message.size()),
-      .upstream_broke = !result.failure.timed_out};
+  return once::Unknown{.detail = std::string(message.data(), message.size()),
+                       .upstream_broke = !result.failure.timed_out};
 }
 
 rpc::RunResult Guard::EndRun(const once::RunRequest& request,
@@ -355,7 +355,8 @@
         now - upstream.last_seen > this->options.announcement_life;
     if (silent && upstream.gate->in_flight() == 0) {
       this->Dispatch(
-          upstream.gate->RefuseWaiting(once::RefusalReason::kUpstreamGone), wakes);
+          upstream.gate->RefuseWaiting(once::RefusalReason::kUpstreamGone),
+          wakes);
       this->RecordUpstream("upstream_gone", upstream.announcement, "");
       at = this->upstreams.erase(at);
     } else {
--- a/components/health/ejection_planner.cc
+++ b/components/health/ejection_planner.cc
@@ -78,14 +78,15 @@
   const auto in_use_at_least = static_cast<size_t>(
       std::ceil(this->options.floor * static_cast<double>(upstreams.size())));
   const size_t allowed =
-      upstreams.size() - std::clamp<size_t>(in_use_at_least, 1, upstreams.size());
+      upstreams.size() -
+      std::clamp<size_t>(in_use_at_least, 1, upstreams.size());
   // A zone or an upstream that went out may have left fewer than the floor.
   while (this->ejected.size() > allowed) {
-    const auto first = std::min_element(
-        this->ejected.begin(), this->ejected.end(),
-        [](const auto& left, const auto& right) {
-          return left.second.until < right.second.until;
-        });
+    const auto first =
+        std::min_element(this->ejected.begin(), this->ejected.end(),
+                         [](const auto& left, const auto& right) {
+                           return left.second.until < right.second.until;
+                         });
     changes.push_back({.upstream = first->first, .ejected = false});
     this->ejected.erase(first);
   }
@@ -123,9 +124,10 @@
     }
     const bool judged = view.finished >= kMinFinished || view.in_flight > 0;
     if (judged && median > Duration{} && IsSlow(view, median)) {
-      suspects.push_back({.view = &view,
-                          .fault = Fault::kSlow,
-                          .badness = static_cast<double>(view.latency.count())});
+      suspects.push_back(
+          {.view = &view,
+           .fault = Fault::kSlow,
+           .badness = static_cast<double>(view.latency.count())});
     }
   }
   return suspects;
@@ -143,11 +145,12 @@
     }
     // A fresh start counts its answers from 0 again.
     Ejection& ejection = found->second;
-    ejection.finished_before = std::min(ejection.finished_before, view.finished);
+    ejection.finished_before =
+        std::min(ejection.finished_before, view.finished);
     const bool tried =
         view.finished >= ejection.finished_before + kTrialAnswers;
-    const bool well = view.error_share <= kErrorShareLimit &&
-                      !IsSlow(view, median);
+    const bool well =
+        view.error_share <= kErrorShareLimit && !IsSlow(view, median);
     if (ejection.until <= now && tried && well) {
       this->ejected.erase(found);
       changes.push_back({.upstream = view.id, .ejected = false});
--- a/components/http/client.cc
+++ b/components/http/client.cc
@@ -152,10 +152,9 @@
     return Fail(call, Stage::kReceive, beast::http::error::partial_message);
   }
   auto message = parser.release();
-  Result result{
-      .response = {.status = static_cast<int>(message.result_int()),
-                   .headers = FromBeast(message),
-                   .body = std::move(message.body())}};
+  Result result{.response = {.status = static_cast<int>(message.result_int()),
+                             .headers = FromBeast(message),
+                             .body = std::move(message.body())}};
   if (message.keep_alive() && connection->buffer.size() == 0) {
     connection->stream.expires_never();
     Keep(call.server, std::move(connection));
--- a/components/http/server.cc
+++ b/components/http/server.cc
@@ -30,7 +30,6 @@
 constexpr int kBadRequest = 400;
 constexpr int kPayloadTooLarge = 413;
 
-
 }  // namespace
 
 struct Server::Shared {
--- a/components/ingress/attempt_runner.cc
+++ b/components/ingress/attempt_runner.cc
@@ -21,10 +21,7 @@
                              guard::Guard& guard,
                              rpc::PeerClients& peers,
                              FleetBoard& board)
-    : options(std::move(options)),
-      guard(guard),
-      peers(peers),
-      board(board) {}
+    : options(std::move(options)), guard(guard), peers(peers), board(board) {}
 
 once::Outcome AttemptRunner::Run(const Choice& choice,
                                  const once::RunRequest& request) {
--- a/components/ingress/fleet_board.cc
+++ b/components/ingress/fleet_board.cc
@@ -1,6 +1,5 @@
 #include "components/ingress/fleet_board.h"
 
-#include <optional>
 #include <utility>
 
 #include "components/base/hash.h"
@@ -29,7 +28,8 @@
     : chooser({.own_zone = options.own_zone, .seed = options.seed}) {}
 
 void FleetBoard::Update(const std::vector<membership::HostRecord>& hosts,
-                        const config::Configuration& configuration) {
+                        const config::Configuration& configuration,
+                        Instant now) {
   Listed listed = this->ListUpstreams(hosts, configuration);
   const std::lock_guard lock(this->mutex);
   std::erase_if(this->services, [&](const auto& entry) {
@@ -50,7 +50,7 @@
     for (const auto& [id, known] : upstreams) {
       this->service_of[id] = name;
     }
-    this->MergeKnown(found->second, std::move(upstreams));
+    MergeKnown(found->second, std::move(upstreams), now);
   }
 }
 
@@ -73,8 +73,8 @@
 }
 
 void FleetBoard::MergeKnown(Service& service,
-                            std::map<std::string, Known> listed) {
-  const Instant now = MonotonicNow();
+                            std::map<std::string, Known> listed,
+                            Instant now) {
   for (auto& [id, known] : listed) {
     const auto before = service.upstreams.find(id);
     if (before == service.upstreams.end() ||
@@ -135,9 +135,8 @@
   return changes;
 }
 
-std::vector<balancing::Candidate> FleetBoard::Candidates(
-    const Service& service,
-    Instant now) const {
+std::vector<balancing::Candidate> FleetBoard::Candidates(const Service& service,
+                                                         Instant now) const {
   std::vector<balancing::Candidate> candidates;
   for (const auto& [id, known] : service.upstreams) {
     const bool on_trial = service.planner.IsOnTrial(id, now);
--- a/components/ingress/fleet_board.h
+++ b/components/ingress/fleet_board.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -41,7 +42,8 @@
   /// Takes in the hosts and the rules in force; what is withdrawn, leaving or
   /// gone is no longer chosen.
   void Update(const std::vector<membership::HostRecord>& hosts,
-              const config::Configuration& configuration);
+              const config::Configuration& configuration,
+              Instant now);
 
   /// Takes in what came with an answer.
   void OnResult(const rpc::RunResult& result, Instant now);
@@ -81,7 +83,9 @@
 
   Listed ListUpstreams(const std::vector<membership::HostRecord>& hosts,
                        const config::Configuration& configuration) const;
-  void MergeKnown(Service& service, std::map<std::string, Known> listed);
+  static void MergeKnown(Service& service,
+                         std::map<std::string, Known> listed,
+                         Instant now);
   std::vector<balancing::Candidate> Candidates(const Service& service,
                                                Instant now) const;
   static Choice ChoiceOf(const Service& service, const std::string& upstream);
--- a/components/ingress/ingress.cc
+++ b/components/ingress/ingress.cc
@@ -44,9 +44,9 @@
   int64_t millis = 0;
   const std::string asked(http::Find(headers, kDeadlineHeader));
   if (absl::SimpleAtoi(asked, &millis) && millis > 0) {
-    return std::min<Duration>(route.deadline, std::chrono::milliseconds(
-                                                  std::min<int64_t>(
-                                                      millis, 600'000)));
+    return std::min<Duration>(
+        route.deadline,
+        std::chrono::milliseconds(std::min<int64_t>(millis, 600'000)));
   }
   return route.deadline;
 }
@@ -95,8 +95,8 @@
   }
   admitted.request.headers = HeadersForUpstream(request.headers);
   admitted.fingerprint =
-      StableHash(absl::StrCat(admitted.organisation, "\n", request.method,
-                              "\n", request.target, "\n", request.body));
+      StableHash(absl::StrCat(admitted.organisation, "\n", request.method, "\n",
+                              request.target, "\n", request.body));
   if (auto problem = this->CheckCrashes(admitted)) {
     return this->Refuse(admitted, *problem);
   }
@@ -140,9 +140,9 @@
   const std::string_view repeat_key =
       http::Find(request.headers, "Idempotency-Key");
   if (admitted.route.repeat == config::Repeat::kOnce && !repeat_key.empty()) {
-    admitted.dedupe_key = Sha256Hex(absl::StrCat(
-        admitted.organisation, "\n", admitted.route.service, "\n",
-        std::string(repeat_key)));
+    admitted.dedupe_key = Sha256Hex(absl::StrCat(admitted.organisation, "\n",
+                                                 admitted.route.service, "\n",
+                                                 std::string(repeat_key)));
   }
   return std::nullopt;
 }
@@ -189,8 +189,7 @@
       break;
     }
     tried.insert(choice->upstream);
-    last.outcome =
-        this->runner.Run(*choice, this->MakeRun(admitted, *choice));
+    last.outcome = this->runner.Run(*choice, this->MakeRun(admitted, *choice));
     ++last.attempts;
     const auto* unknown = std::get_if<once::Unknown>(&last.outcome);
     last.upstreams_broken +=
--- a/components/limits/fraction_history.cc
+++ b/components/limits/fraction_history.cc
@@ -50,8 +50,7 @@
   }
 }
 
-TokenBucket FractionHistory::Replay(const RateLimit& limit,
-                                    Instant now) const {
+TokenBucket FractionHistory::Replay(const RateLimit& limit, Instant now) const {
   TokenBucket bucket(this->steps.empty() ? now : this->steps.front().from);
   this->Advance(bucket, limit, 0, now);
   return bucket;
--- a/components/limits/rate_pool.cc
+++ b/components/limits/rate_pool.cc
@@ -16,8 +16,8 @@
     return kMaxPermitLife;
   }
   const double fill_seconds = limit.depth / limit.rate;
-  const auto life =
-      Duration(static_cast<int64_t>(fill_seconds * kPermitPartOfFillTime * 1e6));
+  const auto life = Duration(
+      static_cast<int64_t>(fill_seconds * kPermitPartOfFillTime * 1e6));
   return std::clamp(life, kMinPermitLife, kMaxPermitLife);
 }
 
@@ -56,11 +56,11 @@
     return total;
   };
   while (true) {
-    const auto first = std::min_element(
-        state.loans.begin(), state.loans.end(),
-        [](const auto& left, const auto& right) {
-          return left.second.expires < right.second.expires;
-        });
+    const auto first =
+        std::min_element(state.loans.begin(), state.loans.end(),
+                         [](const auto& left, const auto& right) {
+                           return left.second.expires < right.second.expires;
+                         });
     if (first == state.loans.end() || first->second.expires > now) {
       break;
     }
@@ -78,8 +78,8 @@
   while (!bucket.outstanding.empty() &&
          bucket.outstanding.front().expires <= now) {
     const Outstanding& oldest = bucket.outstanding.front();
-    shard.history.Advance(bucket.tokens, bucket.limit,
-                          bucket.outstanding_count, oldest.expires);
+    shard.history.Advance(bucket.tokens, bucket.limit, bucket.outstanding_count,
+                          oldest.expires);
     bucket.outstanding_count -= oldest.count;
     bucket.outstanding.pop_front();
   }
@@ -95,7 +95,7 @@
   if (found == this->buckets.end()) {
     found = this->buckets
                 .emplace(organisation,
-                         Bucket(shard.history.Replay(limit, now)))
+                         Bucket(shard.history.Replay(limit, now), limit))
                 .first;
   }
   Bucket& bucket = found->second;
--- a/components/limits/rate_pool.h
+++ b/components/limits/rate_pool.h
@@ -76,7 +76,8 @@
   };
 
   struct Bucket {
-    explicit Bucket(TokenBucket tokens) : tokens(tokens) {}
+    Bucket(TokenBucket tokens, const RateLimit& limit)
+        : tokens(tokens), limit(limit) {}
 
     TokenBucket tokens;
     RateLimit limit;
--- a/components/limits/share_table.cc
+++ b/components/limits/share_table.cc
@@ -37,11 +37,11 @@
     return std::nullopt;
   }
   const auto equal = kAllParts / static_cast<int64_t>(this->entries.size());
-  const auto poorest = std::min_element(
-      this->entries.begin(), this->entries.end(),
-      [](const auto& left, const auto& right) {
-        return left.second.parts < right.second.parts;
-      });
+  const auto poorest =
+      std::min_element(this->entries.begin(), this->entries.end(),
+                       [](const auto& left, const auto& right) {
+                         return left.second.parts < right.second.parts;
+                       });
   const int64_t parts =
       std::min(giver->parts - equal, equal - poorest->second.parts);
   if (parts <= equal / kWorthwhileDivisor) {
--- a/components/limits/token_bucket.cc
+++ b/components/limits/token_bucket.cc
@@ -40,8 +40,8 @@
   if (limit.rate <= 0) {
     return kLongestWait;
   }
-  const auto wait = Duration(
-      static_cast<int64_t>(std::ceil(missing / limit.rate * 1e6)));
+  const auto wait =
+      Duration(static_cast<int64_t>(std::ceil(missing / limit.rate * 1e6)));
   return std::min(wait, kLongestWait);
 }
 
--- a/components/membership/directory.cc
+++ b/components/membership/directory.cc
@@ -125,9 +125,9 @@
   uint64_t digest = 0;
   for (const auto& [host, member] : this->members) {
     const RecordVersion at = VersionOf(member.update);
-    digest ^= StableHash(absl::StrCat(host, "/", at.incarnation, "/",
-                                      at.version, "/",
-                                      static_cast<int>(at.liveness)));
+    digest ^=
+        StableHash(absl::StrCat(host, "/", at.incarnation, "/", at.version, "/",
+                                static_cast<int>(at.liveness)));
   }
   return digest;
 }
@@ -162,8 +162,7 @@
   return present;
 }
 
-std::vector<std::string> Directory::PoolHosts(
-    const std::string& region) const {
+std::vector<std::string> Directory::PoolHosts(const std::string& region) const {
   std::vector<std::string> hosts;
   for (const auto& [host, member] : this->members) {
     const HostUpdate& update = member.update;
@@ -189,8 +188,7 @@
 
 int Directory::SendLimit() const {
   return static_cast<int>(std::ceil(
-      kSendFactor *
-      std::log2(static_cast<double>(this->members.size()) + 1)));
+      kSendFactor * std::log2(static_cast<double>(this->members.size()) + 1)));
 }
 
 }  // namespace kingcupstair::membership
--- a/components/membership/host_record.cc
+++ b/components/membership/host_record.cc
@@ -15,18 +15,17 @@
 }
 
 bool IsNews(const UpstreamRecord& before, const UpstreamRecord& after) {
-  const Duration latency_change =
-      std::max(before.latency, after.latency) -
-      std::min(before.latency, after.latency);
+  const Duration latency_change = std::max(before.latency, after.latency) -
+                                  std::min(before.latency, after.latency);
   const bool latency_news =
       latency_change > kLatencyNoise &&
       IsFarFrom(static_cast<double>(before.latency.count()),
                 static_cast<double>(after.latency.count()));
   const double error_change = before.error_share - after.error_share;
   return before.id != after.id || before.service != after.service ||
-         before.slots != after.slots ||
-         IsFarFrom(before.limit, after.limit) || latency_news ||
-         error_change > kErrorShareNews || -error_change > kErrorShareNews;
+         before.slots != after.slots || IsFarFrom(before.limit, after.limit) ||
+         latency_news || error_change > kErrorShareNews ||
+         -error_change > kErrorShareNews;
 }
 
 }  // namespace
--- a/components/once/crash_ledger.cc
+++ b/components/once/crash_ledger.cc
@@ -8,9 +8,7 @@
 
 // Evidence keeps the time of its crash on its way through the fleet; otherwise
 // hosts would renew it for each other for ever.
-bool CrashLedger::Add(const CrashEvidence& evidence,
-                      Instant at,
-                      Instant now) {
+bool CrashLedger::Add(const CrashEvidence& evidence, Instant at, Instant now) {
   const bool past = at + this->options.memory <= now;
   if (past || this->cleared.contains(evidence.fingerprint)) {
     return false;
--- a/components/once/run_ledger.cc
+++ b/components/once/run_ledger.cc
@@ -71,8 +71,7 @@
 
 void RunLedger::Expire(Instant now) {
   const auto expire = [&](std::deque<Ended>& list) {
-    while (!list.empty() &&
-           list.front().at + this->options.retention <= now) {
+    while (!list.empty() && list.front().at + this->options.retention <= now) {
       this->DropOldest(list);
     }
   };
--- a/components/retry/retry_policy.cc
+++ b/components/retry/retry_policy.cc
@@ -30,8 +30,8 @@
   }
 
   NextStep If(bool allowed) const {
-    if (allowed && this->result.attempts < kMaxAttempts &&
-        this->result.time_left > kLeastTimeForRetry) {
+    if (allowed && this->result.attempts<kMaxAttempts&& this->result.time_left>
+                       kLeastTimeForRetry) {
       return TryAgain{};
     }
     return GiveAnswer{};
--- a/components/rpc/convert.cc
+++ b/components/rpc/convert.cc
@@ -63,15 +63,14 @@
 }
 
 membership::HostUpdate ReadUpdate(wire::HostUpdate::Reader in) {
-  membership::HostUpdate update{
-      .record = {.host = ToString(in.getHost()),
-                 .incarnation = in.getIncarnation(),
-                 .version = in.getVersion(),
-                 .zone = ToString(in.getZone()),
-                 .region = ToString(in.getRegion()),
-                 .admin = ToString(in.getAdmin()),
-                 .leaving = in.getLeaving()},
-      .liveness = ToLiveness(in.getLiveness())};
+  membership::HostUpdate update{.record = {.host = ToString(in.getHost()),
+                                           .incarnation = in.getIncarnation(),
+                                           .version = in.getVersion(),
+                                           .zone = ToString(in.getZone()),
+                                           .region = ToString(in.getRegion()),
+                                           .admin = ToString(in.getAdmin()),
+                                           .leaving = in.getLeaving()},
+                                .liveness = ToLiveness(in.getLiveness())};
   for (const auto upstream : in.getUpstreams()) {
     update.record.upstreams.push_back(Read(upstream));
   }
@@ -134,8 +133,7 @@
   out.setRevision(message.revision);
   Write(message.updates,
         out.initUpdates(static_cast<unsigned>(message.updates.size())));
-  auto crashes =
-      out.initCrashes(static_cast<unsigned>(message.crashes.size()));
+  auto crashes = out.initCrashes(static_cast<unsigned>(message.crashes.size()));
   for (unsigned i = 0; i < message.crashes.size(); ++i) {
     const once::AgedEvidence& aged = message.crashes[i];
     crashes[i].setFingerprint(aged.evidence.fingerprint);
@@ -205,8 +203,7 @@
   out.setSlots(static_cast<uint16_t>(record.slots));
   out.setLimit(static_cast<uint16_t>(record.limit));
   out.setLatencyMicros(Clamp32(record.latency.count()));
-  out.setErrorPermille(
-      static_cast<uint16_t>(record.error_share * kPermille));
+  out.setErrorPermille(static_cast<uint16_t>(record.error_share * kPermille));
   out.setFinished(record.finished);
 }
 
@@ -228,14 +225,14 @@
   out.setFingerprint(request.fingerprint);
   out.setRepeatable(request.idempotent);
   out.setDedupeKey(request.dedupe_key);
-  out.setTimeLeftMicros(static_cast<uint64_t>(
-      std::max<int64_t>(0, request.time_left.count())));
+  out.setTimeLeftMicros(
+      static_cast<uint64_t>(std::max<int64_t>(0, request.time_left.count())));
   out.setMethod(request.request.method);
   out.setTarget(request.request.target);
   out.setBody(ToData(request.request.body));
-  WriteHeaders(request.request.headers,
-               out.initHeaders(
-                   static_cast<unsigned>(request.request.headers.size())));
+  WriteHeaders(
+      request.request.headers,
+      out.initHeaders(static_cast<unsigned>(request.request.headers.size())));
 }
 
 once::RunRequest Read(wire::Run::Reader in) {
--- a/components/rpc/credentials.cc
+++ b/components/rpc/credentials.cc
@@ -8,9 +8,9 @@
 std::string ProofOf(const std::string& fleet_key,
                     const std::string& nonce,
                     const CallerId& caller) {
-  return HmacSha256(fleet_key,
-                    absl::StrCat(nonce, "|", caller.host, "|",
-                                 caller.incarnation, "|", caller.link));
+  return HmacSha256(
+      fleet_key, absl::StrCat(nonce, "|", caller.host, "|", caller.incarnation,
+                              "|", caller.link));
 }
 
 }  // namespace kingcupstair::rpc
--- a/components/rpc/peer_clients.cc
+++ b/components/rpc/peer_clients.cc
@@ -20,8 +20,7 @@
   const bool late = error.getType() == kj::Exception::Type::OVERLOADED;
   return ErrorAt(late ? absl::StatusCode::kDeadlineExceeded
                       : absl::StatusCode::kUnavailable,
-                 {.step = step, .peer = host},
-                 error.getDescription().cStr());
+                 {.step = step, .peer = host}, error.getDescription().cStr());
 }
 
 kj::Duration ToKj(Duration duration) {
@@ -32,13 +31,13 @@
 kj::Promise<T> WithTimeout(Loop& loop,
                            kj::Promise<T> promise,
                            Duration timeout) {
-  return promise.exclusiveJoin(
-      loop.io()
-          .provider->getTimer()
-          .afterDelay(ToKj(timeout))
-          .then([]() -> kj::Promise<T> {
-            return KJ_EXCEPTION(OVERLOADED, "no answer in time");
-          }));
+  return promise.exclusiveJoin(loop.io()
+                                   .provider->getTimer()
+                                   .afterDelay(ToKj(timeout))
+                                   .then([]() -> kj::Promise<T> {
+                                     return KJ_EXCEPTION(OVERLOADED,
+                                                         "no answer in time");
+                                   }));
 }
 
 }  // namespace
@@ -80,15 +79,15 @@
                         .incarnation = this->options.incarnation,
                         .link = link->number};
   auto enter = [link, caller, key = this->options.fleet_key](
-                         kj::Own<kj::AsyncIoStream> stream) {
+                   kj::Own<kj::AsyncIoStream> stream) {
     link->stream = kj::mv(stream);
     link->client = kj::heap<capnp::TwoPartyClient>(*link->stream);
     auto door = link->client->bootstrap().castAs<wire::Door>();
     return door.challengeRequest().send().then(
         [door, caller, key](auto response) mutable {
           const auto data = response.getNonce();
-          const std::string nonce(
-              reinterpret_cast<const char*>(data.begin()), data.size());
+          const std::string nonce(reinterpret_cast<const char*>(data.begin()),
+                                  data.size());
           const std::string proof = ProofOf(key, nonce, caller);
           auto request = door.enterRequest();
           request.setNonce(data);
@@ -103,20 +102,18 @@
         });
   };
   const auto endpoint = ParseEndpoint(host);
-  auto address = endpoint.ok() ? AddressOf(this->loop, *endpoint)
-                               : absl::StatusOr<kj::Own<kj::NetworkAddress>>(
-                                     endpoint.status());
+  auto address =
+      endpoint.ok()
+          ? AddressOf(this->loop, *endpoint)
+          : absl::StatusOr<kj::Own<kj::NetworkAddress>>(endpoint.status());
   if (!address.ok()) {
-    link->peer =
-        kj::Promise<wire::Peer::Client>(
-            KJ_EXCEPTION(FAILED, "the host's name is no address"))
-            .fork();
+    link->peer = kj::Promise<wire::Peer::Client>(
+                     KJ_EXCEPTION(FAILED, "the host's name is no address"))
+                     .fork();
     return *link;
   }
   link->address = kj::mv(*address);
-  link->peer = link->address->connect()
-                   .then(kj::mv(enter))
-                   .fork();
+  link->peer = link->address->connect().then(kj::mv(enter)).fork();
   return *link;
 }
 
@@ -144,8 +141,8 @@
     Link& link = this->Connect(host);
     const uint64_t number = link.number;
     auto peer = KJ_ASSERT_NONNULL(link.peer).addBranch();
-    kj::Promise<T> call = peer.then(
-        [start](wire::Peer::Client client) { return start(client); });
+    kj::Promise<T> call =
+        peer.then([start](wire::Peer::Client client) { return start(client); });
     this->loop.Keep(
         WithTimeout(this->loop, kj::mv(call), timeout)
             .then([answer](T value) { answer->set_value(std::move(value)); },
@@ -251,16 +248,16 @@
                                    const std::vector<limits::ShardId>& shards,
                                    Duration timeout) {
   return this
-      ->Call<bool>(host, "give back", timeout,
-                   [shards](wire::Peer::Client& peer) {
-                     auto request = peer.giveBackRequest();
-                     auto out = request.initShards(
-                         static_cast<unsigned>(shards.size()));
-                     for (unsigned i = 0; i < shards.size(); ++i) {
-                       out.set(i, static_cast<uint16_t>(shards[i]));
-                     }
-                     return request.send().then([](auto) { return true; });
-                   })
+      ->Call<bool>(
+          host, "give back", timeout,
+          [shards](wire::Peer::Client& peer) {
+            auto request = peer.giveBackRequest();
+            auto out = request.initShards(static_cast<unsigned>(shards.size()));
+            for (unsigned i = 0; i < shards.size(); ++i) {
+              out.set(i, static_cast<uint16_t>(shards[i]));
+            }
+            return request.send().then([](auto) { return true; });
+          })
       .status();
 }
 
@@ -308,53 +305,42 @@
     Link& link = this->Connect(host);
     const uint64_t number = link.number;
     auto stage = std::make_shared<SubmitStage>(SubmitStage::kNotAccepted);
-    auto sent = KJ_ASSERT_NONNULL(link.peer)
-                    .addBranch()
-                    .then([this, run, stage, accept_timeout, result_timeout](
-                              wire::Peer::Client peer) {
-                      auto request = peer.submitRequest();
-                      Write(run, request.initRun());
-                      auto accepted = request.send();
-                      auto result =
-                          accepted.getTicket().outcomeRequest().send();
-                      kj::Promise<void> word =
-                          accepted.then([stage](auto) {
-                            *stage = SubmitStage::kNoResult;
-                          });
-                      return WithTimeout(this->loop, kj::mv(word),
-                                         accept_timeout)
-                          .then([this, result_timeout,
-                                 result = kj::mv(result)]() mutable {
-                            kj::Promise<RunResult> read =
-                                result.then([](auto response) {
-                                  const auto load = response.getLoad();
-                                  return RunResult{
-                                      .outcome = Read(response.getOutcome()),
-                                      .report = Read(response.getReport()),
-                                      .in_flight =
-                                          static_cast<int>(load.getInFlight()),
-                                      .queued =
-                                          static_cast<int>(load.getQueued())};
-                                });
-                            return WithTimeout(this->loop, kj::mv(read),
-                                               result_timeout);
-                          });
-                    });
+    auto sent = KJ_ASSERT_NONNULL(link.peer).addBranch().then(
+        [this, run, stage, accept_timeout,
+         result_timeout](wire::Peer::Client peer) {
+          auto request = peer.submitRequest();
+          Write(run, request.initRun());
+          auto accepted = request.send();
+          auto result = accepted.getTicket().outcomeRequest().send();
+          kj::Promise<void> word =
+              accepted.then([stage](auto) { *stage = SubmitStage::kNoResult; });
+          return WithTimeout(this->loop, kj::mv(word), accept_timeout)
+              .then([this, result_timeout, result = kj::mv(result)]() mutable {
+                kj::Promise<RunResult> read = result.then([](auto response) {
+                  const auto load = response.getLoad();
+                  return RunResult{
+                      .outcome = Read(response.getOutcome()),
+                      .report = Read(response.getReport()),
+                      .in_flight = static_cast<int>(load.getInFlight()),
+                      .queued = static_cast<int>(load.getQueued())};
+                });
+                return WithTimeout(this->loop, kj::mv(read), result_timeout);
+              });
+        });
     const Duration whole = accept_timeout + accept_timeout + result_timeout;
-    this->loop.Keep(
-        WithTimeout(this->loop, kj::mv(sent), whole)
-            .then(
-                [answer](RunResult run_result) {
-                  answer->set_value({.run = std::move(run_result)});
-                },
-                [=, this](kj::Exception&& error) {
-                  if (*stage == SubmitStage::kNotAccepted) {
-                    this->DropLink(host, number);
-                  }
-                  answer->set_value(
-                      {.stage = *stage,
-                       .status = FromException(host, "submit", error)});
-                }));
+    this->loop.Keep(WithTimeout(this->loop, kj::mv(sent), whole)
+                        .then(
+                            [answer](RunResult run_result) {
+                              answer->set_value({.run = std::move(run_result)});
+                            },
+                            [=, this](kj::Exception&& error) {
+                              if (*stage == SubmitStage::kNotAccepted) {
+                                this->DropLink(host, number);
+                              }
+                              answer->set_value({.stage = *stage,
+                                                 .status = FromException(
+                                                     host, "submit", error)});
+                            }));
   });
   return future.get();
 }
--- a/components/rpc/peer_server.cc
+++ b/components/rpc/peer_server.cc
@@ -35,8 +35,7 @@
 /// The outcome of one submitted run, shared by everyone who asks for it.
 class PeerServer::TicketImpl final : public wire::Ticket::Server {
  public:
-  explicit TicketImpl(kj::Promise<RunResult> result)
-      : result(result.fork()) {}
+  explicit TicketImpl(kj::Promise<RunResult> result) : result(result.fork()) {}
 
   kj::Promise<void> outcome(OutcomeContext context) override {
     return this->result.addBranch().then([context](RunResult run) mutable {
@@ -59,8 +58,8 @@
       : loop(loop), state(state), caller(std::move(caller)) {}
 
   kj::Promise<void> gossip(GossipContext context) override {
-    const GossipMessage reply = this->state.handlers.gossip(
-        Read(context.getParams().getMessage()));
+    const GossipMessage reply =
+        this->state.handlers.gossip(Read(context.getParams().getMessage()));
     Write(reply, context.getResults().initMessage());
     return kj::READY_NOW;
   }
@@ -134,8 +133,8 @@
     const once::RunRequest request = Read(context.getParams().getRun());
     auto [promise, done] = this->MakeReply<RunResult>();
     if (this->IsReplaced()) {
-      done(RunResult{.outcome = once::NotRun{
-                         .reason = once::RefusalReason::kFenced}});
+      done(RunResult{.outcome =
+                         once::NotRun{.reason = once::RefusalReason::kFenced}});
     } else {
       this->state.handlers.submit(request, done);
     }
@@ -165,9 +164,8 @@
   template <typename T>
   std::pair<kj::Promise<T>, std::function<void(T)>> MakeReply() {
     auto pair = kj::newPromiseAndFulfiller<T>();
-    auto fulfiller =
-        std::make_shared<kj::Own<kj::PromiseFulfiller<T>>>(
-            kj::mv(pair.fulfiller));
+    auto fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<T>>>(
+        kj::mv(pair.fulfiller));
     std::function<void(T)> done = [&loop = this->loop, fulfiller](T value) {
       loop.Post([fulfiller, value = std::move(value)]() mutable {
         auto owned = kj::mv(*fulfiller);
@@ -192,9 +190,8 @@
     if (this->state.nonces.size() > kMaxOpenNonces) {
       this->state.nonces.pop_front();
     }
-    context.getResults().setNonce(
-        capnp::Data::Reader(reinterpret_cast<const kj::byte*>(nonce.data()),
-                            nonce.size()));
+    context.getResults().setNonce(capnp::Data::Reader(
+        reinterpret_cast<const kj::byte*>(nonce.data()), nonce.size()));
     return kj::READY_NOW;
   }
 
--- a/components/settings/flag_set.cc
+++ b/components/settings/flag_set.cc
@@ -66,14 +66,15 @@
       return ParseOutcome::kExitOk;
     }
     if (value == '?' || value == ':') {
-      this->faults.push_back(absl::StrCat(
-          argv[optind - 1], value == '?' ? ": no such flag" : ": needs a value"));
+      this->faults.push_back(
+          absl::StrCat(argv[optind - 1],
+                       value == '?' ? ": no such flag" : ": needs a value"));
       continue;
     }
     const auto index = static_cast<size_t>(value);
     given[index] = true;
-    this->Apply(this->flags[index],
-                absl::StrCat("--", this->flags[index].name), optarg);
+    this->Apply(this->flags[index], absl::StrCat("--", this->flags[index].name),
+                optarg);
   }
   this->ApplyEnvironment(given);
   words.assign(argv + optind, argv + argc);
@@ -91,9 +92,8 @@
     if (value != nullptr) {
       this->Apply(flag, name, value);
     } else if (flag.required && !given[i]) {
-      this->faults.push_back(
-          absl::StrCat("--", flag.name, " or ", name, " must be set: ",
-                       flag.help));
+      this->faults.push_back(absl::StrCat("--", flag.name, " or ", name,
+                                          " must be set: ", flag.help));
     }
   }
 }
@@ -104,16 +104,16 @@
   const absl::Status status = flag.set(value);
   if (!status.ok()) {
     this->faults.push_back(absl::StrCat(
-        source, "='", value, "': ",
-        std::string(status.message().data(), status.message().size())));
+        source, "='", value,
+        "': ", std::string(status.message().data(), status.message().size())));
   }
 }
 
 std::string FlagSet::HelpText() const {
   std::string text = absl::StrCat(this->summary, "\n\nSettings:\n");
   for (const Flag& flag : this->flags) {
-    absl::StrAppend(&text, "  --", flag.name, "  (",
-                    EnvironmentName(flag.name), ")\n      ", flag.help,
+    absl::StrAppend(&text, "  --", flag.name, "  (", EnvironmentName(flag.name),
+                    ")\n      ", flag.help,
                     flag.required ? "; must be set\n" : "\n");
   }
   absl::StrAppend(&text,
@@ -174,8 +174,8 @@
   return [&target, low, high](const std::string& text) -> absl::Status {
     int64_t value = 0;
     if (!absl::SimpleAtoi(text, &value) || value < low || value > high) {
-      return absl::InvalidArgumentError(absl::StrCat(
-          "expected milliseconds from ", low, " to ", high));
+      return absl::InvalidArgumentError(
+          absl::StrCat("expected milliseconds from ", low, " to ", high));
     }
     target = std::chrono::milliseconds(value);
     return absl::OkStatus();
--- a/components/store/client.cc
+++ b/components/store/client.cc
@@ -35,17 +35,17 @@
 absl::StatusOr<Entry> Client::Watch(const std::string& key,
                                     uint64_t after,
                                     Duration wait) const {
-  return this->Read(absl::StrCat(TargetOf(key), "?after=", after, "&wait_ms=",
-                                 ToMillisRoundedUp(wait)),
+  return this->Read(absl::StrCat(TargetOf(key), "?after=", after,
+                                 "&wait_ms=", ToMillisRoundedUp(wait)),
                     wait + this->options.timeout);
 }
 
 absl::StatusOr<Entry> Client::Read(const std::string& target,
                                    Duration timeout) const {
-  const http::Result result = http::Exchange(
-      {.server = this->options.server,
-       .request = {.method = "GET", .target = target},
-       .timeout = timeout});
+  const http::Result result =
+      http::Exchange({.server = this->options.server,
+                      .request = {.method = "GET", .target = target},
+                      .timeout = timeout});
   if (!result.ok()) {
     return result.failure.status;
   }
@@ -105,10 +105,10 @@
 }
 
 absl::Status Client::Delete(const std::string& key) const {
-  const http::Result result = http::Exchange(
-      {.server = this->options.server,
-       .request = {.method = "DELETE", .target = TargetOf(key)},
-       .timeout = this->options.timeout});
+  const http::Result result =
+      http::Exchange({.server = this->options.server,
+                      .request = {.method = "DELETE", .target = TargetOf(key)},
+                      .timeout = this->options.timeout});
   return result.failure.status;
 }
 
--- a/components/store/publisher.cc
+++ b/components/store/publisher.cc
@@ -60,8 +60,8 @@
     if (there.contains(chunk.id)) {
       continue;
     }
-    const absl::Status status = Retry(
-        [&] { return client.Overwrite(ChunkKey(chunk.id), chunk.text); });
+    const absl::Status status =
+        Retry([&] { return client.Overwrite(ChunkKey(chunk.id), chunk.text); });
     if (!status.ok()) {
       return status;
     }
--- /dev/null
+++ b/tests/admission/upstream_gate_test.cc
@@ -0,0 +1,120 @@
+#include "components/admission/upstream_gate.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+
+#include "tests/support/times.h"
+
+namespace kingcupstair::admission {
+namespace {
+
+std::vector<TicketId> Started(const std::vector<GateDecision>& decisions) {
+  std::vector<TicketId> started;
+  for (const GateDecision& decision : decisions) {
+    if (const auto* start = std::get_if<StartTicket>(&decision)) {
+      started.push_back(start->ticket);
+    }
+  }
+  return started;
+}
+
+once::RefusalReason RefusalOf(const std::vector<GateDecision>& decisions) {
+  const auto* refused = decisions.size() == 1
+                            ? std::get_if<RefuseTicket>(&decisions[0])
+                            : nullptr;
+  return refused == nullptr ? once::RefusalReason::kNone
+                            : refused->refusal.reason;
+}
+
+TEST_GROUP(UpstreamGate) {
+  UpstreamGate gate{{.slots = 8}};
+  TicketId last = 0;
+
+  std::vector<GateDecision> Offer(const char* organisation, int64_t at_ms) {
+    return this->gate.Offer(++this->last, organisation, At(60'000), At(at_ms));
+  }
+
+  /// Runs `waves` of as many requests as the limit lets, one wave after the
+  /// other, from `at_ms` on; gives the time at the end.
+  int64_t RunWaves(int waves, int64_t latency_ms, int64_t at_ms) {
+    for (int i = 0; i < waves; ++i) {
+      std::vector<TicketId> running;
+      while (true) {
+        const auto started = Started(this->Offer("o", at_ms));
+        if (started.empty()) {
+          break;
+        }
+        running.push_back(started.front());
+      }
+      this->gate.RefuseWaiting(once::RefusalReason::kDraining);
+      at_ms += latency_ms;
+      for (const TicketId ticket : running) {
+        this->gate.Finish(ticket, RunEnd::kSuccess, At(at_ms));
+      }
+    }
+    return at_ms;
+  }
+};
+
+TEST(UpstreamGate, AFreshUpstreamGetsOneRequestAtATime) {
+  LONGS_EQUAL(1, Started(this->Offer("a", 0)).size());
+  LONGS_EQUAL(0, Started(this->Offer("a", 0)).size());
+  const auto next = this->gate.Finish(1, RunEnd::kSuccess, At(5));
+  CHECK(Started(next) == std::vector<TicketId>{2});
+}
+
+TEST(UpstreamGate, TheLimitRisesByWhatIsCompletedNotByTime) {
+  this->Offer("a", 0);
+  this->gate.Finish(this->last, RunEnd::kSuccess, At(5));
+  this->gate.Tick(At(50'000));
+  CHECK(this->gate.Report(At(50'000)).limit <= 2);
+  this->RunWaves(40, 5, 50'000);
+  LONGS_EQUAL(8, this->gate.Report(At(60'000)).limit);
+}
+
+TEST(UpstreamGate, AnUpstreamColdWithoutWarningGetsOneAtATimeAgain) {
+  const int64_t now = this->RunWaves(40, 5, 0);
+  this->RunWaves(1, 200, now);
+  LONGS_EQUAL(1, this->gate.Report(At(now + 200)).limit);
+}
+
+TEST(UpstreamGate, ANewLifeOfTheUpstreamGetsOneAtATime) {
+  this->RunWaves(40, 5, 0);
+  this->gate.Restart();
+  LONGS_EQUAL(1, this->gate.Report(At(60'000)).limit);
+}
+
+TEST(UpstreamGate, OrganisationsTakeTurns) {
+  for (int i = 0; i < 20; ++i) {
+    this->Offer("busy", 0);
+  }
+  this->Offer("small", 0);
+  const TicketId small = this->last;
+  const auto started = Started(this->gate.Finish(1, RunEnd::kSuccess, At(5)));
+  CHECK(std::find(started.begin(), started.end(), small) != started.end());
+}
+
+TEST(UpstreamGate, ALongWaitEndsInARefusalWithTheTimeToComeBack) {
+  this->Offer("a", 0);
+  this->Offer("a", 0);
+  const auto decisions = this->gate.Tick(At(1'000));
+  CHECK(RefusalOf(decisions) == once::RefusalReason::kQueueTimeout);
+  CHECK(std::get<RefuseTicket>(decisions[0]).refusal.retry_after > Duration{});
+}
+
+TEST(UpstreamGate, AFullQueueRefusesAtOnce) {
+  for (int i = 0; i < 65; ++i) {
+    this->Offer("a", 0);
+  }
+  CHECK(RefusalOf(this->Offer("a", 0)) == once::RefusalReason::kQueueFull);
+  CHECK(RefusalOf(this->Offer("b", 0)) == once::RefusalReason::kNone);
+}
+
+TEST(UpstreamGate, AHungUpstreamShowsInItsLatency) {
+  this->Offer("a", 0);
+  CHECK(this->gate.Report(At(700)).latency == Millis(700));
+}
+
+}  // namespace
+}  // namespace kingcupstair::admission
--- /dev/null
+++ b/tests/balancing/chooser_test.cc
@@ -0,0 +1,55 @@
+#include "components/balancing/chooser.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <map>
+
+#include "tests/support/times.h"
+
+namespace kingcupstair::balancing {
+namespace {
+
+std::vector<Candidate> Two() {
+  return {
+      {.view = {.id = "a", .zone = "z1", .limit = 4, .latency = Millis(5)}},
+      {.view = {.id = "b", .zone = "z2", .limit = 4, .latency = Millis(5)}}};
+}
+
+std::map<std::string, int> Count(const std::vector<Candidate>& candidates) {
+  Chooser chooser({.own_zone = "z1", .seed = 1});
+  std::map<std::string, int> counts;
+  for (int i = 0; i < 1'000; ++i) {
+    ++counts[chooser.Choose(candidates, {}).value_or("")];
+  }
+  return counts;
+}
+
+TEST_GROUP(Chooser){};
+
+TEST(Chooser, PrefersTheLessLoaded) {
+  auto candidates = Two();
+  candidates[0].view.in_flight = 4;
+  CHECK(Count(candidates)["b"] > 700);
+}
+
+TEST(Chooser, PrefersItsOwnZoneAtEqualLoad) {
+  CHECK(Count(Two())["a"] > 700);
+}
+
+TEST(Chooser, LeavesOutWhatWasTriedAndWhatCannotBeReached) {
+  auto candidates = Two();
+  candidates[0].view.path_open = false;
+  LONGS_EQUAL(1'000, Count(candidates)["b"]);
+  Chooser chooser({});
+  CHECK_FALSE(chooser.Choose(candidates, {"b"}).has_value());
+}
+
+TEST(Chooser, GivesOneOnTrialFewRequests) {
+  auto candidates = Two();
+  candidates[1].on_trial = true;
+  const int trials = Count(candidates)["b"];
+  CHECK(trials > 50 && trials < 200);
+}
+
+}  // namespace
+}  // namespace kingcupstair::balancing
--- /dev/null
+++ b/tests/health/ejection_planner_test.cc
@@ -0,0 +1,123 @@
+#include "components/health/ejection_planner.h"
+
+#include <CppUTest/TestHarness.h>
+#include <rapidcheck.h>
+
+#include <cmath>
+
+#include "components/health/path_health.h"
+#include "tests/support/times.h"
+
+namespace kingcupstair::health {
+namespace {
+
+std::vector<UpstreamView> Healthy(int count) {
+  std::vector<UpstreamView> views;
+  for (int i = 0; i < count; ++i) {
+    views.push_back(
+        {.id = "u" + std::to_string(i), .latency = Millis(5), .finished = 100});
+  }
+  return views;
+}
+
+TEST_GROUP(EjectionPlanner) {
+  EjectionPlanner planner{{.floor = 0.5}};
+};
+
+TEST(EjectionPlanner, EjectsTheSlowAndTheFailing) {
+  auto views = Healthy(6);
+  views[1].latency = Millis(200);
+  views[2].error_share = 0.9;
+  const auto changes = this->planner.Plan(views, At(0));
+  LONGS_EQUAL(2, changes.size());
+  CHECK(this->planner.IsEjected("u1") && this->planner.IsEjected("u2"));
+}
+
+TEST(EjectionPlanner, AWholeServiceThatIsSlowIsNotEjected) {
+  auto views = Healthy(6);
+  for (UpstreamView& view : views) {
+    view.latency = Millis(500);
+    view.error_share = 0.8;
+  }
+  CHECK(this->planner.Plan(views, At(0)).empty());
+}
+
+TEST(EjectionPlanner, TheWorstGoFirstAndTheFloorStays) {
+  auto views = Healthy(4);
+  views[0].latency = Millis(300);
+  views[1].latency = Millis(900);
+  views[2].latency = Millis(600);
+  this->planner.Plan(views, At(0));
+  LONGS_EQUAL(0, this->planner.ejected_count());
+  views[0].latency = Millis(5);
+  this->planner.Plan(views, At(0));
+  LONGS_EQUAL(2, this->planner.ejected_count());
+}
+
+TEST(EjectionPlanner, ReturnsAfterGoodAnswersOnTrialOnly) {
+  auto views = Healthy(4);
+  views[0].error_share = 0.9;
+  this->planner.Plan(views, At(0));
+  views[0].error_share = 0;
+  this->planner.Plan(views, At(1'000));
+  CHECK_FALSE(this->planner.IsOnTrial("u0", At(1'000)));
+  this->planner.Plan(views, At(2'000));
+  CHECK(this->planner.IsOnTrial("u0", At(2'000)));
+  CHECK(this->planner.IsEjected("u0"));
+  views[0].finished = 103;
+  this->planner.Plan(views, At(2'100));
+  CHECK_FALSE(this->planner.IsEjected("u0"));
+}
+
+TEST(EjectionPlanner, AFlappingUpstreamStaysOutForLonger) {
+  auto views = Healthy(4);
+  int64_t out_ms = 0;
+  for (int64_t now = 0; now < 60'000; now += 50) {
+    const bool ejected = this->planner.IsEjected("u0");
+    views[0].error_share = ejected ? 0 : 0.9;
+    views[0].finished += 1;
+    this->planner.Plan(views, At(now));
+    out_ms += ejected ? 50 : 0;
+  }
+  CHECK(out_ms > 55'000);
+}
+
+TEST(EjectionPlanner, WhatIsEjectedNeverGoesBelowTheFloor) {
+  const bool held = rc::check("the floor holds", [] {
+    const auto floor = *rc::gen::inRange(0, 101) / 100.0;
+    EjectionPlanner planner({.floor = floor});
+    const auto draws = *rc::gen::container<std::vector<int>>(
+        60, rc::gen::inRange(0, 1'000'000));
+    for (size_t i = 0; i < draws.size(); ++i) {
+      const int draw = draws[i];
+      auto views = Healthy(1 + draw % 9);
+      for (size_t j = 0; j < views.size(); ++j) {
+        views[j].latency = Millis(1 + (draw >> j) % 700);
+        views[j].error_share = (draw >> (j + 3)) % 11 / 10.0;
+      }
+      planner.Plan(views, At(static_cast<int64_t>(i) * 400));
+      const double left = static_cast<double>(views.size()) -
+                          static_cast<double>(planner.ejected_count());
+      RC_ASSERT(left >= std::ceil(floor * static_cast<double>(views.size())));
+      RC_ASSERT(left >= 1);
+    }
+  });
+  CHECK(held);
+}
+
+TEST_GROUP(PathHealth) {
+  PathHealth paths;
+};
+
+TEST(PathHealth, RestsALostPathForLongerAndLonger) {
+  this->paths.OnLost("h", At(0));
+  CHECK_FALSE(this->paths.IsOpen("h", At(499)));
+  CHECK(this->paths.IsOpen("h", At(500)));
+  this->paths.OnLost("h", At(500));
+  CHECK_FALSE(this->paths.IsOpen("h", At(1'400)));
+  this->paths.OnReached("h");
+  CHECK(this->paths.IsOpen("h", At(1'400)));
+}
+
+}  // namespace
+}  // namespace kingcupstair::health
--- /dev/null
+++ b/tests/limits/share_table_test.cc
@@ -0,0 +1,68 @@
+#include "components/limits/share_table.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace kingcupstair::limits {
+namespace {
+
+int64_t Sum(const ShareTable& table) {
+  int64_t sum = 0;
+  for (const auto& [host, entry] : table.hosts()) {
+    sum += entry.parts;
+  }
+  return sum;
+}
+
+TEST_GROUP(ShareTable) {
+  ShareTable table;
+
+  void setup() override {
+    this->table.Join("a", {.zone = "z1"});
+    this->table.Join("b", {.zone = "z2"});
+    this->table.Join("c", {.zone = "z2"});
+  }
+};
+
+TEST(ShareTable, TheFirstHostGetsAllAndLaterOnesNothing) {
+  LONGS_EQUAL(kAllParts, this->table.Find("a")->parts);
+  LONGS_EQUAL(0, this->table.Find("b")->parts);
+}
+
+TEST(ShareTable, MovesLeadToEqualSharesAndKeepTheSum) {
+  while (const auto move = this->table.NextMove("a")) {
+    CHECK(this->table.Apply(*move));
+  }
+  DOUBLES_EQUAL(1.0 / 3, this->table.Fraction("b"), 0.02);
+  LONGS_EQUAL(kAllParts, Sum(this->table));
+  CHECK_FALSE(this->table.NextMove("b").has_value());
+}
+
+TEST(ShareTable, ARejoinKeepsTheShare) {
+  CHECK_FALSE(this->table.Join("a", {.zone = "z1"}));
+  CHECK(this->table.Join("a", {.zone = "z3"}));
+  LONGS_EQUAL(kAllParts, this->table.Find("a")->parts);
+}
+
+TEST(ShareTable, NobodyGivesMoreThanItHas) {
+  CHECK_FALSE(this->table.Apply({.from = "b", .to = "a", .parts = 1}));
+}
+
+TEST(ShareTable, ARemovedHostsShareGoesToTheOthers) {
+  CHECK(this->table.Remove("a"));
+  LONGS_EQUAL(kAllParts, Sum(this->table));
+  CHECK(this->table.Remove("b"));
+  CHECK_FALSE(this->table.Remove("c"));
+}
+
+TEST(ShareTable, ReadsWhatItWroteAndRefusesMoreThanTheWhole) {
+  const auto read = DecodeShareTable(EncodeShareTable(this->table));
+  CHECK(read.ok() && *read == this->table);
+  CHECK_FALSE(DecodeShareTable("nonsense").ok());
+  const std::string doubled =
+      R"({"hosts":{"a":{"parts":1000000000,"zone":"","region":"","admin":""},)"
+      R"("b":{"parts":1,"zone":"","region":"","admin":""}}})";
+  CHECK_FALSE(DecodeShareTable(doubled).ok());
+}
+
+}  // namespace
+}  // namespace kingcupstair::limits
