Proofs with real processes; faults that they found mended

A lender now lends nothing to a pool that does not answer it. - zone_test, shutdown_test: stand-ins did not end on SIGTERM, because a thread waits for all its fibers. - An upstream's limit rises by a step for ten answers for each request at once; a step for each answer was more than a cold upstream bears. Still red: silent_link_test, the path is not used again when it is whole.

--- a/apps/caller/load_plan.h
+++ b/apps/caller/load_plan.h
@@ -23,6 +23,9 @@
   std::string order_prefix = "order";
   /// A new connection for each request.
   bool fresh_connections = false;
+  /// A line is written for each request: wall-clock milliseconds at its start,
+  /// order, status, outcome.
+  std::string outcomes_file;
 };
 
 }  // namespace kingcupstair
--- a/apps/caller/main.cc
+++ b/apps/caller/main.cc
@@ -1,4 +1,5 @@
 #include <atomic>
+#include <fstream>
 #include <iostream>
 #include <mutex>
 #include <thread>
@@ -47,6 +48,9 @@
   flags.Add({.name = "order-prefix",
              .help = "prefix of the name of each request",
              .set = settings::SetText(plan.order_prefix)});
+  flags.Add({.name = "outcomes-file",
+             .help = "file for a line on each request",
+             .set = settings::SetText(plan.outcomes_file)});
   flags.Add({.name = "fresh-connections",
              .help = "1 for a new connection for each request",
              .set = settings::SetInteger(fresh, 0, 1)});
@@ -56,7 +60,11 @@
 /// Sends the requests of a plan on time and collects the answers.
 class LoadRun {
  public:
-  explicit LoadRun(const LoadPlan& plan) : plan(plan) {}
+  explicit LoadRun(const LoadPlan& plan) : plan(plan) {
+    if (!plan.outcomes_file.empty()) {
+      this->outcomes.open(plan.outcomes_file);
+    }
+  }
 
   std::string Run() {
     fibers::WorkerPool workers(kThreads);
@@ -94,17 +102,33 @@
       call.request.headers.push_back(
           {.name = "Authorization", .value = "Bearer " + this->plan.key});
     }
+    const int64_t begun_ms = WallClockMillis();
     const Instant begun = MonotonicNow();
     const http::Result result = http::Exchange(call);
     const Duration latency = MonotonicNow() - begun;
     {
       const std::lock_guard lock(this->mutex);
       this->report.Add(order, result, latency);
+      this->WriteOutcome(begun_ms, order, result);
     }
     --this->left;
   }
 
+  void WriteOutcome(int64_t begun_ms,
+                    const std::string& order,
+                    const http::Result& result) {
+    if (!this->outcomes.is_open()) {
+      return;
+    }
+    const std::string outcome(
+        http::Find(result.response.headers, "Kingcupstair-Outcome"));
+    this->outcomes << begun_ms << " " << order << " "
+                   << (result.ok() ? result.response.status : 0) << " "
+                   << (outcome.empty() ? "cut" : outcome) << "\n";
+  }
+
   LoadPlan plan;
+  std::ofstream outcomes;
   std::mutex mutex;
   LoadReport report;
   std::atomic<int> left{0};
--- a/apps/kingcupstaird/daemon.cc
+++ b/apps/kingcupstaird/daemon.cc
@@ -29,7 +29,7 @@
 }
 
 control::Places PlacesOf(const DaemonSettings& settings) {
-  control::Places places{.host = ToText(settings.peer_listen),
+  control::Places places{.host = ToText(settings.peer_address),
                          .zone = settings.zone,
                          .region = settings.region,
                          .admin = ToText(settings.admin_listen)};
@@ -55,14 +55,14 @@
     : settings(std::move(given)),
       incarnation(NewIncarnation()),
       workers(this->settings.threads),
-      recorder({.host = ToText(this->settings.peer_listen),
+      recorder({.host = ToText(this->settings.peer_address),
                 .revision = [this] { return this->config.Revision(); }}),
       directory({}, RecordOf(PlacesOf(this->settings), this->incarnation)),
-      rates({.host = ToText(this->settings.peer_listen)},
+      rates({.host = ToText(this->settings.peer_address)},
             this->config.snapshot()),
       isolation({.start = MonotonicNow()}),
       peers(this->rpc_loop,
-            {.own_host = ToText(this->settings.peer_listen),
+            {.own_host = ToText(this->settings.peer_address),
              .incarnation = this->incarnation,
              .fleet_key = this->settings.fleet_key}),
       store({.server = this->settings.store}),
@@ -74,7 +74,11 @@
             .isolation = this->isolation,
             .peers = this->peers,
             .store = this->store,
-            .recorder = this->recorder},
+            .recorder = this->recorder,
+            .on_reached =
+                [this](const std::string& host) {
+                  this->board.OnPathReached(host);
+                }},
       config_loop(this->fleet),
       gossip_loop(this->fleet, this->incarnation),
       loan_loop(this->fleet),
--- a/apps/kingcupstaird/daemon_settings.cc
+++ b/apps/kingcupstaird/daemon_settings.cc
@@ -29,9 +29,13 @@
              .set = settings::SetEndpoint(settings.listen),
              .required = true});
   flags.Add({.name = "peer-listen",
-             .help = "ADDRESS:PORT for other hosts; names this host",
+             .help = "ADDRESS:PORT for other hosts",
              .set = settings::SetEndpoint(settings.peer_listen),
              .required = true});
+  flags.Add({.name = "peer-address",
+             .help = "ADDRESS:PORT at which other hosts reach this one, if "
+                     "not peer-listen; names this host",
+             .set = settings::SetEndpoint(settings.peer_address)});
   flags.Add({.name = "admin-listen",
              .help = "ADDRESS:PORT for upstreams here and operators' tools",
              .set = settings::SetEndpoint(settings.admin_listen),
@@ -78,6 +82,9 @@
     std::cerr << "kingcupstaird: '" << words.front() << "' is no setting\n";
     return settings::ParseOutcome::kExitUsage;
   }
+  if (settings.peer_address.port == 0) {
+    settings.peer_address = settings.peer_listen;
+  }
   return outcome;
 }
 
--- a/apps/kingcupstaird/daemon_settings.h
+++ b/apps/kingcupstaird/daemon_settings.h
@@ -13,8 +13,10 @@
 struct DaemonSettings {
   /// Where callers reach this host.
   Endpoint listen;
-  /// Where peers reach this host; names it in the fleet.
+  /// Where this process listens for peers.
   Endpoint peer_listen;
+  /// Where peers reach this host; names it in the fleet.
+  Endpoint peer_address;
   /// Where upstreams on this host and operators' tools reach it.
   Endpoint admin_listen;
   Endpoint store;
--- a/apps/kingcupstaird/main.cc
+++ b/apps/kingcupstaird/main.cc
@@ -24,7 +24,7 @@
     const auto message = status.message();
     std::cerr << "kingcupstaird: "
               << std::string(message.data(), message.size()) << "\n";
-    return settings::kExitFailed;
+    settings::EndProcess(settings::kExitFailed);
   }
   logging::Write(logging::Level::kInfo, "serving",
                  {{.name = "peer", .value = ToText(settings.peer_listen)},
@@ -32,7 +32,7 @@
   end_signals.Wait();
   daemon.Leave();
   logging::Write(logging::Level::kInfo, "left");
-  return settings::kExitOk;
+  settings::EndProcess(settings::kExitOk);
 }
 
 }  // namespace
--- /dev/null
+++ b/apps/relay_standin/main.cc
@@ -0,0 +1,58 @@
+#include <iostream>
+
+#include "apps/relay_standin/relay.h"
+#include "components/fibers/worker_pool.h"
+#include "components/http/server.h"
+#include "components/settings/end_signals.h"
+#include "components/settings/flag_set.h"
+
+namespace kingcupstair {
+namespace {
+
+int Main(int argc, char** argv) {
+  Relay::Options options;
+  Endpoint control;
+  settings::FlagSet flags(
+      "relay-standin",
+      "relay-standin: a stand-in for a network that cuts or goes silent.");
+  flags.Add({.name = "listen",
+             .help = "ADDRESS:PORT to relay from",
+             .set = settings::SetEndpoint(options.listen),
+             .required = true});
+  flags.Add({.name = "server",
+             .help = "ADDRESS:PORT to relay to",
+             .set = settings::SetEndpoint(options.server),
+             .required = true});
+  flags.Add({.name = "control",
+             .help = "ADDRESS:PORT for /faults",
+             .set = settings::SetEndpoint(control),
+             .required = true});
+  std::vector<std::string> words;
+  const auto outcome = flags.Parse(argc, argv, words);
+  if (outcome != settings::ParseOutcome::kRun) {
+    return outcome == settings::ParseOutcome::kExitOk ? settings::kExitOk
+                                                      : settings::kExitUsage;
+  }
+  const settings::EndSignals end_signals;
+  Relay relay(options);
+  fibers::WorkerPool workers(1);
+  http::Server server(workers, {.listen = control},
+                      [&relay](const http::Request& request) {
+                        return relay.HandleControl(request);
+                      });
+  if (const auto status = server.Start(); !status.ok()) {
+    const auto message = status.message();
+    std::cerr << std::string(message.data(), message.size()) << "\n";
+    return settings::kExitFailed;
+  }
+  workers.Spawn([&relay] { relay.Run(); });
+  end_signals.Wait();
+  settings::EndProcess(settings::kExitOk);
+}
+
+}  // namespace
+}  // namespace kingcupstair
+
+int main(int argc, char** argv) {
+  return kingcupstair::Main(argc, argv);
+}
--- /dev/null
+++ b/apps/relay_standin/relay.cc
@@ -0,0 +1,114 @@
+#include "apps/relay_standin/relay.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/fiber/fiber.hpp>
+
+#include <array>
+#include <nlohmann/json.hpp>
+
+#include "components/fibers/await.h"
+#include "components/fibers/worker_pool.h"
+#include "components/http/beast_convert.h"
+
+namespace kingcupstair {
+namespace {
+
+using tcp = boost::asio::ip::tcp;
+
+constexpr size_t kBufferBytes = 16 * 1024;
+
+}  // namespace
+
+struct Relay::Pair {
+  explicit Pair(boost::asio::io_context& io) : client(io), server(io) {}
+
+  tcp::socket client;
+  tcp::socket server;
+  bool silent = false;
+};
+
+Relay::Relay(Options options) : options(std::move(options)) {}
+
+void Relay::Run() {
+  auto& io = *fibers::CurrentIo();
+  tcp::acceptor acceptor(io, http::ToAsio(this->options.listen));
+  while (true) {
+    auto pair = std::make_shared<Pair>(io);
+    const auto accepted = fibers::Await([&](auto handler) {
+      acceptor.async_accept(
+          pair->client,
+          [handler](boost::system::error_code ec) mutable { handler(ec); });
+    });
+    if (accepted.error || this->faults.refuse) {
+      continue;
+    }
+    this->pairs.push_back(pair);
+    boost::fibers::fiber([this, pair] { this->Serve(pair); }).detach();
+  }
+}
+
+void Relay::Serve(std::shared_ptr<Pair> pair) {
+  const auto connected = fibers::Await([&](auto handler) {
+    pair->server.async_connect(
+        http::ToAsio(this->options.server),
+        [handler](boost::system::error_code ec) mutable { handler(ec); });
+  });
+  if (connected.error) {
+    return;
+  }
+  boost::fibers::fiber([this, pair] { this->Pump(pair, false); }).detach();
+  this->Pump(pair, true);
+}
+
+// Bytes that are dropped are read all the same, so the sender notices nothing.
+void Relay::Pump(std::shared_ptr<Pair> pair, bool to_server) {
+  tcp::socket& from = to_server ? pair->client : pair->server;
+  tcp::socket& to = to_server ? pair->server : pair->client;
+  std::array<char, kBufferBytes> buffer{};
+  while (true) {
+    const auto read = fibers::Await([&](auto handler) {
+      from.async_read_some(boost::asio::buffer(buffer), handler);
+    });
+    if (read.error) {
+      break;
+    }
+    const bool dropped =
+        to_server ? this->faults.drop_to_server : this->faults.drop_to_client;
+    pair->silent = pair->silent || dropped;
+    if (pair->silent) {
+      continue;
+    }
+    const auto written = fibers::Await([&](auto handler) {
+      boost::asio::async_write(
+          to, boost::asio::buffer(buffer.data(), read.bytes), handler);
+    });
+    if (written.error) {
+      break;
+    }
+  }
+  boost::system::error_code ignored;
+  if (!pair->silent) {
+    to.shutdown(tcp::socket::shutdown_send, ignored);
+  }
+}
+
+http::Response Relay::HandleControl(const http::Request& request) {
+  const auto json = nlohmann::json::parse(request.body, nullptr, false);
+  if (request.target != "/faults" || !json.is_object()) {
+    return {.status = 400, .body = "POST a JSON object to /faults\n"};
+  }
+  this->faults = {.drop_to_server = json.value("drop_to_server", false),
+                  .drop_to_client = json.value("drop_to_client", false),
+                  .refuse = json.value("refuse", false)};
+  if (json.value("silence_open", false)) {
+    for (const auto& weak : this->pairs) {
+      if (const auto pair = weak.lock()) {
+        pair->silent = true;
+      }
+    }
+  }
+  return {};
+}
+
+}  // namespace kingcupstair
--- a/apps/upstream_standin/upstream_service.cc
+++ b/apps/upstream_standin/upstream_service.cc
@@ -19,7 +19,11 @@
 }  // namespace
 
 UpstreamService::UpstreamService(Options options)
-    : options(std::move(options)) {}
+    : options(std::move(options)) {
+  if (!this->options.run_log.empty()) {
+    this->run_log.open(this->options.run_log, std::ios::app);
+  }
+}
 
 http::Response UpstreamService::Handle(const http::Request& request) {
   if (request.target == "/health") {
@@ -44,6 +48,8 @@
 }
 
 http::Response UpstreamService::Work(const http::Request& request) {
+  const std::string order(http::Find(request.headers, "X-Order"));
+  this->LogRun(order);
   if (!http::Find(request.headers, "X-Crash").empty()) {
     std::_Exit(kCrashExitCode);
   }
@@ -51,7 +57,6 @@
       !http::Find(request.headers, "Authorization").empty() ||
       !http::Find(request.headers, "X-Api-Key").empty();
   this->keys_seen += key_shown ? 1 : 0;
-  const std::string order(http::Find(request.headers, "X-Order"));
   if (!order.empty()) {
     ++this->runs[order];
   }
@@ -76,6 +81,13 @@
                                this->options.id, "\n")};
 }
 
+void UpstreamService::LogRun(const std::string& order) {
+  if (this->run_log.is_open()) {
+    this->run_log << WallClockMillis() << " " << this->options.id << " "
+                  << order << std::endl;
+  }
+}
+
 Duration UpstreamService::TimeToWork() const {
   if (this->faults.hang) {
     return kHangTime;
--- a/apps/upstream_standin/upstream_service.h
+++ b/apps/upstream_standin/upstream_service.h
@@ -1,6 +1,7 @@
 #ifndef APPS_UPSTREAM_STANDIN_UPSTREAM_SERVICE_H_
 #define APPS_UPSTREAM_STANDIN_UPSTREAM_SERVICE_H_
 
+#include <fstream>
 #include <map>
 #include <random>
 #include <string>
@@ -29,6 +30,8 @@
     /// Answers after a start until it is warm; until then it bears only one
     /// more request at once for each tenth of them.
     int cold_requests = 0;
+    /// A line is added for each run: wall-clock milliseconds, id, X-Order.
+    std::string run_log;
   };
 
   explicit UpstreamService(Options options);
@@ -54,7 +57,10 @@
   Duration TimeToWork() const;
   int BearsAtOnce() const;
 
+  void LogRun(const std::string& order);
+
   Options options;
+  std::ofstream run_log;
   Faults faults;
   int in_flight = 0;
   int most_at_once = 0;
--- a/components/admission/concurrency_limit.cc
+++ b/components/admission/concurrency_limit.cc
@@ -18,12 +18,14 @@
 constexpr Duration kLowerInterval{std::chrono::milliseconds(200)};
 /// Differences below this are noise, whatever the multiple.
 constexpr double kNoiseMicros = 2'000;
+/// Answers, for each request that may run at once, that earn one more.
+constexpr double kAnswersPerStep = 10;
 
 }  // namespace
 
 ConcurrencyLimit::ConcurrencyLimit(Options options) : options(options) {}
 
-void ConcurrencyLimit::OnSuccess(Duration latency, int in_flight, Instant now) {
+void ConcurrencyLimit::OnSuccess(Duration latency, Instant now) {
   const auto micros = static_cast<double>(latency.count());
   if (this->LooksCold(micros)) {
     this->Restart();
@@ -34,10 +36,7 @@
     this->Lower(now);
     return;
   }
-  const bool in_use = in_flight >= this->limit();
-  if (in_use) {
-    this->value += 1 / this->value;
-  }
+  this->value += 1 / (kAnswersPerStep * this->value);
   this->value = std::min(this->value, static_cast<double>(this->options.slots));
 }
 
--- a/components/admission/concurrency_limit.h
+++ b/components/admission/concurrency_limit.h
@@ -15,9 +15,9 @@
 
   explicit ConcurrencyLimit(Options options);
 
-  /// Notes an answer. `in_flight` is how many ran while it did, itself
-  /// included.
-  void OnSuccess(Duration latency, int in_flight, Instant now);
+  /// Notes an answer: the limit rises by a step for a number of answers that
+  /// grows with the limit, and falls when answers are slower than usual.
+  void OnSuccess(Duration latency, Instant now);
 
   /// Notes an error or a timeout: the limit falls by a factor.
   void OnFailure(Instant now);
--- a/components/admission/upstream_gate.cc
+++ b/components/admission/upstream_gate.cc
@@ -49,12 +49,11 @@
     return decisions;
   }
   const Duration latency = now - found->second;
-  const int in_flight = this->in_flight();
   this->running.erase(found);
   if (end == RunEnd::kSuccess) {
     this->NoteLatency(latency);
     this->error_share *= 1 - kErrorWeight;
-    this->concurrency.OnSuccess(latency, in_flight, now);
+    this->concurrency.OnSuccess(latency, now);
     ++this->finished;
   } else if (end == RunEnd::kFailure) {
     this->error_share += kErrorWeight * (1 - this->error_share);
--- a/components/control/fleet.h
+++ b/components/control/fleet.h
@@ -1,7 +1,7 @@
 #ifndef COMPONENTS_CONTROL_FLEET_H_
 #define COMPONENTS_CONTROL_FLEET_H_
 
-#include <memory>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -41,6 +41,8 @@
   rpc::PeerClients& peers;
   const store::Client& store;
   events::Recorder& recorder;
+  /// Called when a peer has answered a probe.
+  std::function<void(const std::string& host)> on_reached;
 };
 
 }  // namespace kingcupstair::control
--- a/components/control/gossip_loop.cc
+++ b/components/control/gossip_loop.cc
@@ -62,6 +62,7 @@
   if (!reply.ok()) {
     return false;
   }
+  this->fleet.on_reached(host);
   this->TakeIn(*reply);
   const bool unlike = reply->digest != this->fleet.directory.Digest();
   this->rounds_unlike = unlike ? this->rounds_unlike + 1 : 0;
--- a/components/control/permit_source.cc
+++ b/components/control/permit_source.cc
@@ -4,6 +4,7 @@
 namespace {
 
 constexpr Duration kAcquireTimeout{std::chrono::milliseconds(200)};
+constexpr Duration kDistrustTime{std::chrono::seconds(3)};
 
 }  // namespace
 
@@ -31,6 +32,7 @@
   if (grant.ok()) {
     return *grant;
   }
+  this->fleet.rates.Distrust(pool, kDistrustTime);
   return this->fleet.rates.AcquireFromOwnShare(organisation, 1);
 }
 
--- a/components/control/rate_keeper.cc
+++ b/components/control/rate_keeper.cc
@@ -44,6 +44,11 @@
   this->lender.Return(shard, holder);
 }
 
+void RateKeeper::Distrust(const std::string& holder, Duration duration) {
+  const std::lock_guard lock(this->mutex);
+  this->lender.Distrust(holder, MonotonicNow() + duration);
+}
+
 void RateKeeper::AddLoan(limits::ShardId shard,
                          const std::string& from,
                          const limits::LoanGrant& grant,
--- a/components/control/rate_keeper.h
+++ b/components/control/rate_keeper.h
@@ -32,6 +32,9 @@
   limits::LoanGrant Lend(limits::ShardId shard, const std::string& holder);
   void GiveBack(limits::ShardId shard, const std::string& holder);
 
+  /// Lends nothing to `holder` for `duration`.
+  void Distrust(const std::string& holder, Duration duration);
+
   void AddLoan(limits::ShardId shard,
                const std::string& lender,
                const limits::LoanGrant& grant,
--- a/components/guard/guard.cc
+++ b/components/guard/guard.cc
@@ -14,6 +14,10 @@
 constexpr Duration kEarlierPollInterval{std::chrono::milliseconds(20)};
 constexpr int kFirstServerError = 500;
 constexpr int kDefaultSlots = 4;
+constexpr int kListenChecks = 2;
+constexpr Duration kListenTimeout{std::chrono::milliseconds(100)};
+constexpr Duration kListenPause{std::chrono::milliseconds(20)};
+constexpr char kHealthTarget[] = "/health";
 
 admission::RunEnd EndOf(const once::Outcome& outcome) {
   const auto* ran = std::get_if<once::Ran>(&outcome);
@@ -21,6 +25,28 @@
   return well ? admission::RunEnd::kSuccess : admission::RunEnd::kFailure;
 }
 
+bool BrokeConnection(const once::Outcome& outcome) {
+  const auto* unknown = std::get_if<once::Unknown>(&outcome);
+  return unknown != nullptr && unknown->upstream_broke;
+}
+
+/// Whether anybody takes connections at `endpoint`. A process that is ending
+/// may close its port a moment after its connections.
+bool Listens(const Endpoint& endpoint) {
+  for (int i = 0; i < kListenChecks; ++i) {
+    const http::Result result =
+        http::Exchange({.server = endpoint,
+                        .request = {.method = "GET", .target = kHealthTarget},
+                        .timeout = kListenTimeout,
+                        .reuse_connection = false});
+    if (!result.ok() && result.failure.stage == http::Stage::kConnect) {
+      return false;
+    }
+    fibers::SleepFor(kListenPause);
+  }
+  return true;
+}
+
 }  // namespace
 
 struct Guard::Waiter {
@@ -195,8 +221,9 @@
     upstream.running[ticket] = request.fingerprint;
     endpoint = upstream.announcement.endpoint;
   }
-  return this->EndRun(request, ticket,
-                      this->Forward(request, endpoint, deadline));
+  const once::Outcome outcome = this->Forward(request, endpoint, deadline);
+  const bool crashed = BrokeConnection(outcome) && !Listens(endpoint);
+  return this->EndRun(request, ticket, outcome, crashed);
 }
 
 rpc::RunResult Guard::WaitForEarlier(const AcceptedRun& accepted) {
@@ -282,7 +309,8 @@
 
 rpc::RunResult Guard::EndRun(const once::RunRequest& request,
                              admission::TicketId ticket,
-                             const once::Outcome& outcome) {
+                             const once::Outcome& outcome,
+                             bool crashed) {
   Wakes wakes;
   const std::lock_guard lock(this->mutex);
   const Instant now = MonotonicNow();
@@ -294,20 +322,27 @@
   }
   Upstream& upstream = found->second;
   upstream.running.erase(ticket);
-  const auto* unknown = std::get_if<once::Unknown>(&outcome);
   if (std::holds_alternative<once::Ran>(outcome)) {
     this->crashes.Clear(request.fingerprint, now);
-  } else if (unknown != nullptr && unknown->upstream_broke) {
+  }
+  if (BrokeConnection(outcome)) {
     this->NoteBreak(upstream, request);
-  } else if (std::holds_alternative<once::NotRun>(outcome)) {
-    upstream.unreachable = true;
-    this->RecordUpstream("upstream_unreachable", upstream.announcement, "");
-    this->BlameBroken(upstream);
+  }
+  if (crashed || std::holds_alternative<once::NotRun>(outcome)) {
+    this->MarkUnreachable(upstream);
   }
   this->Dispatch(upstream.gate->Finish(ticket, EndOf(outcome), now), wakes);
   return this->ResultFor(request.upstream, outcome);
 }
 
+void Guard::MarkUnreachable(Upstream& upstream) {
+  if (!upstream.unreachable) {
+    this->RecordUpstream("upstream_unreachable", upstream.announcement, "");
+  }
+  upstream.unreachable = true;
+  this->BlameBroken(upstream);
+}
+
 void Guard::NoteBreak(Upstream& upstream, const once::RunRequest& request) {
   upstream.broken.push_back(request.fingerprint);
   this->RecordUpstream("upstream_broke_connection", upstream.announcement,
--- a/components/guard/guard.h
+++ b/components/guard/guard.h
@@ -107,7 +107,9 @@
                         Instant deadline);
   rpc::RunResult EndRun(const once::RunRequest& request,
                         admission::TicketId ticket,
-                        const once::Outcome& outcome);
+                        const once::Outcome& outcome,
+                        bool crashed);
+  void MarkUnreachable(Upstream& upstream);
   void NoteBreak(Upstream& upstream, const once::RunRequest& request);
   void BlameBroken(Upstream& upstream);
   void Dispatch(const std::vector<admission::GateDecision>& decisions,
--- a/components/health/path_health.cc
+++ b/components/health/path_health.cc
@@ -6,7 +6,7 @@
 namespace {
 
 constexpr Duration kFirstRest{std::chrono::milliseconds(500)};
-constexpr Duration kLongestRest{std::chrono::seconds(10)};
+constexpr Duration kLongestRest{std::chrono::seconds(4)};
 constexpr int kMaxDoublings = 5;
 
 }  // namespace
--- a/components/limits/share_lender.cc
+++ b/components/limits/share_lender.cc
@@ -17,7 +17,10 @@
                             Instant now) {
   Loan& loan = this->loans[static_cast<size_t>(shard)];
   const bool taken = loan.expires > now && loan.holder != holder;
-  if (taken || this->share <= 0) {
+  const auto distrust = this->distrusted.find(holder);
+  const bool trusted =
+      distrust == this->distrusted.end() || distrust->second <= now;
+  if (taken || !trusted || this->share <= 0) {
     return {};
   }
   loan.holder = holder;
@@ -26,6 +29,13 @@
   return {.fraction = this->share, .life = this->options.loan_life};
 }
 
+// A path may be cut one way: the pool goes on asking for loans while nothing
+// comes back from it. Its loan then has to run out, or this host would have no
+// share to spend for as long as the cut lasts.
+void ShareLender::Distrust(const std::string& holder, Instant until) {
+  this->distrusted[holder] = until;
+}
+
 void ShareLender::Return(ShardId shard, const std::string& holder) {
   Loan& loan = this->loans[static_cast<size_t>(shard)];
   if (loan.holder == holder) {
--- a/components/limits/share_lender.h
+++ b/components/limits/share_lender.h
@@ -2,6 +2,7 @@
 #define COMPONENTS_LIMITS_SHARE_LENDER_H_
 
 #include <array>
+#include <map>
 #include <string>
 
 #include "components/base/time.h"
@@ -47,6 +48,10 @@
   /// another holds it.
   LoanGrant Lend(ShardId shard, const std::string& holder, Instant now);
 
+  /// Lends nothing to `holder` before `until`, because this host can't get
+  /// permits from it.
+  void Distrust(const std::string& holder, Instant until);
+
   /// Takes back a loan that its holder no longer spends.
   void Return(ShardId shard, const std::string& holder);
 
@@ -65,6 +70,7 @@
   Options options;
   double share = 0;
   std::array<Loan, kShardCount> loans;
+  std::map<std::string, Instant> distrusted;
 };
 
 }  // namespace kingcupstair::limits
--- a/components/settings/end_signals.cc
+++ b/components/settings/end_signals.cc
@@ -2,6 +2,9 @@
 
 #include <pthread.h>
 
+#include <cstdlib>
+#include <iostream>
+
 namespace kingcupstair::settings {
 
 EndSignals::EndSignals() {
@@ -17,4 +20,10 @@
   sigwait(&this->signals, &signal);
 }
 
+void EndProcess(int code) {
+  std::cout.flush();
+  std::cerr.flush();
+  std::_Exit(code);
+}
+
 }  // namespace kingcupstair::settings
--- a/components/settings/end_signals.h
+++ b/components/settings/end_signals.h
@@ -18,6 +18,10 @@
   sigset_t signals;
 };
 
+/// Ends the process with `code`. Fibers that wait on sockets for good keep a
+/// thread from ending, so a process that has nothing left to do ends this way.
+[[noreturn]] void EndProcess(int code);
+
 }  // namespace kingcupstair::settings
 
 #endif  // COMPONENTS_SETTINGS_END_SIGNALS_H_
--- a/scripts/lib/site.sh
+++ b/scripts/lib/site.sh
@@ -126,3 +126,25 @@
 }
 
 site_key_digest() { printf %s "$1" | sha256sum | cut -d' ' -f1; }
+
+# site_relayed_host N ZONE: a host whose peers reach it through a relay.
+site_relayed_host() {
+  local number="$1" zone="$2" relay=$((site_base + 10 * $1 + 5))
+  shift 2
+  site_start "relay$number" "$site_bin/relay-standin" \
+    --listen "127.0.0.1:$relay" --control "127.0.0.1:$((relay + 1))" \
+    --server "127.0.0.1:$(site_peer_port "$number")"
+  site_host "$number" "$zone" --peer-address "127.0.0.1:$relay" "$@"
+}
+
+site_relay_faults() {
+  curl -s -X POST --data "$2" "http://127.0.0.1:$((site_base + 10 * $1 + 6))/faults" >/dev/null
+}
+
+site_hosts() {
+  local number list=""
+  for number in "$@"; do list="$list,127.0.0.1:$(site_caller_port "$number")"; done
+  echo "${list#,}"
+}
+
+site_call() { "$site_bin/kingcupstair-caller" "$@"; }
--- a/tests/limits/rates_world_test.cc
+++ b/tests/limits/rates_world_test.cc
@@ -92,6 +92,16 @@
   LONGS_EQUAL(before, world.started());
 }
 
+TEST(RatesWorld, AHostThatCannotReachItsPoolGetsItsShareBack) {
+  limits::ShareLender lender({});
+  lender.SetShare(0.5);
+  CHECK(lender.Lend(0, "pool", At(0)).fraction > 0);
+  lender.Distrust("pool", At(5'000));
+  DOUBLES_EQUAL(0, lender.Lend(0, "pool", At(1'000)).fraction, 0);
+  DOUBLES_EQUAL(0, lender.Lend(0, "own", At(1'000)).fraction, 0);
+  CHECK(lender.Lend(0, "own", At(2'400)).fraction > 0);
+}
+
 TEST(RatesWorld, SteadyLoadGetsTheWholeRate) {
   RatesWorld world({.hosts = 3, .limit = {.rate = 100, .depth = 40}});
   for (int i = 0; i < 1'000; ++i) {
