silent_link_test: both upstreams take as long

The check was right and the scenario wrong: an upstream six times as slow as its only peer is ejected, so it got no work even before the cut. Both now take 30 ms; the check stands as it was.

--- a/tests/process/silent_link_test.sh
+++ b/tests/process/silent_link_test.sh
@@ -7,7 +7,7 @@
 site_store
 site_host 1 aqp-1
 site_relayed_host 2 aqp-1
-site_upstream lote-1 lote 1 --slots 7 --run-log "$dir/runs.log"
+site_upstream lote-1 lote 1 --slots 7 --run-log "$dir/runs.log" --work-ms 30
 site_upstream lote-2 lote 2 --slots 7 --run-log "$dir/runs.log" --work-ms 30
 site_ctl apply "$dir/rules" >/dev/null
 site_wait_revision 1 1 2
