--- a/components/admission/fair_queue.cc
+++ b/components/admission/fair_queue.cc
@@ -3,59 +3,63 @@
 #include <algorithm>
 
 namespace kingcupstair::admission {
+namespace {
+
+constexpr double kLeastWeight = 1e-3;
+
+}  // namespace
 
 FairQueue::FairQueue(Options options) : options(options) {}
 
-bool FairQueue::Push(TicketId ticket,
-                     const std::string& organisation,
-                     Instant expires) {
-  Queue& queue = this->queues[organisation];
+bool FairQueue::Push(const QueuedRequest& request) {
+  Queue& queue = this->queues[request.organisation];
   if (queue.size() >= this->options.max_per_organisation ||
       this->total >= this->options.max_total) {
     this->DropEmpty();
     return false;
   }
-  if (queue.empty()) {
-    this->turns.push_back(organisation);
-  }
-  queue.push_back({.ticket = ticket, .expires = expires});
+  const double start = queue.empty()
+                           ? this->virtual_time
+                           : std::max(this->virtual_time, queue.back().finish);
+  const double weight = std::max(request.weight, kLeastWeight);
+  queue.push_back({.request = request, .finish = start + 1 / weight});
   ++this->total;
   return true;
 }
 
 // A request whose time is up is left for TakeExpired, which gives its refusal.
 std::optional<TicketId> FairQueue::Pop(Instant now) {
-  for (size_t tries = this->turns.size(); tries > 0; --tries) {
-    const std::string organisation = this->turns.front();
-    this->turns.pop_front();
-    Queue& queue = this->queues[organisation];
+  Queue* best_queue = nullptr;
+  Queue::iterator best;
+  for (auto& [organisation, queue] : this->queues) {
     const auto ready = std::find_if(
         queue.begin(), queue.end(),
-        [&](const Waiting& waiting) { return waiting.expires > now; });
-    if (ready == queue.end()) {
-      this->turns.push_back(organisation);
-      continue;
-    }
-    const TicketId ticket = ready->ticket;
-    queue.erase(ready);
-    --this->total;
-    if (!queue.empty()) {
-      this->turns.push_back(organisation);
+        [&](const Waiting& waiting) { return waiting.request.expires > now; });
+    if (ready != queue.end() &&
+        (best_queue == nullptr || ready->finish < best->finish)) {
+      best_queue = &queue;
+      best = ready;
     }
-    this->DropEmpty();
-    return ticket;
   }
-  return std::nullopt;
+  if (best_queue == nullptr) {
+    return std::nullopt;
+  }
+  const TicketId ticket = best->request.ticket;
+  this->virtual_time = std::max(this->virtual_time, best->finish);
+  best_queue->erase(best);
+  --this->total;
+  this->DropEmpty();
+  return ticket;
 }
 
 std::vector<TicketId> FairQueue::TakeExpired(Instant now) {
   std::vector<TicketId> expired;
   for (auto& [organisation, queue] : this->queues) {
     std::erase_if(queue, [&](const Waiting& waiting) {
-      if (waiting.expires > now) {
+      if (waiting.request.expires > now) {
         return false;
       }
-      expired.push_back(waiting.ticket);
+      expired.push_back(waiting.request.ticket);
       return true;
     });
   }
@@ -71,7 +75,7 @@
 bool FairQueue::Remove(TicketId ticket) {
   for (auto& [organisation, queue] : this->queues) {
     const size_t removed = std::erase_if(queue, [&](const Waiting& waiting) {
-      return waiting.ticket == ticket;
+      return waiting.request.ticket == ticket;
     });
     if (removed > 0) {
       --this->total;
@@ -82,12 +86,24 @@
   return false;
 }
 
+double FairQueue::Ahead(const std::string& organisation, double weight) const {
+  const auto own = this->queues.find(organisation);
+  const double own_ahead =
+      own == this->queues.end() ? 0 : static_cast<double>(own->second.size());
+  double ahead = own_ahead;
+  for (const auto& [other, queue] : this->queues) {
+    if (other != organisation) {
+      const double turns = (own_ahead + 1) * queue.back().request.weight /
+                           std::max(weight, kLeastWeight);
+      ahead += std::min(turns, static_cast<double>(queue.size()));
+    }
+  }
+  return ahead;
+}
+
 void FairQueue::DropEmpty() {
   std::erase_if(this->queues,
                 [](const auto& entry) { return entry.second.empty(); });
-  std::erase_if(this->turns, [&](const std::string& organisation) {
-    return !this->queues.contains(organisation);
-  });
 }
 
 }  // namespace kingcupstair::admission
--- a/components/admission/fair_queue.h
+++ b/components/admission/fair_queue.h
@@ -3,7 +3,6 @@
 
 #include <cstdint>
 #include <deque>
-#include <list>
 #include <map>
 #include <optional>
 #include <string>
@@ -16,8 +15,19 @@
 /// Names a request that waits or runs at one upstream's gate.
 using TicketId = uint64_t;
 
-/// Requests waiting for one upstream, a queue an organisation, served in turn.
-/// All requests count as one unit, so turns are single requests.
+/// A request that waits for a slot.
+struct QueuedRequest {
+  TicketId ticket = 0;
+  std::string organisation;
+  /// The organisation's share of the slots against others', above 0.
+  double weight = 1;
+  Instant expires;
+
+  bool operator==(const QueuedRequest&) const = default;
+};
+
+/// Requests waiting for one upstream, a queue an organisation. Organisations
+/// that wait get slots in proportion to their weights, whatever they send.
 class FairQueue {
  public:
   struct Options {
@@ -29,10 +39,10 @@
 
   explicit FairQueue(Options options);
 
-  /// Adds a request that waits until `expires`; false when there is no room.
-  bool Push(TicketId ticket, const std::string& organisation, Instant expires);
+  /// Adds a request; false when there is no room.
+  bool Push(const QueuedRequest& request);
 
-  /// Takes the next request in turn whose time is not up.
+  /// Takes the next request whose time is not up.
   std::optional<TicketId> Pop(Instant now);
 
   /// Takes out the requests whose time is up.
@@ -44,12 +54,17 @@
   /// Takes out one request; false when it does not wait here.
   bool Remove(TicketId ticket);
 
+  /// Requests that would be served before a new one of this organisation.
+  double Ahead(const std::string& organisation, double weight) const;
+
   size_t size() const { return this->total; }
 
  private:
   struct Waiting {
-    TicketId ticket = 0;
-    Instant expires;
+    QueuedRequest request;
+    /// Virtual time at which the request would be through if all waiting
+    /// organisations were served at once, each at its weight.
+    double finish = 0;
   };
   using Queue = std::deque<Waiting>;
 
@@ -57,8 +72,7 @@
 
   Options options;
   std::map<std::string, Queue> queues;
-  /// Organisations with requests waiting, the next one to be served first.
-  std::list<std::string> turns;
+  double virtual_time = 0;
   size_t total = 0;
 };
 
--- a/components/admission/upstream_gate.cc
+++ b/components/admission/upstream_gate.cc
@@ -7,6 +7,8 @@
 
 constexpr double kLatencyWeight = 0.25;
 constexpr double kErrorWeight = 0.2;
+/// A request that had this many times the usual latency had enough time.
+constexpr int kEnoughTimes = 3;
 constexpr Duration kRetryWhenFull{std::chrono::seconds(1)};
 
 RefuseTicket Refuse(TicketId ticket, once::RefusalReason reason) {
@@ -22,18 +24,24 @@
 UpstreamGate::UpstreamGate(Options options)
     : options(options), concurrency({.slots = options.slots}), queue({}) {}
 
-std::vector<GateDecision> UpstreamGate::Offer(TicketId ticket,
-                                              const std::string& organisation,
-                                              Instant deadline,
+std::vector<GateDecision> UpstreamGate::Offer(const GateRequest& request,
                                               Instant now) {
   std::vector<GateDecision> decisions;
-  const Instant expires = std::min(deadline, now + this->options.max_wait);
+  const Instant expires = std::min(request.deadline - this->UsualLatency(),
+                                   now + this->options.max_wait);
   if (expires <= now) {
-    decisions.push_back(Refuse(ticket, once::RefusalReason::kQueueTimeout));
+    decisions.push_back(
+        Refuse(request.ticket, once::RefusalReason::kQueueTimeout));
     return decisions;
   }
-  if (!this->queue.Push(ticket, organisation, expires)) {
-    decisions.push_back(Refuse(ticket, once::RefusalReason::kQueueFull));
+  const bool queued = now + this->ExpectedWait(request) < expires &&
+                      this->queue.Push({.ticket = request.ticket,
+                                        .organisation = request.organisation,
+                                        .weight = request.weight,
+                                        .expires = expires});
+  if (!queued) {
+    decisions.push_back(
+        Refuse(request.ticket, once::RefusalReason::kQueueFull));
     return decisions;
   }
   this->StartWaiting(now, decisions);
@@ -50,15 +58,14 @@
   }
   const Duration latency = now - found->second;
   this->running.erase(found);
+  const bool had_time = latency > this->UsualLatency() * kEnoughTimes;
   if (end == RunEnd::kSuccess) {
     this->NoteLatency(latency);
     this->error_share *= 1 - kErrorWeight;
     this->concurrency.OnSuccess(latency, now);
     ++this->finished;
-  } else if (end == RunEnd::kFailure) {
-    this->error_share += kErrorWeight * (1 - this->error_share);
-    this->concurrency.OnFailure(now);
-    ++this->finished;
+  } else if (end == RunEnd::kFailure || (end == RunEnd::kTimeout && had_time)) {
+    this->NoteFailure(now);
   }
   this->StartWaiting(now, decisions);
   return decisions;
@@ -100,12 +107,11 @@
   for (const auto& [ticket, started] : this->running) {
     oldest = std::max(oldest, now - started);
   }
-  const Duration average(static_cast<int64_t>(this->latency_micros));
   return {.in_flight = this->in_flight(),
           .queued = static_cast<int>(this->queue.size()),
           .limit = this->concurrency.limit(),
           .cold = this->concurrency.cold(),
-          .latency = std::max(average, oldest),
+          .latency = std::max(this->UsualLatency(), oldest),
           .error_share = this->error_share,
           .finished = this->finished};
 }
@@ -122,6 +128,22 @@
   }
 }
 
+void UpstreamGate::NoteFailure(Instant now) {
+  this->error_share += kErrorWeight * (1 - this->error_share);
+  this->concurrency.OnFailure(now);
+  ++this->finished;
+}
+
+Duration UpstreamGate::UsualLatency() const {
+  return Duration(static_cast<int64_t>(this->latency_micros));
+}
+
+Duration UpstreamGate::ExpectedWait(const GateRequest& request) const {
+  const double ahead = this->queue.Ahead(request.organisation, request.weight);
+  const double waves = ahead / this->concurrency.limit();
+  return Duration(static_cast<int64_t>(waves * this->latency_micros));
+}
+
 void UpstreamGate::NoteLatency(Duration latency) {
   const auto micros = static_cast<double>(latency.count());
   if (this->latency_micros == 0) {
--- a/components/admission/upstream_gate.h
+++ b/components/admission/upstream_gate.h
@@ -32,7 +32,22 @@
 using GateDecision = std::variant<StartTicket, RefuseTicket>;
 
 /// How a request that was started ended at the upstream.
-enum class RunEnd { kSuccess, kFailure, kCancelled };
+enum class RunEnd {
+  kSuccess,
+  kFailure,
+  kTimeout,    ///< Its time was up; a failure only if it had enough of it.
+  kCancelled,  ///< It says nothing about the upstream.
+};
+
+/// A request at the gate.
+struct GateRequest {
+  TicketId ticket = 0;
+  std::string organisation;
+  double weight = 1;
+  Instant deadline;
+
+  bool operator==(const GateRequest&) const = default;
+};
 
 /// What the gate of one upstream tells ingresses about it.
 struct GateReport {
@@ -62,11 +77,9 @@
 
   explicit UpstreamGate(Options options);
 
-  /// Offers a request that must end before `deadline`.
-  std::vector<GateDecision> Offer(TicketId ticket,
-                                  const std::string& organisation,
-                                  Instant deadline,
-                                  Instant now);
+  /// Offers a request. It is refused at once when it can't be expected to get
+  /// a slot and an answer in time.
+  std::vector<GateDecision> Offer(const GateRequest& request, Instant now);
 
   /// A started request has ended.
   std::vector<GateDecision> Finish(TicketId ticket, RunEnd end, Instant now);
@@ -90,6 +103,9 @@
  private:
   void StartWaiting(Instant now, std::vector<GateDecision>& decisions);
   void NoteLatency(Duration latency);
+  void NoteFailure(Instant now);
+  Duration UsualLatency() const;
+  Duration ExpectedWait(const GateRequest& request) const;
 
   Options options;
   ConcurrencyLimit concurrency;
--- a/components/guard/guard.cc
+++ b/components/guard/guard.cc
@@ -20,9 +20,14 @@
 constexpr char kHealthTarget[] = "/health";
 
 admission::RunEnd EndOf(const once::Outcome& outcome) {
-  const auto* ran = std::get_if<once::Ran>(&outcome);
-  const bool well = ran != nullptr && ran->response.status < kFirstServerError;
-  return well ? admission::RunEnd::kSuccess : admission::RunEnd::kFailure;
+  if (const auto* ran = std::get_if<once::Ran>(&outcome)) {
+    return ran->response.status < kFirstServerError
+               ? admission::RunEnd::kSuccess
+               : admission::RunEnd::kFailure;
+  }
+  const auto* unknown = std::get_if<once::Unknown>(&outcome);
+  const bool timed_out = unknown != nullptr && !unknown->upstream_broke;
+  return timed_out ? admission::RunEnd::kTimeout : admission::RunEnd::kFailure;
 }
 
 bool BrokeConnection(const once::Outcome& outcome) {
@@ -271,13 +276,24 @@
           .refusal = {.reason = once::RefusalReason::kUpstreamGone}};
     }
     this->waiters[ticket] = std::move(waiter);
-    this->Dispatch(found->second.gate->Offer(ticket, request.organisation,
-                                             deadline, MonotonicNow()),
+    this->Dispatch(found->second.gate->Offer(
+                       {.ticket = ticket,
+                        .organisation = request.organisation,
+                        .weight = this->WeightOf(request.organisation),
+                        .deadline = deadline},
+                       MonotonicNow()),
                    wakes);
   }
   return decided.get();
 }
 
+// Organisations share the slots of an upstream in proportion to their rates.
+double Guard::WeightOf(const std::string& organisation) const {
+  const auto current = this->configuration.Read();
+  const auto* rule = current->FindOrganisation(organisation);
+  return rule == nullptr || rule->rate <= 0 ? 1 : rule->rate;
+}
+
 // A request that may not be repeated gets a connection of its own: on a kept
 // one the upstream may just be closing, and then nobody knows whether it ran.
 once::Outcome Guard::Forward(const once::RunRequest& request,
--- a/components/guard/guard.h
+++ b/components/guard/guard.h
@@ -102,6 +102,7 @@
   admission::GateDecision WaitForSlot(const once::RunRequest& request,
                                       admission::TicketId ticket,
                                       Instant deadline);
+  double WeightOf(const std::string& organisation) const;
   once::Outcome Forward(const once::RunRequest& request,
                         const Endpoint& endpoint,
                         Instant deadline);
--- a/components/health/ejection_planner.cc
+++ b/components/health/ejection_planner.cc
@@ -7,15 +7,24 @@
 namespace {
 
 constexpr double kErrorShareLimit = 0.4;
+/// One that looks bad already has to do better than this to look well again.
+constexpr double kErrorShareWell = 0.2;
 /// An upstream is slow when its latency is above this multiple of the
 /// service's median and the difference is more than noise.
 constexpr double kSlowMultiple = 3;
+constexpr double kSlowMultipleWell = 2;
 constexpr Duration kSlowNoise{std::chrono::milliseconds(10)};
 constexpr uint64_t kMinFinished = 3;
 constexpr Duration kFirstEjection{std::chrono::seconds(2)};
 constexpr Duration kLongestEjection{std::chrono::seconds(60)};
 constexpr Duration kGoodConductTime{std::chrono::minutes(5)};
 constexpr uint64_t kTrialAnswers = 3;
+constexpr Duration kConfirmAlone{std::chrono::milliseconds(300)};
+constexpr Duration kConfirmSeveral{std::chrono::milliseconds(1500)};
+constexpr uint64_t kConfirmAnswers = 2;
+constexpr Duration kConfirmGrowth{std::chrono::milliseconds(200)};
+/// Up to this part of a service's upstreams counts as few.
+constexpr size_t kFewDivisor = 12;
 
 Duration MedianLatency(const std::vector<UpstreamView>& upstreams) {
   std::vector<Duration> latencies;
@@ -44,8 +53,10 @@
   return *middle;
 }
 
-bool IsSlow(const UpstreamView& view, Duration median) {
-  const auto limit = static_cast<double>(median.count()) * kSlowMultiple;
+bool IsSlow(const UpstreamView& view,
+            Duration median,
+            double multiple = kSlowMultiple) {
+  const auto limit = static_cast<double>(median.count()) * multiple;
   return static_cast<double>(view.latency.count()) > limit &&
          view.latency > median + kSlowNoise;
 }
@@ -90,7 +101,9 @@
     changes.push_back({.upstream = first->first, .ejected = false});
     this->ejected.erase(first);
   }
-  this->EjectWorst(this->FindSuspects(upstreams), allowed, now, changes);
+  this->EjectWorst(
+      this->KeepConfirmed(this->FindSuspects(upstreams), upstreams.size(), now),
+      allowed, now, changes);
   return changes;
 }
 
@@ -115,7 +128,10 @@
     if (this->IsEjected(view.id)) {
       continue;
     }
-    if (view.error_share > kErrorShareLimit + usual_errors &&
+    const bool suspected = this->suspicions.contains(view.id);
+    const double error_limit = suspected ? kErrorShareWell : kErrorShareLimit;
+    const double slow_limit = suspected ? kSlowMultipleWell : kSlowMultiple;
+    if (view.error_share > error_limit + usual_errors &&
         view.finished >= kMinFinished) {
       suspects.push_back({.view = &view,
                           .fault = Fault::kErrors,
@@ -123,7 +139,7 @@
       continue;
     }
     const bool judged = view.finished >= kMinFinished || view.in_flight > 0;
-    if (judged && median > Duration{} && IsSlow(view, median)) {
+    if (judged && median > Duration{} && IsSlow(view, median, slow_limit)) {
       suspects.push_back(
           {.view = &view,
            .fault = Fault::kSlow,
@@ -133,6 +149,46 @@
   return suspects;
 }
 
+// What is known of the others is older than what makes one look bad, so when a
+// whole service turns slow its upstreams look bad one after the other. One that
+// stays alone is ejected soon; several are held until all have been heard of.
+std::vector<EjectionPlanner::Suspect> EjectionPlanner::KeepConfirmed(
+    std::vector<Suspect> suspects,
+    size_t known,
+    Instant now) {
+  std::map<std::string, Suspicion> standing;
+  for (const Suspect& suspect : suspects) {
+    const UpstreamView& view = *suspect.view;
+    const auto before = this->suspicions.find(view.id);
+    standing[view.id] = before != this->suspicions.end()
+                            ? before->second
+                            : Suspicion{.since = now,
+                                        .finished = view.finished,
+                                        .latency = view.latency};
+  }
+  this->suspicions = std::move(standing);
+  const bool alone =
+      suspects.size() <= std::max<size_t>(1, known / kFewDivisor);
+  const Duration hold = alone ? kConfirmAlone : kConfirmSeveral;
+  std::erase_if(suspects, [&](const Suspect& suspect) {
+    return !this->IsConfirmed(*suspect.view, hold, now);
+  });
+  return suspects;
+}
+
+// Time alone confirms nothing: an upstream that looked bad once is chosen less,
+// and the one bad report would stand. It takes more answers, or, from an
+// upstream that gives none, a wait that has grown.
+bool EjectionPlanner::IsConfirmed(const UpstreamView& view,
+                                  Duration hold,
+                                  Instant now) const {
+  const Suspicion& suspicion = this->suspicions.at(view.id);
+  const bool answered_since =
+      view.finished >= suspicion.finished + kConfirmAnswers;
+  const bool waits_longer = view.latency >= suspicion.latency + kConfirmGrowth;
+  return now - suspicion.since >= hold && (answered_since || waits_longer);
+}
+
 void EjectionPlanner::ReturnRecovered(
     const std::vector<UpstreamView>& upstreams,
     Instant now,
--- a/components/health/ejection_planner.h
+++ b/components/health/ejection_planner.h
@@ -57,6 +57,13 @@
     uint64_t finished_before = 0;
   };
 
+  /// How an upstream stood when it first looked bad.
+  struct Suspicion {
+    Instant since;
+    uint64_t finished = 0;
+    Duration latency{};
+  };
+
   struct Record {
     int times = 0;
     Instant last;
@@ -79,8 +86,13 @@
                   std::vector<EjectionChange>& changes);
   void ForgetGone(const std::vector<UpstreamView>& upstreams);
   Duration NextEjectionTime(const std::string& upstream, Instant now);
+  bool IsConfirmed(const UpstreamView& view, Duration hold, Instant now) const;
+  std::vector<Suspect> KeepConfirmed(std::vector<Suspect> suspects,
+                                     size_t known,
+                                     Instant now);
 
   Options options;
+  std::map<std::string, Suspicion> suspicions;
   std::map<std::string, Ejection> ejected;
   std::map<std::string, Record> records;
 };
