Queues in which small organisations catch up; requests that gave up cost nothing

Ruled out: overloaded upstreams (none), the retry budget (the same for all). Now only what is served counts, and one that used less may catch up by 16.

--- a/components/admission/fair_queue.cc
+++ b/components/admission/fair_queue.cc
@@ -1,70 +1,81 @@
 #include "components/admission/fair_queue.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace kingcupstair::admission {
 namespace {
 
 constexpr double kLeastWeight = 1e-3;
+/// Requests by which an organisation that used less than its part may catch up.
+/// Small organisations' requests come unevenly, and without this they would
+/// wait longer than those of large ones.
+constexpr double kCatchUpRequests = 16;
+/// Organisations kept in mind after their last request.
+constexpr size_t kMaxIdleFlows = 1'000;
 
 }  // namespace
 
 FairQueue::FairQueue(Options options) : options(options) {}
 
 bool FairQueue::Push(const QueuedRequest& request) {
-  Queue& queue = this->queues[request.organisation];
-  if (queue.size() >= this->options.max_per_organisation ||
+  Flow& flow = this->flows[request.organisation];
+  if (flow.waiting.size() >= this->options.max_per_organisation ||
       this->total >= this->options.max_total) {
-    this->DropEmpty();
     return false;
   }
-  const double start = queue.empty()
-                           ? this->virtual_time
-                           : std::max(this->virtual_time, queue.back().finish);
-  const double weight = std::max(request.weight, kLeastWeight);
-  queue.push_back({.request = request, .finish = start + 1 / weight});
+  flow.waiting.push_back(request);
   ++this->total;
   return true;
 }
 
-// A request whose time is up is left for TakeExpired, which gives its refusal.
+// Only what is served is counted as used: a request that gave up waiting must
+// not put back the next ones of its organisation. One whose time is up is left
+// for TakeExpired, which gives its refusal.
 std::optional<TicketId> FairQueue::Pop(Instant now) {
-  Queue* best_queue = nullptr;
-  Queue::iterator best;
-  for (auto& [organisation, queue] : this->queues) {
+  Flow* best = nullptr;
+  std::deque<QueuedRequest>::iterator best_request;
+  double best_finish = 0;
+  for (auto& [organisation, flow] : this->flows) {
     const auto ready = std::find_if(
-        queue.begin(), queue.end(),
-        [&](const Waiting& waiting) { return waiting.request.expires > now; });
-    if (ready != queue.end() &&
-        (best_queue == nullptr || ready->finish < best->finish)) {
-      best_queue = &queue;
-      best = ready;
+        flow.waiting.begin(), flow.waiting.end(),
+        [&](const QueuedRequest& request) { return request.expires > now; });
+    if (ready == flow.waiting.end()) {
+      continue;
+    }
+    const double cost = CostOf(ready->weight);
+    const double finish = this->StartOf(flow, cost) + cost;
+    if (best == nullptr || finish < best_finish) {
+      best = &flow;
+      best_request = ready;
+      best_finish = finish;
     }
   }
-  if (best_queue == nullptr) {
+  if (best == nullptr) {
     return std::nullopt;
   }
-  const TicketId ticket = best->request.ticket;
-  this->virtual_time = std::max(this->virtual_time, best->finish);
-  best_queue->erase(best);
+  const TicketId ticket = best_request->ticket;
+  best->used_until = best_finish;
+  this->virtual_time =
+      std::max(this->virtual_time, best_finish - CostOf(best_request->weight));
+  best->waiting.erase(best_request);
   --this->total;
-  this->DropEmpty();
+  this->DropIdle();
   return ticket;
 }
 
 std::vector<TicketId> FairQueue::TakeExpired(Instant now) {
   std::vector<TicketId> expired;
-  for (auto& [organisation, queue] : this->queues) {
-    std::erase_if(queue, [&](const Waiting& waiting) {
-      if (waiting.request.expires > now) {
+  for (auto& [organisation, flow] : this->flows) {
+    std::erase_if(flow.waiting, [&](const QueuedRequest& request) {
+      if (request.expires > now) {
         return false;
       }
-      expired.push_back(waiting.request.ticket);
+      expired.push_back(request.ticket);
       return true;
     });
   }
   this->total -= expired.size();
-  this->DropEmpty();
   return expired;
 }
 
@@ -73,37 +84,54 @@
 }
 
 bool FairQueue::Remove(TicketId ticket) {
-  for (auto& [organisation, queue] : this->queues) {
-    const size_t removed = std::erase_if(queue, [&](const Waiting& waiting) {
-      return waiting.request.ticket == ticket;
-    });
+  for (auto& [organisation, flow] : this->flows) {
+    const size_t removed = std::erase_if(
+        flow.waiting,
+        [&](const QueuedRequest& request) { return request.ticket == ticket; });
     if (removed > 0) {
       --this->total;
-      this->DropEmpty();
       return true;
     }
   }
   return false;
 }
 
-double FairQueue::Ahead(const std::string& organisation, double weight) const {
-  const auto own = this->queues.find(organisation);
-  const double own_ahead =
-      own == this->queues.end() ? 0 : static_cast<double>(own->second.size());
+int FairQueue::Ahead(const std::string& organisation, double weight) const {
+  const double cost = CostOf(weight);
+  const auto own = this->flows.find(organisation);
+  const Flow none;
+  const Flow& flow = own == this->flows.end() ? none : own->second;
+  const auto own_ahead = static_cast<double>(flow.waiting.size());
+  const double finish = this->StartOf(flow, cost) + (own_ahead + 1) * cost;
   double ahead = own_ahead;
-  for (const auto& [other, queue] : this->queues) {
-    if (other != organisation) {
-      const double turns = (own_ahead + 1) * queue.back().request.weight /
-                           std::max(weight, kLeastWeight);
-      ahead += std::min(turns, static_cast<double>(queue.size()));
+  for (const auto& [other, each] : this->flows) {
+    if (other == organisation || each.waiting.empty()) {
+      continue;
     }
+    const double other_cost = CostOf(each.waiting.front().weight);
+    const double first =
+        (finish - this->StartOf(each, other_cost)) / other_cost;
+    ahead += std::clamp(std::floor(first), 0.0,
+                        static_cast<double>(each.waiting.size()));
   }
-  return ahead;
+  return static_cast<int>(ahead);
+}
+
+double FairQueue::CostOf(double weight) {
+  return 1 / std::max(weight, kLeastWeight);
 }
 
-void FairQueue::DropEmpty() {
-  std::erase_if(this->queues,
-                [](const auto& entry) { return entry.second.empty(); });
+double FairQueue::StartOf(const Flow& flow, double cost) const {
+  return std::max(flow.used_until,
+                  this->virtual_time - kCatchUpRequests * cost);
+}
+
+void FairQueue::DropIdle() {
+  if (this->flows.size() < kMaxIdleFlows) {
+    return;
+  }
+  std::erase_if(this->flows,
+                [](const auto& entry) { return entry.second.waiting.empty(); });
 }
 
 }  // namespace kingcupstair::admission
--- a/components/admission/fair_queue.h
+++ b/components/admission/fair_queue.h
@@ -27,7 +27,8 @@
 };
 
 /// Requests waiting for one upstream, a queue an organisation. Organisations
-/// that wait get slots in proportion to their weights, whatever they send.
+/// that wait get slots in proportion to their weights, whatever they send; one
+/// that has used less than its part may catch up by a few requests.
 class FairQueue {
  public:
   struct Options {
@@ -55,23 +56,25 @@
   bool Remove(TicketId ticket);
 
   /// Requests that would be served before a new one of this organisation.
-  double Ahead(const std::string& organisation, double weight) const;
+  int Ahead(const std::string& organisation, double weight) const;
 
   size_t size() const { return this->total; }
 
  private:
-  struct Waiting {
-    QueuedRequest request;
-    /// Virtual time at which the request would be through if all waiting
-    /// organisations were served at once, each at its weight.
-    double finish = 0;
+  /// The requests of one organisation that wait, and what it has used.
+  struct Flow {
+    std::deque<QueuedRequest> waiting;
+    /// Virtual time at which its last served request was through.
+    double used_until = 0;
   };
-  using Queue = std::deque<Waiting>;
 
-  void DropEmpty();
+  static double CostOf(double weight);
+  double StartOf(const Flow& flow, double cost) const;
+  void DropIdle();
 
   Options options;
-  std::map<std::string, Queue> queues;
+  std::map<std::string, Flow> flows;
+  /// Advances as requests are served, the slower the more organisations wait.
   double virtual_time = 0;
   size_t total = 0;
 };
--- a/tests/admission/upstream_gate_test.cc
+++ b/tests/admission/upstream_gate_test.cc
@@ -27,6 +27,26 @@
                             : refused->refusal.reason;
 }
 
+TEST_GROUP(FairQueue){};
+
+TEST(FairQueue, RequestsThatGaveUpDoNotPutBackTheirOrganisation) {
+  FairQueue queue({});
+  for (TicketId ticket = 1; ticket <= 40; ++ticket) {
+    queue.Push({.ticket = ticket, .organisation = "a", .expires = At(10)});
+  }
+  queue.TakeExpired(At(20));
+  int first = 0;
+  for (TicketId ticket = 100; ticket < 120; ++ticket) {
+    queue.Push({.ticket = ticket,
+                .organisation = ticket % 2 == 0 ? "a" : "b",
+                .expires = At(90'000)});
+  }
+  for (int i = 0; i < 10; ++i) {
+    first += *queue.Pop(At(20)) % 2 == 0 ? 1 : 0;
+  }
+  LONGS_EQUAL(5, first);
+}
+
 TEST_GROUP(UpstreamGate) {
   UpstreamGate gate{{.slots = 8}};
   TicketId last = 0;
--- a/tests/scenario/lua_stage.cc
+++ b/tests/scenario/lua_stage.cc
@@ -145,6 +145,11 @@
   return 0;
 }
 
+int BeginTally(lua_State* lua) {
+  StageOf(lua).BeginTally();
+  return 0;
+}
+
 int Detected(lua_State* lua) {
   lua_pushnumber(lua, StageOf(lua).DetectMillis(luaL_checkstring(lua, 1)));
   return 1;
@@ -175,6 +180,11 @@
   return 1;
 }
 
+int ShareOf(lua_State* lua) {
+  lua_pushnumber(lua, StageOf(lua).ShareOf(luaL_checkstring(lua, 1)));
+  return 1;
+}
+
 int Refused(lua_State* lua) {
   lua_pushnumber(lua, StageOf(lua).RefusedInRate());
   return 1;
@@ -209,6 +219,7 @@
                                  {"heal", Heal},
                                  {"at", At},
                                  {"run", Run},
+                                 {"begin_tally", BeginTally},
                                  {"detected_ms", Detected},
                                  {"false_ejections", FalseEjections},
                                  {"most_ejected", MostEjected},
@@ -216,6 +227,7 @@
                                  {"answered", Answered},
                                  {"worst_organisation", Worst},
                                  {"refused_in_rate", Refused},
+                                 {"share_of", ShareOf},
                                  {"expect", Expect},
                                  {"measure", Measure}};
   for (const luaL_Reg& verb : kVerbs) {
--- a/tests/scenario/stage.cc
+++ b/tests/scenario/stage.cc
@@ -372,6 +372,11 @@
   return worst;
 }
 
+double Stage::ShareOf(const std::string& organisation) const {
+  const auto found = this->tallies.find(organisation);
+  return found == this->tallies.end() ? 1 : found->second.Share();
+}
+
 double Stage::RefusedInRate() const {
   double refused = 0;
   double all = 0;
--- a/tests/scenario/stage.h
+++ b/tests/scenario/stage.h
@@ -68,6 +68,8 @@
   void SetZoneOut(const std::string& zone, bool out);
   void CutPath(int ingress, int host, bool cut);
   void Run(Duration duration);
+  /// Forgets how organisations fared so far.
+  void BeginTally() { this->tallies.clear(); }
   void After(Duration delay, std::function<void()> task);
 
   /// Time from the last fault of `id` until most ingresses left it out, in
@@ -82,6 +84,8 @@
   /// were answered in time.
   double WorstOrganisation() const;
   double RefusedInRate() const;
+  /// One organisation's share of requests inside its rate answered in time.
+  double ShareOf(const std::string& organisation) const;
   int AnsweredBy(const std::string& id) const;
 
  private:
