Permits that are out when a loan is given back still count; the price of lent shares

Ruled out: loans that run out (the lender waits the margin there). The lender now waits the life of the last permit here too. What a host lends itself while its pool can't be reached goes to the next pool at once; a pool's history of what it holds begins when a loan comes in.

--- a/components/control/rate_keeper.cc
+++ b/components/control/rate_keeper.cc
@@ -33,15 +33,22 @@
   return this->lender.FreeOfOldLoans(fraction);
 }
 
+// What this host has lent to itself while the pool could not be reached goes to
+// the pool as soon as that asks.
 limits::LoanGrant RateKeeper::Lend(limits::ShardId shard,
                                    const std::string& holder) {
   const std::lock_guard lock(this->mutex);
-  return this->lender.Lend(shard, holder, MonotonicNow());
+  const Instant now = MonotonicNow();
+  if (holder != this->options.host) {
+    this->pool.DropLoan(shard, this->options.host, now);
+    this->lender.Return(shard, this->options.host, now);
+  }
+  return this->lender.Lend(shard, holder, now);
 }
 
 void RateKeeper::GiveBack(limits::ShardId shard, const std::string& holder) {
   const std::lock_guard lock(this->mutex);
-  this->lender.Return(shard, holder);
+  this->lender.Return(shard, holder, MonotonicNow());
 }
 
 void RateKeeper::Distrust(const std::string& holder, Duration duration) {
@@ -54,7 +61,7 @@
                          const limits::LoanGrant& grant,
                          Instant asked) {
   const std::lock_guard lock(this->mutex);
-  this->pool.AddLoan(shard, from, grant, asked);
+  this->pool.AddLoan(shard, from, grant, asked, MonotonicNow());
 }
 
 void RateKeeper::DropLoan(limits::ShardId shard, const std::string& from) {
@@ -75,7 +82,7 @@
   const limits::ShardId shard = limits::ShardOf(organisation);
   const Instant now = MonotonicNow();
   const auto grant = this->lender.Lend(shard, this->options.host, now);
-  this->pool.AddLoan(shard, this->options.host, grant, now);
+  this->pool.AddLoan(shard, this->options.host, grant, now, now);
   return this->AcquireLocked(organisation, wanted);
 }
 
--- a/components/limits/rate_pool.cc
+++ b/components/limits/rate_pool.cc
@@ -26,13 +26,15 @@
 void RatePool::AddLoan(ShardId shard,
                        const std::string& lender,
                        const LoanGrant& grant,
-                       Instant asked) {
-  Shard& state = this->shards[static_cast<size_t>(shard)];
+                       Instant asked,
+                       Instant now) {
+  Shard& state = this->Refresh(shard, now);
   if (grant.fraction <= 0) {
     return;
   }
   state.loans[lender] = {.fraction = grant.fraction,
                          .expires = asked + grant.life};
+  this->Refresh(shard, now);
 }
 
 void RatePool::DropLoan(ShardId shard, const std::string& lender, Instant now) {
--- a/components/limits/rate_pool.h
+++ b/components/limits/rate_pool.h
@@ -34,12 +34,13 @@
 /// rate and depth are those of the organisation times the fraction on loan.
 class RatePool {
  public:
-  /// Notes a loan. `asked` is when this host sent the ask, so delay and loss
-  /// only shorten the loan.
+  /// Notes a loan that has come in now. `asked` is when this host sent the ask,
+  /// so delay and loss only shorten the loan.
   void AddLoan(ShardId shard,
                const std::string& lender,
                const LoanGrant& grant,
-               Instant asked);
+               Instant asked,
+               Instant now);
 
   /// Gives up a loan before its end.
   void DropLoan(ShardId shard, const std::string& lender, Instant now);
--- a/components/limits/share_lender.cc
+++ b/components/limits/share_lender.cc
@@ -36,10 +36,13 @@
   this->distrusted[holder] = until;
 }
 
-void ShareLender::Return(ShardId shard, const std::string& holder) {
+void ShareLender::Return(ShardId shard,
+                         const std::string& holder,
+                         Instant now) {
   Loan& loan = this->loans[static_cast<size_t>(shard)];
   if (loan.holder == holder) {
-    loan = Loan{};
+    loan.holder.clear();
+    loan.expires = std::min(loan.expires, now + this->options.margin);
   }
 }
 
--- a/components/limits/share_lender.h
+++ b/components/limits/share_lender.h
@@ -52,8 +52,9 @@
   /// permits from it.
   void Distrust(const std::string& holder, Instant until);
 
-  /// Takes back a loan that its holder no longer spends.
-  void Return(ShardId shard, const std::string& holder);
+  /// Takes back a loan from which its holder grants no more permits. Those it
+  /// has granted hold on for a while, and so long nothing is lent.
+  void Return(ShardId shard, const std::string& holder, Instant now);
 
   /// The time at which no loan of a fraction above `fraction` is out any more.
   Instant FreeOfOldLoans(double fraction) const;
--- a/tests/limits/rate_pool_test.cc
+++ b/tests/limits/rate_pool_test.cc
@@ -17,8 +17,7 @@
   void Lend(double fraction, int64_t asked_ms, int64_t life_ms) {
     this->pool.AddLoan(this->shard, "lender",
                        {.fraction = fraction, .life = Millis(life_ms)},
-                       At(asked_ms));
-    this->pool.Fraction(this->shard, At(asked_ms));
+                       At(asked_ms), At(asked_ms));
   }
 };
 
--- a/tests/limits/rates_world.cc
+++ b/tests/limits/rates_world.cc
@@ -63,19 +63,20 @@
   }
   const Instant asked = this->now;
   const int life = asker.life;
-  this->Send(
-      there,
-      {.to = lender,
-       .to_any_life = true,
-       .deliver = [=, this, name = asker.name](Host& host) {
-         const auto grant = host.lender.Lend(TheShard(), name, this->now);
-         const std::string from = host.name;
-         this->Send(
-             back,
-             {.to = pool, .to_life = life, .deliver = [=](Host& borrower) {
-                borrower.pool.AddLoan(TheShard(), from, grant, asked);
-              }});
-       }});
+  this->Send(there, {.to = lender,
+                     .to_any_life = true,
+                     .deliver = [=, this, name = asker.name](Host& host) {
+                       const auto grant =
+                           host.lender.Lend(TheShard(), name, this->now);
+                       const std::string from = host.name;
+                       this->Send(back, {.to = pool,
+                                         .to_life = life,
+                                         .deliver = [=, this](Host& borrower) {
+                                           borrower.pool.AddLoan(
+                                               TheShard(), from, grant, asked,
+                                               this->now);
+                                         }});
+                     }});
 }
 
 void RatesWorld::AskPermits(int ingress,
@@ -113,8 +114,8 @@
   holder.pool.DropLoan(TheShard(), from, this->now);
   this->Send(there, {.to = lender,
                      .to_any_life = true,
-                     .deliver = [name = holder.name](Host& host) {
-                       host.lender.Return(TheShard(), name);
+                     .deliver = [this, name = holder.name](Host& host) {
+                       host.lender.Return(TheShard(), name, this->now);
                      }});
 }
 
--- a/tests/limits/rates_world_test.cc
+++ b/tests/limits/rates_world_test.cc
@@ -92,6 +92,23 @@
   LONGS_EQUAL(before, world.started());
 }
 
+TEST(RatesWorld, PermitsOutWhenALoanIsGivenBackStillCount) {
+  RatesWorld world({.hosts = 2, .limit = {.rate = 100, .depth = 40}});
+  world.AskLoan(0, 0, Millis(0), Millis(0));
+  world.AskLoan(0, 1, Millis(0), Millis(0));
+  world.Advance(Millis(1'900));
+  world.AskPermits(0, 0, 40, Millis(0), Millis(90));
+  world.Advance(Millis(1));
+  world.GiveBack(0, 1, Millis(0));
+  world.Advance(Millis(1));
+  world.AskLoan(1, 1, Millis(0), Millis(0));
+  world.Advance(Millis(88));
+  world.AskPermits(1, 1, 40, Millis(0), Millis(0));
+  world.Advance(Millis(1));
+  CHECK(world.started() >= 40);
+  DOUBLES_EQUAL(0, world.excess(), kRounding);
+}
+
 TEST(RatesWorld, AHostThatCannotReachItsPoolGetsItsShareBack) {
   limits::ShareLender lender({});
   lender.SetShare(0.5);
