A request whose answer was dropped for room is not said to be not run

Cause: the ledger dropped the oldest outcomes beyond a count, and a later query then fenced the id as if it had never been seen: 'not run' for a request that ran. Answers are now dropped by bytes (32 MB), and that the request ran is kept until the retention ends; deadlines are at most half of that.

--- a/components/config/line_reader.cc
+++ b/components/config/line_reader.cc
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::string_view kBlanks = " \t\r";
+/// Well below the time for which a host remembers what became of a request.
+constexpr std::chrono::seconds kLongestDuration{300};
 
 std::vector<Word> SplitWords(std::string_view line) {
   std::vector<Word> words;
@@ -86,14 +88,14 @@
                        absl::SimpleAtoi(text.substr(0, unit_start), &count) &&
                        count > 0;
   const std::string unit = counted ? text.substr(unit_start) : "";
-  if (unit == "ms" && count <= 600'000) {
+  if (unit == "ms" && std::chrono::milliseconds(count) <= kLongestDuration) {
     return std::chrono::milliseconds(count);
   }
-  if (unit == "s" && count <= 600) {
+  if (unit == "s" && std::chrono::seconds(count) <= kLongestDuration) {
     return std::chrono::seconds(count);
   }
   this->Fail(absl::StrCat("'", text, "' is no ", Text(what),
-                          " such as 250ms or 2s, at most 600s"));
+                          " such as 250ms or 2s, at most 300s"));
   return {};
 }
 
--- a/components/once/run_ledger.cc
+++ b/components/once/run_ledger.cc
@@ -34,23 +34,24 @@
       std::holds_alternative<Fence>(found->second)) {
     return;
   }
+  this->NoteEnded(id, now);
   if (std::holds_alternative<NotRun>(outcome)) {
     found->second = Fence{};
-    this->NoteEnded(id, this->fenced, now);
     return;
   }
+  const auto* ran = std::get_if<Ran>(&outcome);
+  const size_t bytes = ran == nullptr ? 0 : ran->response.body.size();
   found->second = Finished{.outcome = outcome};
-  this->NoteEnded(id, this->finished, now);
-  if (this->finished.size() > this->options.max_finished) {
-    this->DropOldest(this->finished);
-  }
+  this->kept.push_back({.id = id, .bytes = bytes});
+  this->kept_bytes += bytes;
+  this->DropAnswers();
 }
 
 Resolution RunLedger::Resolve(const std::string& id, Instant now) {
   const auto [at, added] = this->entries.emplace(id, Fence{});
   if (added || std::holds_alternative<Accepted>(at->second)) {
     at->second = Fence{};
-    this->NoteEnded(id, this->fenced, now);
+    this->NoteEnded(id, now);
   }
   return *this->Peek(id);
 }
@@ -66,28 +67,39 @@
   if (std::holds_alternative<Fence>(found->second)) {
     return Outcome{NotRun{.reason = RefusalReason::kFenced}};
   }
+  if (std::holds_alternative<AnswerDropped>(found->second)) {
+    return Outcome{Unknown{.detail = "it ran; its answer is no longer kept"}};
+  }
   return StillRunning{};
 }
 
 void RunLedger::Expire(Instant now) {
-  const auto expire = [&](std::deque<Ended>& list) {
-    while (!list.empty() && list.front().at + this->options.retention <= now) {
-      this->DropOldest(list);
+  while (!this->ended.empty() &&
+         this->ended.front().at + this->options.retention <= now) {
+    const std::string& id = this->ended.front().id;
+    if (!this->kept.empty() && this->kept.front().id == id) {
+      this->kept_bytes -= this->kept.front().bytes;
+      this->kept.pop_front();
     }
-  };
-  expire(this->finished);
-  expire(this->fenced);
+    this->entries.erase(id);
+    this->ended.pop_front();
+  }
 }
 
-void RunLedger::NoteEnded(const std::string& id,
-                          std::deque<Ended>& list,
-                          Instant now) {
-  list.push_back({.id = id, .at = now});
+void RunLedger::NoteEnded(const std::string& id, Instant now) {
+  this->ended.push_back({.id = id, .at = now});
 }
 
-void RunLedger::DropOldest(std::deque<Ended>& list) {
-  this->entries.erase(list.front().id);
-  list.pop_front();
+void RunLedger::DropAnswers() {
+  while (this->kept_bytes > this->options.max_kept_bytes) {
+    const Kept& oldest = this->kept.front();
+    const auto found = this->entries.find(oldest.id);
+    if (found != this->entries.end()) {
+      found->second = AnswerDropped{};
+    }
+    this->kept_bytes -= oldest.bytes;
+    this->kept.pop_front();
+  }
 }
 
 }  // namespace kingcupstair::once
--- a/components/once/run_ledger.h
+++ b/components/once/run_ledger.h
@@ -35,9 +35,9 @@
     /// How long an outcome or a fence is kept after it was recorded. Longer
     /// than any copy of a request can be under way.
     Duration retention{std::chrono::minutes(10)};
-    /// Outcomes kept with their answers, at most. Fences are never dropped
-    /// early.
-    size_t max_finished = 20'000;
+    /// Bytes of answers kept, at most. What an answer was is forgotten early
+    /// rather than that its request ran.
+    size_t max_kept_bytes = 32 * 1024 * 1024;
   };
 
   explicit RunLedger(Options options);
@@ -69,21 +69,32 @@
   struct Finished {
     Outcome outcome;
   };
+  /// Ran, and its answer is no longer kept.
+  struct AnswerDropped {};
   struct Fence {};
-  using State = std::variant<Accepted, Forwarded, Finished, Fence>;
+  using State =
+      std::variant<Accepted, Forwarded, Finished, AnswerDropped, Fence>;
 
   struct Ended {
     std::string id;
     Instant at;
   };
 
-  void NoteEnded(const std::string& id, std::deque<Ended>& list, Instant now);
-  void DropOldest(std::deque<Ended>& list);
+  struct Kept {
+    std::string id;
+    size_t bytes = 0;
+  };
+
+  void NoteEnded(const std::string& id, Instant now);
+  void DropAnswers();
 
   Options options;
   std::unordered_map<std::string, State> entries;
-  std::deque<Ended> finished;
-  std::deque<Ended> fenced;
+  /// In the order in which they ended.
+  std::deque<Ended> ended;
+  /// Answers kept, the oldest first.
+  std::deque<Kept> kept;
+  size_t kept_bytes = 0;
 };
 
 }  // namespace kingcupstair::once
