--- /dev/null
+++ b/CI/mutants.sh
@@ -0,0 +1,65 @@
+#!/usr/bin/env bash
+# Takes one mechanism after the other out of a copy of the sources and checks
+# that the proof of its promise fails then. Prints a line each.
+#
+#   CI/mutants.sh [NAME...]     only these
+set -euo pipefail
+cd "$(dirname "$0")/.."
+copy=$(mktemp -d)
+trap 'rm -rf "$copy"' EXIT
+git archive HEAD | tar -x -C "$copy"
+cd "$copy"
+cmake -S . -B build -G Ninja >/dev/null
+missed=0
+
+# mutant NAME FILE SED-EXPRESSION PROOF...
+mutant() {
+  local name="$1" file="$2" expression="$3" log
+  shift 3
+  if [ "${#only[@]}" -gt 0 ] && [[ ! " ${only[*]} " == *" $name "* ]]; then return 0; fi
+  cp "$file" "$copy/saved"
+  sed -i -e "$expression" "$file"
+  if cmp -s "$file" "$copy/saved"; then
+    echo "mutant $name: the expression changes nothing in $file"
+    missed=1
+    return 0
+  fi
+  log="$copy/mutant.log"
+  if ! ninja -C build >"$log" 2>&1; then
+    echo "mutant $name: does not build"
+    tail -n 5 "$log"
+    missed=1
+  elif "$@" >"$log" 2>&1; then
+    echo "mutant $name: NOT NOTICED by $*"
+    missed=1
+  else
+    echo "mutant $name: noticed by $*: $(grep -m 1 -e 'FAILED' -e 'error: Failure' -e 'Falsifiable' "$log" | sed 's/.*error: //')"
+  fi
+  cp "$copy/saved" "$file"
+}
+only=("$@")
+
+unit() { build/tests/unit_tests -sg "$1"; }
+io() { build/tests/io_tests; }
+scenario() { build/tests/scenarios "tests/scenario/scripts/$1.lua"; }
+process() { "tests/process/$1_test.sh"; }
+
+mutant floor components/health/ejection_planner.cc 's/if (this->ejected.size() >= allowed)/if (false)/' unit EjectionPlanner
+mutant key_stripped components/ingress/ingress.cc 's/{"Authorization", "Proxy-Authorization", "X-Api-Key"}/{"X-None"}/' process keys
+mutant isolation components/membership/isolation.cc 's/return hosts_known > 1 \&\&/return false \&\&/' process keys
+mutant loan_exclusive components/limits/share_lender.cc 's/const bool taken = .*/const bool taken = false;/' unit RatesWorld
+mutant permits_counted components/limits/rate_pool.cc 's/bucket->outstanding_count += granted;/;/; s/bucket.outstanding_count += granted;/;/' unit RatesWorld
+mutant restart_holds_back components/limits/share_lender.cc 's/loan = {.fraction = 1, .expires = until + this->options.margin};/(void)until;/' unit RatesWorld
+mutant warm_up components/admission/concurrency_limit.cc 's/1 \/ (kAnswersPerStep \* this->value)/100/' scenario warm_up
+mutant zone_at_guard components/guard/guard.cc 's/return current->IsZoneOut(this->options.zone) ||/return false \&\&/' process zone
+mutant drain_at_guard components/guard/guard.cc 's/return found->second.announcement.draining ?/return false ?/' process zone
+mutant whole_answer components/http/client.cc 's/if (parser.need_eof())/if (false)/' io
+mutant late_answer components/http/client.cc 's/ \&\& connection->buffer.size() == 0//' io
+mutant fence components/once/run_ledger.cc 's/    at->second = Fence{};/    ;/' unit RunLedger
+mutant once_retry components/retry/retry_policy.cc 's/return this->result.repeat == config::Repeat::kIdempotent \&\&/return true \&\&/' process once
+mutant crash_refusal components/once/crash_ledger.cc 's/if (ends.size() < this->options.crashes_to_refuse)/if (true)/' process crash_request
+mutant leave_time apps/kingcupstaird/daemon.cc 's/std::this_thread::sleep_for(this->settings.leave_time);/;/' process shutdown
+mutant never_reverts components/config/replica.cc 's/if (offered.revision < this->head.revision)/if (false)/; s/if (offered.revision == this->head.revision)/if (false)/' unit Replica
+mutant write_id components/store/publisher.cc 's/if (now->head.write_id == head.write_id)/if (false)/' process config
+mutant fair_queue components/admission/fair_queue.cc 's/best->used_until = best_finish;/;/' unit UpstreamGate
+exit "$missed"
--- /dev/null
+++ b/apps/kingcupstaird/admin_pages.cc
@@ -0,0 +1,107 @@
+#include "apps/kingcupstaird/admin_pages.h"
+
+#include <nlohmann/json.hpp>
+
+namespace kingcupstair {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+
+http::Response PlainText(std::string text) {
+  return {.status = kOk,
+          .headers = {{.name = "Content-Type", .value = "text/plain"}},
+          .body = std::move(text)};
+}
+
+nlohmann::json HostList(const std::vector<membership::HostUpdate>& updates) {
+  nlohmann::json hosts = nlohmann::json::array();
+  for (const membership::HostUpdate& update : updates) {
+    hosts.push_back({{"host", update.record.host},
+                     {"zone", update.record.zone},
+                     {"admin", update.record.admin},
+                     {"liveness", ToText(update.liveness)},
+                     {"leaving", update.record.leaving},
+                     {"upstreams", update.record.upstreams.size()}});
+  }
+  return hosts;
+}
+
+nlohmann::json UpstreamList(
+    const std::vector<membership::UpstreamRecord>& records) {
+  nlohmann::json upstreams = nlohmann::json::array();
+  for (const membership::UpstreamRecord& record : records) {
+    upstreams.push_back({{"id", record.id},
+                         {"service", record.service},
+                         {"limit", record.limit},
+                         {"latency_us", record.latency.count()},
+                         {"error_share", record.error_share},
+                         {"finished", record.finished}});
+  }
+  return upstreams;
+}
+
+}  // namespace
+
+AdminPages::AdminPages(control::Fleet& fleet,
+                       guard::Guard& guard,
+                       const std::atomic<bool>& leaving)
+    : fleet(fleet), guard(guard), leaving(leaving) {}
+
+http::Response AdminPages::Handle(const http::Request& request) {
+  if (request.method == "POST" && request.target == "/announce") {
+    return this->TakeAnnouncement(request);
+  }
+  if (request.target == "/status") {
+    return http::JsonResponse(kOk, this->StatusText());
+  }
+  if (request.target == "/metrics") {
+    return PlainText(this->fleet.recorder.counters().Text());
+  }
+  if (request.target == "/events") {
+    return http::JsonResponse(kOk, this->EventLines());
+  }
+  if (request.target == "/config") {
+    return PlainText(this->fleet.config.Text());
+  }
+  return http::JsonResponse(kNotFound, "{\"error\":\"no such page\"}\n");
+}
+
+http::Response AdminPages::TakeAnnouncement(const http::Request& request) {
+  const auto announcement = guard::DecodeAnnouncement(request.body);
+  if (!announcement.ok()) {
+    const auto message = announcement.status().message();
+    const std::string text(message.data(), message.size());
+    return http::JsonResponse(kBadRequest,
+                              nlohmann::json{{"error", text}}.dump() + "\n");
+  }
+  this->guard.Announce(*announcement);
+  return http::JsonResponse(kOk, "{}\n");
+}
+
+std::string AdminPages::EventLines() const {
+  std::string lines;
+  for (const events::Event& event : this->fleet.recorder.ring().All()) {
+    lines += events::EncodeEvent(event) + "\n";
+  }
+  return lines;
+}
+
+std::string AdminPages::StatusText() const {
+  const bool isolated = this->fleet.isolation.IsIsolated(
+      this->fleet.directory.size(), MonotonicNow());
+  return nlohmann::json{{"host", this->fleet.places.host},
+                        {"zone", this->fleet.places.zone},
+                        {"region", this->fleet.places.region},
+                        {"revision", this->fleet.config.Revision()},
+                        {"isolated", isolated},
+                        {"leaving", this->leaving.load()},
+                        {"share", this->fleet.rates.Share()},
+                        {"hosts", HostList(this->fleet.directory.All())},
+                        {"upstreams", UpstreamList(this->guard.Upstreams())}}
+             .dump() +
+         "\n";
+}
+
+}  // namespace kingcupstair
--- a/apps/kingcupstaird/daemon.cc
+++ b/apps/kingcupstaird/daemon.cc
@@ -1,6 +1,5 @@
 #include "apps/kingcupstaird/daemon.h"
 
-#include <nlohmann/json.hpp>
 #include <random>
 #include <thread>
 #include <utility>
@@ -114,10 +113,11 @@
                     [this](const http::Request& request) {
                       return this->ingress.Handle(request);
                     }),
+      admin_pages(this->fleet, this->guard, this->leaving),
       admin_server(this->workers,
                    {.listen = this->settings.admin_listen},
                    [this](const http::Request& request) {
-                     return this->HandleAdmin(request);
+                     return this->admin_pages.Handle(request);
                    }) {}
 
 // The loops and the RPC thread use the members, so they end first.
@@ -235,7 +235,9 @@
           },
       .sync =
           [this](const auto& versions) {
-            return this->directory.NewerThan(versions);
+            return rpc::SyncAnswer{
+                .updates = this->directory.NewerThan(versions),
+                .wanted = this->directory.LackingOf(versions)};
           },
       .probe =
           [this](const std::string& host, std::function<void(bool)> done) {
@@ -302,75 +304,4 @@
   std::this_thread::sleep_for(kLeavePoll * 5);
 }
 
-http::Response Daemon::HandleAdmin(const http::Request& request) {
-  if (request.method == "POST" && request.target == "/announce") {
-    return this->HandleAnnouncement(request);
-  }
-  if (request.target == "/status") {
-    return http::JsonResponse(200, this->StatusText());
-  }
-  if (request.target == "/metrics") {
-    return {.status = 200,
-            .headers = {{.name = "Content-Type", .value = "text/plain"}},
-            .body = this->recorder.counters().Text()};
-  }
-  if (request.target == "/events") {
-    std::string lines;
-    for (const events::Event& event : this->recorder.ring().All()) {
-      lines += events::EncodeEvent(event) + "\n";
-    }
-    return http::JsonResponse(200, lines);
-  }
-  if (request.target == "/config") {
-    return {.status = 200, .body = this->config.Text()};
-  }
-  return http::JsonResponse(404, "{\"error\":\"no such page\"}\n");
-}
-
-http::Response Daemon::HandleAnnouncement(const http::Request& request) {
-  const auto announcement = guard::DecodeAnnouncement(request.body);
-  if (!announcement.ok()) {
-    const auto message = announcement.status().message();
-    return http::JsonResponse(
-        400,
-        nlohmann::json{{"error", std::string(message.data(), message.size())}}
-                .dump() +
-            "\n");
-  }
-  this->guard.Announce(*announcement);
-  return http::JsonResponse(200, "{}\n");
-}
-
-std::string Daemon::StatusText() const {
-  nlohmann::json hosts = nlohmann::json::array();
-  for (const auto& update : this->directory.All()) {
-    hosts.push_back({{"host", update.record.host},
-                     {"zone", update.record.zone},
-                     {"admin", update.record.admin},
-                     {"liveness", ToText(update.liveness)},
-                     {"leaving", update.record.leaving},
-                     {"upstreams", update.record.upstreams.size()}});
-  }
-  nlohmann::json upstreams = nlohmann::json::array();
-  for (const auto& upstream : this->guard.Upstreams()) {
-    upstreams.push_back({{"id", upstream.id},
-                         {"service", upstream.service},
-                         {"limit", upstream.limit},
-                         {"latency_us", upstream.latency.count()},
-                         {"error_share", upstream.error_share},
-                         {"finished", upstream.finished}});
-  }
-  return nlohmann::json{{"host", this->fleet.places.host},
-                        {"zone", this->fleet.places.zone},
-                        {"region", this->fleet.places.region},
-                        {"revision", this->config.Revision()},
-                        {"isolated", this->IsIsolated()},
-                        {"leaving", this->leaving.load()},
-                        {"share", this->rates.Share()},
-                        {"hosts", hosts},
-                        {"upstreams", upstreams}}
-             .dump() +
-         "\n";
-}
-
 }  // namespace kingcupstair
--- a/apps/kingcupstaird/daemon.h
+++ b/apps/kingcupstaird/daemon.h
@@ -6,6 +6,7 @@
 #include <memory>
 
 #include "absl/status/status.h"
+#include "apps/kingcupstaird/admin_pages.h"
 #include "apps/kingcupstaird/daemon_settings.h"
 #include "components/control/config_keeper.h"
 #include "components/control/config_loop.h"
@@ -47,9 +48,6 @@
   void PlanEjections();
   void FollowPeers();
   bool IsIsolated() const;
-  http::Response HandleAdmin(const http::Request& request);
-  http::Response HandleAnnouncement(const http::Request& request);
-  std::string StatusText() const;
 
   DaemonSettings settings;
   uint64_t incarnation;
@@ -79,6 +77,7 @@
   ingress::Ingress ingress;
   rpc::PeerServer peer_server;
   http::Server caller_server;
+  AdminPages admin_pages;
   http::Server admin_server;
 
   uint64_t board_digest = 0;
--- a/apps/upstream_standin/main.cc
+++ b/apps/upstream_standin/main.cc
@@ -27,6 +27,7 @@
   int cold_requests = 0;
   Duration work{std::chrono::milliseconds(5)};
   std::string run_log;
+  Duration linger{};
 };
 
 settings::FlagSet MakeFlags(UpstreamSettings& target) {
@@ -58,6 +59,10 @@
   flags.Add({.name = "work-ms",
              .help = "milliseconds that a request takes",
              .set = settings::SetMillis(target.work, 0, 60'000)});
+  flags.Add({.name = "linger-ms",
+             .help = "milliseconds for which it still serves after it has "
+                     "said that it leaves",
+             .set = settings::SetMillis(target.linger, 0, 60'000)});
   flags.Add({.name = "run-log",
              .help = "file to which a line is added for each run",
              .set = settings::SetText(target.run_log)});
@@ -112,7 +117,7 @@
   workers.Spawn([&] { AnnounceUntil(settings, RandomId(), draining); });
   end_signals.Wait();
   draining = true;
-  std::this_thread::sleep_for(kDrainNotice);
+  std::this_thread::sleep_for(kDrainNotice + settings.linger);
   while (server.InFlight() > 0) {
     std::this_thread::sleep_for(kDrainPoll);
   }
--- a/components/control/directory_keeper.cc
+++ b/components/control/directory_keeper.cc
@@ -4,12 +4,12 @@
 
 DirectoryKeeper::DirectoryKeeper(membership::Directory::Options options,
                                  membership::HostRecord own)
-    : directory(options, std::move(own)) {}
+    : directory(options, std::move(own), MonotonicNow()) {}
 
 bool DirectoryKeeper::PublishOwn(const membership::HostRecord& own) {
   const std::lock_guard lock(this->mutex);
   return membership::WorthPublishing(this->directory.own(), own) &&
-         this->directory.UpdateOwn(own);
+         this->directory.UpdateOwn(own, MonotonicNow());
 }
 
 int DirectoryKeeper::Merge(const std::vector<membership::HostUpdate>& updates) {
@@ -32,9 +32,28 @@
   return this->directory.Tick(MonotonicNow());
 }
 
-std::vector<membership::HostUpdate> DirectoryKeeper::PickGossip(size_t count) {
+std::vector<membership::RecentVersion> DirectoryKeeper::Recent() const {
   const std::lock_guard lock(this->mutex);
-  return this->directory.PickGossip(count);
+  return this->directory.Recent(MonotonicNow());
+}
+
+std::vector<uint64_t> DirectoryKeeper::Lacking(
+    const std::vector<membership::RecentVersion>& theirs) const {
+  const std::lock_guard lock(this->mutex);
+  return this->directory.Lacking(theirs);
+}
+
+std::vector<membership::HostUpdate> DirectoryKeeper::RecentUpdatesFor(
+    const std::vector<membership::RecentVersion>& theirs,
+    size_t count) const {
+  const std::lock_guard lock(this->mutex);
+  return this->directory.RecentUpdatesFor(theirs, count, MonotonicNow());
+}
+
+std::vector<membership::HostUpdate> DirectoryKeeper::FindByHash(
+    const std::vector<uint64_t>& hashes) const {
+  const std::lock_guard lock(this->mutex);
+  return this->directory.FindByHash(hashes);
 }
 
 uint64_t DirectoryKeeper::Digest() const {
@@ -54,6 +73,12 @@
   return this->directory.NewerThan(versions);
 }
 
+std::vector<uint64_t> DirectoryKeeper::LackingOf(
+    const std::map<std::string, membership::RecordVersion>& versions) const {
+  const std::lock_guard lock(this->mutex);
+  return this->directory.LackingOf(versions);
+}
+
 std::vector<membership::HostRecord> DirectoryKeeper::Present() const {
   const std::lock_guard lock(this->mutex);
   return this->directory.Present();
--- a/components/control/directory_keeper.h
+++ b/components/control/directory_keeper.h
@@ -23,11 +23,20 @@
 
   void Suspect(const std::string& host);
   std::vector<std::string> Tick();
-  std::vector<membership::HostUpdate> PickGossip(size_t count);
+  std::vector<membership::RecentVersion> Recent() const;
+  std::vector<uint64_t> Lacking(
+      const std::vector<membership::RecentVersion>& theirs) const;
+  std::vector<membership::HostUpdate> RecentUpdatesFor(
+      const std::vector<membership::RecentVersion>& theirs,
+      size_t count) const;
+  std::vector<membership::HostUpdate> FindByHash(
+      const std::vector<uint64_t>& hashes) const;
   uint64_t Digest() const;
   std::map<std::string, membership::RecordVersion> Versions() const;
   std::vector<membership::HostUpdate> NewerThan(
       const std::map<std::string, membership::RecordVersion>& versions) const;
+  std::vector<uint64_t> LackingOf(
+      const std::map<std::string, membership::RecordVersion>& versions) const;
   std::vector<membership::HostRecord> Present() const;
   std::vector<std::string> PoolHosts(const std::string& region) const;
   std::vector<membership::HostUpdate> All() const;
--- a/components/control/gossip_loop.cc
+++ b/components/control/gossip_loop.cc
@@ -17,9 +17,9 @@
 constexpr size_t kCrashesPerMessage = 16;
 constexpr size_t kHelpers = 2;
 constexpr size_t kSpreadTargets = 3;
-/// Probes in a row that found a peer knowing something else, after which all
-/// versions are compared.
-constexpr int kUnlikeRoundsBeforeSync = 3;
+/// Probes in a row that found a peer knowing something else for no reason told,
+/// after which all versions are compared.
+constexpr int kUnexplainedRoundsBeforeSync = 3;
 
 }  // namespace
 
@@ -64,21 +64,42 @@
   }
   this->fleet.on_reached(host);
   this->TakeIn(*reply);
-  const bool unlike = reply->digest != this->fleet.directory.Digest();
-  this->rounds_unlike = unlike ? this->rounds_unlike + 1 : 0;
+  this->CompareWith(host, *reply);
+  return true;
+}
+
+// As long as changes told of lately explain the difference, they will even it
+// out; only a difference that stays unexplained is worth comparing all.
+void GossipLoop::CompareWith(const std::string& host,
+                             const rpc::GossipMessage& reply) {
+  this->Tell(host, reply.wanted);
+  const bool unlike = reply.digest != this->fleet.directory.Digest();
+  const bool explained = !reply.wanted.empty() || !reply.updates.empty();
+  this->rounds_unexplained =
+      unlike && !explained ? this->rounds_unexplained + 1 : 0;
   const bool alone = this->fleet.directory.size() == 1;
-  if (alone || this->rounds_unlike >= kUnlikeRoundsBeforeSync) {
-    this->rounds_unlike = 0;
+  if (alone || this->rounds_unexplained >= kUnexplainedRoundsBeforeSync) {
+    this->rounds_unexplained = 0;
     this->SyncWith(host);
   }
-  return true;
+}
+
+void GossipLoop::Tell(const std::string& host,
+                      const std::vector<uint64_t>& wanted) {
+  if (wanted.empty()) {
+    return;
+  }
+  rpc::GossipMessage message = this->MakeMessage();
+  message.updates = this->fleet.directory.FindByHash(wanted);
+  this->fleet.peers.Gossip(host, message, kSyncTimeout).status().IgnoreError();
 }
 
 void GossipLoop::SyncWith(const std::string& host) {
-  const auto updates = this->fleet.peers.Sync(
+  const auto answer = this->fleet.peers.Sync(
       host, this->fleet.directory.Versions(), kSyncTimeout);
-  if (updates.ok()) {
-    this->fleet.directory.Merge(*updates);
+  if (answer.ok()) {
+    this->fleet.directory.Merge(answer->updates);
+    this->Tell(host, answer->wanted);
   }
 }
 
@@ -121,7 +142,13 @@
 
 rpc::GossipMessage GossipLoop::OnGossip(const rpc::GossipMessage& message) {
   this->TakeIn(message);
-  return this->MakeMessage();
+  rpc::GossipMessage reply = this->MakeMessage();
+  if (reply.digest != message.digest) {
+    reply.wanted = this->fleet.directory.Lacking(message.recent);
+    reply.updates = this->fleet.directory.RecentUpdatesFor(message.recent,
+                                                           kUpdatesPerMessage);
+  }
+  return reply;
 }
 
 std::string GossipLoop::TakePeerAhead() {
@@ -129,13 +156,13 @@
   return std::exchange(this->peer_ahead, "");
 }
 
-rpc::GossipMessage GossipLoop::MakeMessage() {
+rpc::GossipMessage GossipLoop::MakeMessage() const {
   auto crashes = this->fleet.crashes.Current(MonotonicNow());
   crashes.resize(std::min(crashes.size(), kCrashesPerMessage));
   return {.host = this->fleet.places.host,
           .digest = this->fleet.directory.Digest(),
           .revision = this->fleet.config.Revision(),
-          .updates = this->fleet.directory.PickGossip(kUpdatesPerMessage),
+          .recent = this->fleet.directory.Recent(),
           .crashes = std::move(crashes)};
 }
 
--- a/components/control/gossip_loop.h
+++ b/components/control/gossip_loop.h
@@ -4,14 +4,16 @@
 #include <mutex>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "components/control/fleet.h"
 #include "components/membership/prober.h"
 
 namespace kingcupstair::control {
 
-/// Probes one peer after the other, and with each probe passes on what is new:
-/// host records, crash evidence, the revision in force.
+/// Probes one peer after the other. Probe and answer tell the revision in
+/// force, crash evidence, and which hosts have changed lately; records follow
+/// only to the side that lacks them.
 class GossipLoop {
  public:
   GossipLoop(Fleet& fleet, uint64_t seed);
@@ -32,10 +34,12 @@
   std::string TakePeerAhead();
 
  private:
-  rpc::GossipMessage MakeMessage();
+  rpc::GossipMessage MakeMessage() const;
   void TakeIn(const rpc::GossipMessage& message);
   bool Exchange(const std::string& host);
+  void CompareWith(const std::string& host, const rpc::GossipMessage& reply);
   void AskHelpers(const std::string& host);
+  void Tell(const std::string& host, const std::vector<uint64_t>& wanted);
   void SyncWith(const std::string& host);
   std::vector<std::string> Targets() const;
 
@@ -43,7 +47,7 @@
   std::mutex mutex;
   membership::Prober prober;
   std::string peer_ahead;
-  int rounds_unlike = 0;
+  int rounds_unexplained = 0;
 };
 
 }  // namespace kingcupstair::control
--- a/components/guard/guard.cc
+++ b/components/guard/guard.cc
@@ -1,12 +1,11 @@
 #include "components/guard/guard.h"
 
+#include <algorithm>
 #include <utility>
 
-#include <boost/fiber/future.hpp>
-
 #include "absl/strings/str_cat.h"
 #include "components/fibers/worker_pool.h"
-#include "components/http/client.h"
+#include "components/guard/upstream_call.h"
 
 namespace kingcupstair::guard {
 namespace {
@@ -14,10 +13,6 @@
 constexpr Duration kEarlierPollInterval{std::chrono::milliseconds(20)};
 constexpr int kFirstServerError = 500;
 constexpr int kDefaultSlots = 4;
-constexpr int kListenChecks = 2;
-constexpr Duration kListenTimeout{std::chrono::milliseconds(100)};
-constexpr Duration kListenPause{std::chrono::milliseconds(20)};
-constexpr char kHealthTarget[] = "/health";
 
 admission::RunEnd EndOf(const once::Outcome& outcome) {
   if (const auto* ran = std::get_if<once::Ran>(&outcome)) {
@@ -30,58 +25,8 @@
   return timed_out ? admission::RunEnd::kTimeout : admission::RunEnd::kFailure;
 }
 
-bool BrokeConnection(const once::Outcome& outcome) {
-  const auto* unknown = std::get_if<once::Unknown>(&outcome);
-  return unknown != nullptr && unknown->upstream_broke;
-}
-
-/// Whether anybody takes connections at `endpoint`. A process that is ending
-/// may close its port a moment after its connections.
-bool Listens(const Endpoint& endpoint) {
-  for (int i = 0; i < kListenChecks; ++i) {
-    const http::Result result =
-        http::Exchange({.server = endpoint,
-                        .request = {.method = "GET", .target = kHealthTarget},
-                        .timeout = kListenTimeout,
-                        .reuse_connection = false});
-    if (!result.ok() && result.failure.stage == http::Stage::kConnect) {
-      return false;
-    }
-    fibers::SleepFor(kListenPause);
-  }
-  return true;
-}
-
 }  // namespace
 
-struct Guard::Waiter {
-  boost::fibers::promise<admission::GateDecision> decision;
-};
-
-/// Fibers to wake once the lock is free: waking may suspend the caller, and a
-/// fiber that is suspended must not hold the lock. Stands before the lock.
-class Guard::Wakes {
- public:
-  Wakes() = default;
-  Wakes(const Wakes&) = delete;
-  Wakes& operator=(const Wakes&) = delete;
-
-  ~Wakes() {
-    for (auto& [waiter, decision] : this->pending) {
-      waiter->decision.set_value(decision);
-    }
-  }
-
-  void Add(std::shared_ptr<Waiter> waiter,
-           const admission::GateDecision& decision) {
-    this->pending.emplace_back(std::move(waiter), decision);
-  }
-
- private:
-  std::vector<std::pair<std::shared_ptr<Waiter>, admission::GateDecision>>
-      pending;
-};
-
 Guard::Guard(Options options,
              const Snapshot<config::Configuration>& configuration,
              CrashWatch& crashes,
@@ -114,8 +59,8 @@
   }
   if (announcement.draining && !before.draining) {
     this->RecordUpstream("upstream_draining", announcement, "");
-    this->Dispatch(upstream.gate->RefuseWaiting(once::RefusalReason::kDraining),
-                   wakes);
+    this->waiters.Dispatch(
+        upstream.gate->RefuseWaiting(once::RefusalReason::kDraining), wakes);
   }
 }
 
@@ -215,9 +160,10 @@
     const std::lock_guard lock(this->mutex);
     Upstream& upstream = this->upstreams.at(request.upstream);
     if (!this->ledger.BeginForward(request.request_id)) {
-      this->Dispatch(upstream.gate->Finish(
-                         ticket, admission::RunEnd::kCancelled, MonotonicNow()),
-                     wakes);
+      this->waiters.Dispatch(
+          upstream.gate->Finish(ticket, admission::RunEnd::kCancelled,
+                                MonotonicNow()),
+          wakes);
       --this->in_flight;
       return this->ResultFor(
           request.upstream,
@@ -226,7 +172,7 @@
     upstream.running[ticket] = request.fingerprint;
     endpoint = upstream.announcement.endpoint;
   }
-  const once::Outcome outcome = this->Forward(request, endpoint, deadline);
+  const once::Outcome outcome = CallUpstream(endpoint, request, deadline);
   const bool crashed = BrokeConnection(outcome) && !Listens(endpoint);
   return this->EndRun(request, ticket, outcome, crashed);
 }
@@ -264,8 +210,7 @@
 admission::GateDecision Guard::WaitForSlot(const once::RunRequest& request,
                                            admission::TicketId ticket,
                                            Instant deadline) {
-  auto waiter = std::make_shared<Waiter>();
-  auto decided = waiter->decision.get_future();
+  DecisionFuture decided;
   {
     Wakes wakes;
     const std::lock_guard lock(this->mutex);
@@ -275,14 +220,14 @@
           .ticket = ticket,
           .refusal = {.reason = once::RefusalReason::kUpstreamGone}};
     }
-    this->waiters[ticket] = std::move(waiter);
-    this->Dispatch(found->second.gate->Offer(
-                       {.ticket = ticket,
-                        .organisation = request.organisation,
-                        .weight = this->WeightOf(request.organisation),
-                        .deadline = deadline},
-                       MonotonicNow()),
-                   wakes);
+    decided = this->waiters.Expect(ticket);
+    const admission::GateRequest offered{
+        .ticket = ticket,
+        .organisation = request.organisation,
+        .weight = this->WeightOf(request.organisation),
+        .deadline = deadline};
+    this->waiters.Dispatch(found->second.gate->Offer(offered, MonotonicNow()),
+                           wakes);
   }
   return decided.get();
 }
@@ -294,35 +239,6 @@
   return rule == nullptr || rule->rate <= 0 ? 1 : rule->rate;
 }
 
-// A request that may not be repeated gets a connection of its own: on a kept
-// one the upstream may just be closing, and then nobody knows whether it ran.
-once::Outcome Guard::Forward(const once::RunRequest& request,
-                             const Endpoint& endpoint,
-                             Instant deadline) {
-  const Duration left = deadline - MonotonicNow();
-  http::Call call{.server = endpoint,
-                  .request = request.request,
-                  .timeout = std::max(left, Duration(1)),
-                  .reuse_connection = request.idempotent};
-  call.request.headers.push_back(
-      {.name = "Kingcupstair-Request-Id", .value = request.request_id});
-  call.request.headers.push_back(
-      {.name = "Kingcupstair-Organisation", .value = request.organisation});
-  call.request.headers.push_back(
-      {.name = "Kingcupstair-Deadline-Ms",
-       .value = absl::StrCat(ToMillisRoundedUp(left))});
-  const http::Result result = http::Exchange(call);
-  if (result.ok()) {
-    return once::Ran{.response = result.response};
-  }
-  if (result.failure.stage == http::Stage::kConnect) {
-    return once::NotRun{.reason = once::RefusalReason::kConnectFailed};
-  }
-  const auto message = result.failure.status.message();
-  return once::Unknown{.detail = std::string(message.data(), message.size()),
-                       .upstream_broke = !result.failure.timed_out};
-}
-
 rpc::RunResult Guard::EndRun(const once::RunRequest& request,
                              admission::TicketId ticket,
                              const once::Outcome& outcome,
@@ -347,7 +263,8 @@
   if (crashed || std::holds_alternative<once::NotRun>(outcome)) {
     this->MarkUnreachable(upstream);
   }
-  this->Dispatch(upstream.gate->Finish(ticket, EndOf(outcome), now), wakes);
+  this->waiters.Dispatch(upstream.gate->Finish(ticket, EndOf(outcome), now),
+                         wakes);
   return this->ResultFor(request.upstream, outcome);
 }
 
@@ -397,15 +314,15 @@
   const bool refuse_all = this->draining || this->options.isolated();
   for (auto at = this->upstreams.begin(); at != this->upstreams.end();) {
     Upstream& upstream = at->second;
-    this->Dispatch(upstream.gate->Tick(now), wakes);
+    this->waiters.Dispatch(upstream.gate->Tick(now), wakes);
     if (refuse_all || this->IsWithdrawn(upstream)) {
-      this->Dispatch(
+      this->waiters.Dispatch(
           upstream.gate->RefuseWaiting(once::RefusalReason::kWithdrawn), wakes);
     }
     const bool silent =
         now - upstream.last_seen > this->options.announcement_life;
     if (silent && upstream.gate->in_flight() == 0) {
-      this->Dispatch(
+      this->waiters.Dispatch(
           upstream.gate->RefuseWaiting(once::RefusalReason::kUpstreamGone),
           wakes);
       this->RecordUpstream("upstream_gone", upstream.announcement, "");
@@ -433,19 +350,6 @@
   return records;
 }
 
-void Guard::Dispatch(const std::vector<admission::GateDecision>& decisions,
-                     Wakes& wakes) {
-  for (const admission::GateDecision& decision : decisions) {
-    const auto ticket =
-        std::visit([](const auto& each) { return each.ticket; }, decision);
-    const auto found = this->waiters.find(ticket);
-    if (found != this->waiters.end()) {
-      wakes.Add(found->second, decision);
-      this->waiters.erase(found);
-    }
-  }
-}
-
 rpc::RunResult Guard::ResultFor(const std::string& id,
                                 const once::Outcome& outcome) const {
   rpc::RunResult result{.outcome = outcome};
--- a/components/guard/guard.h
+++ b/components/guard/guard.h
@@ -17,6 +17,7 @@
 #include "components/events/recorder.h"
 #include "components/guard/announcement.h"
 #include "components/guard/crash_watch.h"
+#include "components/guard/waiters.h"
 #include "components/membership/host_record.h"
 #include "components/once/key_index.h"
 #include "components/once/run_ledger.h"
@@ -81,9 +82,6 @@
   std::vector<membership::UpstreamRecord> Upstreams() const;
 
  private:
-  struct Waiter;
-  class Wakes;
-
   struct Upstream {
     Announcement announcement;
     std::unique_ptr<admission::UpstreamGate> gate;
@@ -103,9 +101,6 @@
                                       admission::TicketId ticket,
                                       Instant deadline);
   double WeightOf(const std::string& organisation) const;
-  once::Outcome Forward(const once::RunRequest& request,
-                        const Endpoint& endpoint,
-                        Instant deadline);
   rpc::RunResult EndRun(const once::RunRequest& request,
                         admission::TicketId ticket,
                         const once::Outcome& outcome,
@@ -113,8 +108,6 @@
   void MarkUnreachable(Upstream& upstream);
   void NoteBreak(Upstream& upstream, const once::RunRequest& request);
   void BlameBroken(Upstream& upstream);
-  void Dispatch(const std::vector<admission::GateDecision>& decisions,
-                Wakes& wakes);
   rpc::RunResult ResultFor(const std::string& upstream,
                            const once::Outcome& outcome) const;
   membership::UpstreamRecord RecordOf(const Upstream& upstream,
@@ -135,7 +128,7 @@
   std::map<std::string, Upstream> upstreams;
   once::RunLedger ledger;
   once::KeyIndex keys;
-  std::map<admission::TicketId, std::shared_ptr<Waiter>> waiters;
+  Waiters waiters;
   admission::TicketId last_ticket = 0;
 };
 
--- /dev/null
+++ b/components/guard/waiters.cc
@@ -0,0 +1,37 @@
+#include "components/guard/waiters.h"
+
+namespace kingcupstair::guard {
+
+Wakes::~Wakes() {
+  for (Pending& each : this->pending) {
+    each.promise->set_value(each.decision);
+  }
+}
+
+void Wakes::Add(std::shared_ptr<DecisionPromise> promise,
+                const admission::GateDecision& decision) {
+  this->pending.push_back(
+      {.promise = std::move(promise), .decision = decision});
+}
+
+DecisionFuture Waiters::Expect(admission::TicketId ticket) {
+  auto promise = std::make_shared<DecisionPromise>();
+  DecisionFuture future = promise->get_future();
+  this->promises[ticket] = std::move(promise);
+  return future;
+}
+
+void Waiters::Dispatch(const std::vector<admission::GateDecision>& decisions,
+                       Wakes& wakes) {
+  for (const admission::GateDecision& decision : decisions) {
+    const auto ticket =
+        std::visit([](const auto& each) { return each.ticket; }, decision);
+    const auto found = this->promises.find(ticket);
+    if (found != this->promises.end()) {
+      wakes.Add(found->second, decision);
+      this->promises.erase(found);
+    }
+  }
+}
+
+}  // namespace kingcupstair::guard
--- a/components/health/ejection_planner.h
+++ b/components/health/ejection_planner.h
@@ -48,6 +48,11 @@
   /// An ejected upstream whose time is up gets single requests on trial.
   bool IsOnTrial(const std::string& upstream, Instant now) const;
 
+  /// True while time alone may change the judgement.
+  bool HasOpenCases() const {
+    return !this->ejected.empty() || !this->suspicions.empty();
+  }
+
   size_t ejected_count() const { return this->ejected.size(); }
 
  private:
--- a/components/ingress/fleet_board.cc
+++ b/components/ingress/fleet_board.cc
@@ -88,6 +88,7 @@
     known.answered_at = before->second.answered_at;
   }
   service.upstreams = std::move(listed);
+  service.heard_of = true;
 }
 
 void FleetBoard::OnResult(const rpc::RunResult& result, Instant now) {
@@ -108,6 +109,7 @@
   view.error_share = result.report.error_share;
   view.finished = result.report.finished;
   found->second.answered_at = now;
+  service->second.heard_of = true;
 }
 
 void FleetBoard::OnPathReached(const std::string& host) {
@@ -124,6 +126,10 @@
   const std::lock_guard lock(this->mutex);
   std::vector<health::EjectionChange> changes;
   for (auto& [name, service] : this->services) {
+    if (!service.heard_of && !service.planner.HasOpenCases()) {
+      continue;
+    }
+    service.heard_of = false;
     std::vector<health::UpstreamView> views;
     for (const auto& [id, known] : service.upstreams) {
       views.push_back(known.view);
--- a/components/ingress/fleet_board.h
+++ b/components/ingress/fleet_board.h
@@ -51,7 +51,8 @@
   void OnPathReached(const std::string& host);
   void OnPathLost(const std::string& host, Instant now);
 
-  /// Judges all services anew; gives what has changed.
+  /// Judges anew the services of which something was heard since the last
+  /// time, and those with a case open; gives what has changed.
   std::vector<health::EjectionChange> Plan(Instant now);
 
   /// Chooses an upstream of `service` that is not among `tried`.
@@ -77,6 +78,7 @@
     std::map<std::string, Known> upstreams;
     health::EjectionPlanner planner;
     double floor;
+    bool heard_of = true;
   };
 
   using Listed = std::map<std::string, std::map<std::string, Known>>;
--- a/components/membership/directory.cc
+++ b/components/membership/directory.cc
@@ -1,7 +1,6 @@
 #include "components/membership/directory.h"
 
 #include <algorithm>
-#include <cmath>
 
 #include "absl/strings/str_cat.h"
 #include "components/base/hash.h"
@@ -9,9 +8,6 @@
 namespace kingcupstair::membership {
 namespace {
 
-/// Each update is passed on this many times the logarithm of the fleet's size.
-constexpr double kSendFactor = 3;
-
 RecordVersion VersionOf(const HostUpdate& update) {
   return {.incarnation = update.record.incarnation,
           .version = update.record.version,
@@ -20,12 +16,14 @@
 
 }  // namespace
 
-Directory::Directory(Options options, HostRecord own)
+Directory::Directory(Options options, HostRecord own, Instant now)
     : options(options), own_host(own.host) {
-  this->members[this->own_host] = {.update = {.record = std::move(own)}};
+  const uint64_t hash = StableHash(own.host);
+  this->members[this->own_host] = {
+      .update = {.record = std::move(own)}, .hash = hash, .changed = now};
 }
 
-bool Directory::UpdateOwn(HostRecord changed) {
+bool Directory::UpdateOwn(HostRecord changed, Instant now) {
   Member& member = this->members[this->own_host];
   changed.incarnation = member.update.record.incarnation;
   changed.version = member.update.record.version;
@@ -34,14 +32,14 @@
   }
   ++changed.version;
   member.update.record = std::move(changed);
-  member.times_sent = 0;
+  member.changed = now;
   return true;
 }
 
 bool Directory::Merge(const HostUpdate& update, Instant now) {
   const std::string& host = update.record.host;
   if (host == this->own_host) {
-    this->Refute(update);
+    this->Refute(update, now);
     return false;
   }
   const auto found = this->members.find(host);
@@ -49,7 +47,8 @@
       VersionOf(update) <= VersionOf(found->second.update)) {
     return false;
   }
-  this->members[host] = {.update = update, .since = now};
+  this->members[host] = {
+      .update = update, .hash = StableHash(host), .changed = now};
   return true;
 }
 
@@ -57,7 +56,7 @@
 // remember an earlier life of this address as the later one. A number above
 // theirs takes over; never an equal one, since what an earlier life did must
 // not be asked of this one.
-void Directory::Refute(const HostUpdate& update) {
+void Directory::Refute(const HostUpdate& update, Instant now) {
   HostUpdate& own_update = this->members[this->own_host].update;
   if (VersionOf(update) <= VersionOf(own_update)) {
     return;
@@ -69,7 +68,7 @@
   } else {
     record.version = update.record.version + 1;
   }
-  this->members[this->own_host].times_sent = 0;
+  this->members[this->own_host].changed = now;
 }
 
 void Directory::Suspect(const std::string& host, Instant now) {
@@ -79,46 +78,96 @@
     return;
   }
   found->second.update.liveness = Liveness::kSuspect;
-  found->second.since = now;
-  found->second.times_sent = 0;
+  found->second.changed = now;
 }
 
 std::vector<std::string> Directory::Tick(Instant now) {
   std::vector<std::string> died;
   for (auto& [host, member] : this->members) {
     if (member.update.liveness == Liveness::kSuspect &&
-        now - member.since >= this->options.suspicion_time) {
+        now - member.changed >= this->options.suspicion_time) {
       member.update.liveness = Liveness::kDead;
-      member.since = now;
-      member.times_sent = 0;
+      member.changed = now;
       died.push_back(host);
     }
   }
   std::erase_if(this->members, [&](const auto& entry) {
     return entry.second.update.liveness == Liveness::kDead &&
-           now - entry.second.since >= this->options.dead_memory;
+           now - entry.second.changed >= this->options.dead_memory;
   });
   return died;
 }
 
-std::vector<HostUpdate> Directory::PickGossip(size_t count) {
-  std::vector<Member*> fresh;
-  for (auto& [host, member] : this->members) {
-    if (member.times_sent < this->SendLimit()) {
-      fresh.push_back(&member);
+std::vector<const Directory::Member*> Directory::RecentMembers(
+    Instant now) const {
+  std::vector<const Member*> recent;
+  for (const auto& [host, member] : this->members) {
+    if (now - member.changed < this->options.recent_time) {
+      recent.push_back(&member);
     }
   }
-  std::stable_sort(fresh.begin(), fresh.end(),
+  std::stable_sort(recent.begin(), recent.end(),
                    [](const Member* left, const Member* right) {
-                     return left->times_sent < right->times_sent;
+                     return left->changed > right->changed;
                    });
-  fresh.resize(std::min(count, fresh.size()));
-  std::vector<HostUpdate> picked;
-  for (Member* member : fresh) {
-    ++member->times_sent;
-    picked.push_back(member->update);
+  recent.resize(std::min(recent.size(), this->options.max_recent));
+  return recent;
+}
+
+std::vector<RecentVersion> Directory::Recent(Instant now) const {
+  std::vector<RecentVersion> versions;
+  for (const Member* member : this->RecentMembers(now)) {
+    versions.push_back(
+        {.host_hash = member->hash, .at = VersionOf(member->update)});
   }
-  return picked;
+  return versions;
+}
+
+std::vector<uint64_t> Directory::Lacking(
+    const std::vector<RecentVersion>& theirs) const {
+  std::map<uint64_t, RecordVersion> known;
+  for (const auto& [host, member] : this->members) {
+    known[member.hash] = VersionOf(member.update);
+  }
+  std::vector<uint64_t> lacking;
+  for (const RecentVersion& recent : theirs) {
+    const auto found = known.find(recent.host_hash);
+    if (found == known.end() || found->second < recent.at) {
+      lacking.push_back(recent.host_hash);
+    }
+  }
+  return lacking;
+}
+
+std::vector<HostUpdate> Directory::RecentUpdatesFor(
+    const std::vector<RecentVersion>& theirs,
+    size_t count,
+    Instant now) const {
+  std::map<uint64_t, RecordVersion> told;
+  for (const RecentVersion& recent : theirs) {
+    told[recent.host_hash] = recent.at;
+  }
+  std::vector<HostUpdate> updates;
+  for (const Member* member : this->RecentMembers(now)) {
+    const auto found = told.find(member->hash);
+    const bool lacks =
+        found == told.end() || found->second < VersionOf(member->update);
+    if (lacks && updates.size() < count) {
+      updates.push_back(member->update);
+    }
+  }
+  return updates;
+}
+
+std::vector<HostUpdate> Directory::FindByHash(
+    const std::vector<uint64_t>& hashes) const {
+  std::vector<HostUpdate> found;
+  for (const auto& [host, member] : this->members) {
+    if (std::find(hashes.begin(), hashes.end(), member.hash) != hashes.end()) {
+      found.push_back(member.update);
+    }
+  }
+  return found;
 }
 
 uint64_t Directory::Digest() const {
@@ -140,6 +189,19 @@
   return versions;
 }
 
+std::vector<uint64_t> Directory::LackingOf(
+    const std::map<std::string, RecordVersion>& versions) const {
+  std::vector<uint64_t> lacking;
+  for (const auto& [host, version] : versions) {
+    const auto found = this->members.find(host);
+    if (found == this->members.end() ||
+        VersionOf(found->second.update) < version) {
+      lacking.push_back(StableHash(host));
+    }
+  }
+  return lacking;
+}
+
 std::vector<HostUpdate> Directory::NewerThan(
     const std::map<std::string, RecordVersion>& versions) const {
   std::vector<HostUpdate> newer;
@@ -186,9 +248,4 @@
   return this->members.at(this->own_host).update.record;
 }
 
-int Directory::SendLimit() const {
-  return static_cast<int>(std::ceil(
-      kSendFactor * std::log2(static_cast<double>(this->members.size()) + 1)));
-}
-
 }  // namespace kingcupstair::membership
--- a/components/membership/directory.h
+++ b/components/membership/directory.h
@@ -20,22 +20,36 @@
   auto operator<=>(const RecordVersion&) const = default;
 };
 
-/// One host's knowledge of all hosts and their upstreams, spread by gossip of
-/// whole host records.
+/// A version in the short form in which probes tell of recent changes.
+struct RecentVersion {
+  /// Hash of the host's name.
+  uint64_t host_hash = 0;
+  RecordVersion at;
+
+  bool operator==(const RecentVersion&) const = default;
+};
+
+/// One host's knowledge of all hosts and their upstreams. Probes carry the
+/// versions of what has changed lately, and a record goes only to a peer that
+/// lacks it.
 class Directory {
  public:
   struct Options {
     /// How long a suspect host has to answer before it counts as dead.
     Duration suspicion_time{std::chrono::seconds(3)};
+    /// How long a change is told of in probes.
+    Duration recent_time{std::chrono::seconds(30)};
+    /// Changes told of in one probe, at most.
+    size_t max_recent = 16;
     /// How long a dead host is remembered.
     Duration dead_memory{std::chrono::hours(1)};
   };
 
-  Directory(Options options, HostRecord own);
+  Directory(Options options, HostRecord own, Instant now);
 
   /// Replaces what this host tells of itself and raises its version; false
   /// when nothing changed.
-  bool UpdateOwn(HostRecord own);
+  bool UpdateOwn(HostRecord own, Instant now);
 
   /// Takes in an update from a peer; true when it was news.
   bool Merge(const HostUpdate& update, Instant now);
@@ -47,8 +61,21 @@
   /// hosts that have become dead.
   std::vector<std::string> Tick(Instant now);
 
-  /// Up to `count` updates that have been passed on least often.
-  std::vector<HostUpdate> PickGossip(size_t count);
+  /// The versions of what has changed lately, the latest first.
+  std::vector<RecentVersion> Recent(Instant now) const;
+
+  /// Hashes of the hosts of which a peer that told `theirs` knows more.
+  std::vector<uint64_t> Lacking(const std::vector<RecentVersion>& theirs) const;
+
+  /// What has changed here lately and a peer that told `theirs` lacks, at most
+  /// `count` of it.
+  std::vector<HostUpdate> RecentUpdatesFor(
+      const std::vector<RecentVersion>& theirs,
+      size_t count,
+      Instant now) const;
+
+  /// The records of the hosts with these hashes.
+  std::vector<HostUpdate> FindByHash(const std::vector<uint64_t>& hashes) const;
 
   /// A hash over the versions of all hosts; equal when the knowledge is.
   uint64_t Digest() const;
@@ -60,6 +87,10 @@
   std::vector<HostUpdate> NewerThan(
       const std::map<std::string, RecordVersion>& versions) const;
 
+  /// Hashes of the hosts of which a peer with these versions knows more.
+  std::vector<uint64_t> LackingOf(
+      const std::map<std::string, RecordVersion>& versions) const;
+
   /// All hosts not dead, this one included.
   std::vector<HostRecord> Present() const;
 
@@ -76,13 +107,13 @@
  private:
   struct Member {
     HostUpdate update;
-    /// Since when it has been suspect or dead.
-    Instant since;
-    int times_sent = 0;
+    uint64_t hash = 0;
+    /// When what is known or thought of it last changed.
+    Instant changed;
   };
 
-  void Refute(const HostUpdate& update);
-  int SendLimit() const;
+  void Refute(const HostUpdate& update, Instant now);
+  std::vector<const Member*> RecentMembers(Instant now) const;
 
   Options options;
   std::string own_host;
--- a/components/rpc/convert.cc
+++ b/components/rpc/convert.cc
@@ -77,6 +77,28 @@
   return update;
 }
 
+void WriteRecent(const std::vector<membership::RecentVersion>& recent,
+                 capnp::List<wire::RecentVersion>::Builder out) {
+  for (unsigned i = 0; i < recent.size(); ++i) {
+    out[i].setHostHash(recent[i].host_hash);
+    out[i].setIncarnation(recent[i].at.incarnation);
+    out[i].setVersion(static_cast<uint32_t>(recent[i].at.version));
+    out[i].setLiveness(static_cast<uint8_t>(recent[i].at.liveness));
+  }
+}
+
+std::vector<membership::RecentVersion> ReadRecent(
+    capnp::List<wire::RecentVersion>::Reader in) {
+  std::vector<membership::RecentVersion> recent;
+  for (const auto version : in) {
+    recent.push_back({.host_hash = version.getHostHash(),
+                      .at = {.incarnation = version.getIncarnation(),
+                             .version = version.getVersion(),
+                             .liveness = ToLiveness(version.getLiveness())}});
+  }
+  return recent;
+}
+
 class OutcomeWriter {
  public:
   explicit OutcomeWriter(wire::Outcome::Builder out) : out(out) {}
@@ -133,6 +155,10 @@
   out.setRevision(message.revision);
   Write(message.updates,
         out.initUpdates(static_cast<unsigned>(message.updates.size())));
+  WriteRecent(message.recent,
+              out.initRecent(static_cast<unsigned>(message.recent.size())));
+  WriteHashes(message.wanted,
+              out.initWanted(static_cast<unsigned>(message.wanted.size())));
   auto crashes = out.initCrashes(static_cast<unsigned>(message.crashes.size()));
   for (unsigned i = 0; i < message.crashes.size(); ++i) {
     const once::AgedEvidence& aged = message.crashes[i];
@@ -146,6 +172,8 @@
   GossipMessage message{.host = ToString(in.getHost()),
                         .digest = in.getDigest(),
                         .revision = in.getRevision(),
+                        .recent = ReadRecent(in.getRecent()),
+                        .wanted = ReadHashes(in.getWanted()),
                         .updates = Read(in.getUpdates())};
   for (const auto crash : in.getCrashes()) {
     message.crashes.push_back(
@@ -196,6 +224,21 @@
   return versions;
 }
 
+void WriteHashes(const std::vector<uint64_t>& hashes,
+                 capnp::List<uint64_t>::Builder out) {
+  for (unsigned i = 0; i < hashes.size(); ++i) {
+    out.set(i, hashes[i]);
+  }
+}
+
+std::vector<uint64_t> ReadHashes(capnp::List<uint64_t>::Reader in) {
+  std::vector<uint64_t> hashes;
+  for (const uint64_t hash : in) {
+    hashes.push_back(hash);
+  }
+  return hashes;
+}
+
 void Write(const membership::UpstreamRecord& record,
            wire::Upstream::Builder out) {
   out.setId(record.id);
--- a/components/rpc/convert.h
+++ b/components/rpc/convert.h
@@ -26,6 +26,10 @@
 std::map<std::string, membership::RecordVersion> Read(
     capnp::List<wire::Version>::Reader in);
 
+void WriteHashes(const std::vector<uint64_t>& hashes,
+                 capnp::List<uint64_t>::Builder out);
+std::vector<uint64_t> ReadHashes(capnp::List<uint64_t>::Reader in);
+
 void Write(const membership::UpstreamRecord& record,
            wire::Upstream::Builder out);
 membership::UpstreamRecord Read(wire::Upstream::Reader in);
--- a/components/rpc/messages.h
+++ b/components/rpc/messages.h
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "components/membership/directory.h"
 #include "components/membership/host_record.h"
 #include "components/once/crash_ledger.h"
 #include "components/once/outcome.h"
@@ -18,12 +19,25 @@
   std::string host;
   uint64_t digest = 0;
   uint64_t revision = 0;
+  /// What has changed lately as the sender knows it.
+  std::vector<membership::RecentVersion> recent;
+  /// Hashes of hosts of which the sender wants to know more.
+  std::vector<uint64_t> wanted;
   std::vector<membership::HostUpdate> updates;
   std::vector<once::AgedEvidence> crashes;
 
   bool operator==(const GossipMessage&) const = default;
 };
 
+/// What comparing all versions led to: what the caller lacks, and the hashes of
+/// hosts of which it knows more.
+struct SyncAnswer {
+  std::vector<membership::HostUpdate> updates;
+  std::vector<uint64_t> wanted;
+
+  bool operator==(const SyncAnswer&) const = default;
+};
+
 /// The outcome of a run and how its upstream stands after it.
 struct RunResult {
   once::Outcome outcome;
--- a/components/rpc/peer.capnp
+++ b/components/rpc/peer.capnp
@@ -25,7 +25,8 @@
 
 interface Peer {
   gossip @0 (message :Gossip) -> (message :Gossip);
-  sync @1 (versions :List(Version)) -> (updates :List(HostUpdate));
+  sync @1 (versions :List(Version)) -> (updates :List(HostUpdate), wanted :List(UInt64));
+  # `wanted` are hashes of hosts of which the caller knows more.
   probe @2 (host :Text) -> (reached :Bool);
   # Asks this host to probe another.
 
@@ -50,6 +51,15 @@
   revision @2 :UInt64;
   updates @3 :List(HostUpdate);
   crashes @4 :List(Crash);
+  recent @5 :List(RecentVersion);
+  wanted @6 :List(UInt64);
+}
+
+struct RecentVersion {
+  hostHash @0 :UInt64;
+  incarnation @1 :UInt64;
+  version @2 :UInt32;
+  liveness @3 :UInt8;
 }
 
 struct Version {
--- a/components/rpc/peer.capnp.h
+++ b/components/rpc/peer.capnp.h
@@ -47,6 +47,7 @@
 CAPNP_DECLARE_SCHEMA(ce408482415e1d4b);
 CAPNP_DECLARE_SCHEMA(baa6a069cee085b5);
 CAPNP_DECLARE_SCHEMA(d9899d4dcf2f46c0);
+CAPNP_DECLARE_SCHEMA(e8e7866678329ec0);
 CAPNP_DECLARE_SCHEMA(d7533715fca8b6f7);
 CAPNP_DECLARE_SCHEMA(cacea78627fbf470);
 CAPNP_DECLARE_SCHEMA(dae0bdfdfd002f96);
@@ -258,7 +259,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c98b1e8828af5c42, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(c98b1e8828af5c42, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -513,7 +514,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d9899d4dcf2f46c0, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(d9899d4dcf2f46c0, 2, 5)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RecentVersion {
+  RecentVersion() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e8e7866678329ec0, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1653,6 +1669,9 @@
   inline bool hasUpdates() const;
   inline  ::capnp::List< ::kingcupstair::rpc::wire::HostUpdate,  ::capnp::Kind::STRUCT>::Reader getUpdates() const;
 
+  inline bool hasWanted() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getWanted() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1688,6 +1707,14 @@
   inline void adoptUpdates(::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::HostUpdate,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::HostUpdate,  ::capnp::Kind::STRUCT>> disownUpdates();
 
+  inline bool hasWanted();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getWanted();
+  inline void setWanted( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setWanted(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initWanted(unsigned int size);
+  inline void adoptWanted(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownWanted();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3037,6 +3064,12 @@
   inline bool hasCrashes() const;
   inline  ::capnp::List< ::kingcupstair::rpc::wire::Crash,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
 
+  inline bool hasRecent() const;
+  inline  ::capnp::List< ::kingcupstair::rpc::wire::RecentVersion,  ::capnp::Kind::STRUCT>::Reader getRecent() const;
+
+  inline bool hasWanted() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getWanted() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3092,6 +3125,21 @@
   inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::Crash,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::Crash,  ::capnp::Kind::STRUCT>> disownCrashes();
 
+  inline bool hasRecent();
+  inline  ::capnp::List< ::kingcupstair::rpc::wire::RecentVersion,  ::capnp::Kind::STRUCT>::Builder getRecent();
+  inline void setRecent( ::capnp::List< ::kingcupstair::rpc::wire::RecentVersion,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::kingcupstair::rpc::wire::RecentVersion,  ::capnp::Kind::STRUCT>::Builder initRecent(unsigned int size);
+  inline void adoptRecent(::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::RecentVersion,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::RecentVersion,  ::capnp::Kind::STRUCT>> disownRecent();
+
+  inline bool hasWanted();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getWanted();
+  inline void setWanted( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setWanted(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initWanted(unsigned int size);
+  inline void adoptWanted(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownWanted();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3118,6 +3166,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class RecentVersion::Reader {
+public:
+  typedef RecentVersion Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getHostHash() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline  ::uint32_t getVersion() const;
+
+  inline  ::uint8_t getLiveness() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RecentVersion::Builder {
+public:
+  typedef RecentVersion Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getHostHash();
+  inline void setHostHash( ::uint64_t value);
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline  ::uint32_t getVersion();
+  inline void setVersion( ::uint32_t value);
+
+  inline  ::uint8_t getLiveness();
+  inline void setLiveness( ::uint8_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RecentVersion::Pipeline {
+public:
+  typedef RecentVersion Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Version::Reader {
 public:
   typedef Version Reads;
@@ -5209,6 +5348,44 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::SyncResults::Reader::hasWanted() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::SyncResults::Builder::hasWanted() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Peer::SyncResults::Reader::getWanted() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Peer::SyncResults::Builder::getWanted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Peer::SyncResults::Builder::setWanted( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void Peer::SyncResults::Builder::setWanted(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Peer::SyncResults::Builder::initWanted(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Peer::SyncResults::Builder::adoptWanted(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Peer::SyncResults::Builder::disownWanted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool Peer::ProbeParams::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5859,6 +6036,134 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool Gossip::Reader::hasRecent() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Gossip::Builder::hasRecent() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::kingcupstair::rpc::wire::RecentVersion,  ::capnp::Kind::STRUCT>::Reader Gossip::Reader::getRecent() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::RecentVersion,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::kingcupstair::rpc::wire::RecentVersion,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::getRecent() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::RecentVersion,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Gossip::Builder::setRecent( ::capnp::List< ::kingcupstair::rpc::wire::RecentVersion,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::RecentVersion,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::kingcupstair::rpc::wire::RecentVersion,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::initRecent(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::RecentVersion,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Gossip::Builder::adoptRecent(
+    ::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::RecentVersion,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::RecentVersion,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::RecentVersion,  ::capnp::Kind::STRUCT>> Gossip::Builder::disownRecent() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::RecentVersion,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool Gossip::Reader::hasWanted() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Gossip::Builder::hasWanted() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Gossip::Reader::getWanted() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Gossip::Builder::getWanted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Gossip::Builder::setWanted( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void Gossip::Builder::setWanted(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Gossip::Builder::initWanted(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Gossip::Builder::adoptWanted(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Gossip::Builder::disownWanted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t RecentVersion::Reader::getHostHash() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RecentVersion::Builder::getHostHash() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RecentVersion::Builder::setHostHash( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RecentVersion::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RecentVersion::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RecentVersion::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RecentVersion::Reader::getVersion() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RecentVersion::Builder::getVersion() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void RecentVersion::Builder::setVersion( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t RecentVersion::Reader::getLiveness() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t RecentVersion::Builder::getLiveness() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
+}
+inline void RecentVersion::Builder::setLiveness( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Version::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/components/rpc/peer_clients.cc
+++ b/components/rpc/peer_clients.cc
@@ -166,17 +166,19 @@
       });
 }
 
-absl::StatusOr<std::vector<membership::HostUpdate>> PeerClients::Sync(
+absl::StatusOr<SyncAnswer> PeerClients::Sync(
     const std::string& host,
     const std::map<std::string, membership::RecordVersion>& versions,
     Duration timeout) {
-  return this->Call<std::vector<membership::HostUpdate>>(
+  return this->Call<SyncAnswer>(
       host, "sync", timeout, [versions](wire::Peer::Client& peer) {
         auto request = peer.syncRequest();
         Write(versions,
               request.initVersions(static_cast<unsigned>(versions.size())));
-        return request.send().then(
-            [](auto response) { return Read(response.getUpdates()); });
+        return request.send().then([](auto response) {
+          return SyncAnswer{.updates = Read(response.getUpdates()),
+                            .wanted = ReadHashes(response.getWanted())};
+        });
       });
 }
 
--- a/components/rpc/peer_clients.h
+++ b/components/rpc/peer_clients.h
@@ -48,7 +48,7 @@
   absl::StatusOr<GossipMessage> Gossip(const std::string& host,
                                        const GossipMessage& message,
                                        Duration timeout);
-  absl::StatusOr<std::vector<membership::HostUpdate>> Sync(
+  absl::StatusOr<SyncAnswer> Sync(
       const std::string& host,
       const std::map<std::string, membership::RecordVersion>& versions,
       Duration timeout);
--- a/components/rpc/peer_handlers.h
+++ b/components/rpc/peer_handlers.h
@@ -20,7 +20,7 @@
 /// once; all are called on the RPC loop's thread.
 struct PeerHandlers {
   std::function<GossipMessage(const GossipMessage&)> gossip;
-  std::function<std::vector<membership::HostUpdate>(
+  std::function<SyncAnswer(
       const std::map<std::string, membership::RecordVersion>&)>
       sync;
   /// Answers from any thread whether the host could be reached from here.
--- a/components/rpc/peer_server.cc
+++ b/components/rpc/peer_server.cc
@@ -65,10 +65,14 @@
   }
 
   kj::Promise<void> sync(SyncContext context) override {
-    const auto updates =
+    const SyncAnswer answer =
         this->state.handlers.sync(Read(context.getParams().getVersions()));
-    Write(updates, context.getResults().initUpdates(
-                       static_cast<unsigned>(updates.size())));
+    auto results = context.getResults();
+    Write(answer.updates,
+          results.initUpdates(static_cast<unsigned>(answer.updates.size())));
+    WriteHashes(
+        answer.wanted,
+        results.initWanted(static_cast<unsigned>(answer.wanted.size())));
     return kj::READY_NOW;
   }
 
--- /dev/null
+++ b/tests/http/raw_server.cc
@@ -0,0 +1,54 @@
+#include "tests/http/raw_server.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace kingcupstair {
+
+RawServer::RawServer(std::vector<Reply> replies) : replies(std::move(replies)) {
+  this->listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof(address);
+  bind(this->listener, reinterpret_cast<sockaddr*>(&address), size);
+  listen(this->listener, 8);
+  getsockname(this->listener, reinterpret_cast<sockaddr*>(&address), &size);
+  this->endpoint = {.address = "127.0.0.1", .port = ntohs(address.sin_port)};
+  this->thread = std::thread([this] { this->Run(); });
+}
+
+RawServer::~RawServer() {
+  shutdown(this->listener, SHUT_RDWR);
+  this->thread.join();
+  close(this->listener);
+}
+
+void RawServer::Run() {
+  std::vector<int> held;
+  for (const Reply& reply : this->replies) {
+    const int connection = accept(this->listener, nullptr, nullptr);
+    if (connection < 0) {
+      break;
+    }
+    char buffer[4096];
+    const bool asked = recv(connection, buffer, sizeof(buffer), 0) > 0;
+    if (asked) {
+      send(connection, reply.text.data(), reply.text.size(), MSG_NOSIGNAL);
+    }
+    if (reply.hold_open) {
+      held.push_back(connection);
+    } else {
+      close(connection);
+    }
+  }
+  for (const int connection : held) {
+    char buffer[64];
+    recv(connection, buffer, sizeof(buffer), 0);
+    close(connection);
+  }
+}
+
+}  // namespace kingcupstair
--- a/tests/measure/module_slopes.cc
+++ b/tests/measure/module_slopes.cc
@@ -44,7 +44,8 @@
 std::string Rules(int organisations, int routes) {
   std::string text;
   for (int i = 0; i < kServices; ++i) {
-    text += "service s" + std::to_string(i) + " floor 0.5 slots 7 # asked by: capacity\n";
+    text += "service s" + std::to_string(i) +
+            " floor 0.5 slots 7 # asked by: capacity\n";
   }
   for (int i = 0; i < routes; ++i) {
     const std::string number = std::to_string(i);
@@ -54,8 +55,9 @@
   }
   for (int i = 0; i < organisations; ++i) {
     const std::string name = "organisation-" + std::to_string(i);
-    text += "organisation " + name + " rate 10 burst 20 key sha256:" +
-            Sha256Hex(name) + " # asked by: capacity\n";
+    text += "organisation " + name +
+            " rate 10 burst 20 key sha256:" + Sha256Hex(name) +
+            " # asked by: capacity\n";
   }
   return text;
 }
@@ -105,7 +107,7 @@
 
 void MeasureDirectory(int hosts) {
   const size_t before = HeapBytes();
-  membership::Directory directory({}, UpdateOf(0).record);
+  membership::Directory directory({}, UpdateOf(0).record, At(0));
   for (int i = 1; i < hosts; ++i) {
     directory.Merge(UpdateOf(i), At(0));
   }
@@ -127,8 +129,8 @@
     board.Plan(At(i));
   }
   Print("board.plan_cpu", hosts, (CpuMillis() - begun) * 100, "us");
-  Print("board.memory", hosts,
-        static_cast<double>(HeapBytes() - before), "bytes");
+  Print("board.memory", hosts, static_cast<double>(HeapBytes() - before),
+        "bytes");
   begun = CpuMillis();
   for (int i = 0; i < 1000; ++i) {
     board.Choose("s" + std::to_string(i % kServices), {}, At(20));
@@ -164,8 +166,8 @@
   }
   Print("pool.acquire_cpu", organisations,
         (CpuMillis() - begun) * 1000 / organisations, "us_each");
-  Print("pool.memory", organisations,
-        static_cast<double>(HeapBytes() - before), "bytes");
+  Print("pool.memory", organisations, static_cast<double>(HeapBytes() - before),
+        "bytes");
 }
 
 void MeasureGossip(int updates) {
--- a/tests/membership/directory_test.cc
+++ b/tests/membership/directory_test.cc
@@ -2,6 +2,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <set>
 
 #include "components/membership/isolation.h"
@@ -16,7 +17,7 @@
 }
 
 TEST_GROUP(Directory) {
-  Directory directory{{}, Record("own", 10)};
+  Directory directory{{}, Record("own", 10), At(0)};
 
   void Hear(const HostRecord& record, Liveness liveness = Liveness::kAlive) {
     this->directory.Merge({.record = record, .liveness = liveness}, At(0));
@@ -62,7 +63,7 @@
 TEST(Directory, TellsAPeerExactlyWhatItLacks) {
   this->Hear(Record("a", 5));
   this->Hear(Record("b", 6));
-  Directory peer({}, Record("peer", 1));
+  Directory peer({}, Record("peer", 1), At(0));
   peer.Merge({.record = Record("a", 5)}, At(0));
   const auto lacking = this->directory.NewerThan(peer.Versions());
   LONGS_EQUAL(2, lacking.size());
@@ -73,13 +74,32 @@
   CHECK(peer.Digest() == this->directory.Digest());
 }
 
-TEST(Directory, PassesNewsOnALimitedNumberOfTimes) {
+TEST(Directory, ARecordGoesOnlyToAPeerThatLacksIt) {
+  Directory peer({}, Record("peer", 1), At(0));
   this->Hear(Record("a", 5));
-  size_t sent = 0;
-  for (int i = 0; i < 100; ++i) {
-    sent += this->directory.PickGossip(8).size();
+  const auto told = this->directory.Recent(At(1));
+  const auto wanted = peer.Lacking(told);
+  CHECK(std::find(wanted.begin(), wanted.end(), told.front().host_hash) !=
+        wanted.end());
+  for (const HostUpdate& update : this->directory.FindByHash(wanted)) {
+    peer.Merge(update, At(1));
   }
-  LONGS_EQUAL(2 * 5, sent);
+  CHECK(peer.Lacking(told).empty());
+  for (const HostUpdate& update :
+       this->directory.RecentUpdatesFor(peer.Recent(At(1)), 8, At(1))) {
+    CHECK(update.record.host != "a");
+  }
+}
+
+TEST(Directory, ANewHostTellsOfItself) {
+  Directory peer({}, Record("peer", 1), At(0));
+  LONGS_EQUAL(1, this->directory.Lacking(peer.Recent(At(1))).size());
+  LONGS_EQUAL(1, this->directory.LackingOf(peer.Versions()).size());
+}
+
+TEST(Directory, TellsOfAChangeForALimitedTime) {
+  CHECK_FALSE(this->directory.Recent(At(29'999)).empty());
+  CHECK(this->directory.Recent(At(30'000)).empty());
 }
 
 TEST_GROUP(Prober){};
--- a/tests/process/lib.sh
+++ b/tests/process/lib.sh
@@ -35,7 +35,7 @@
   site_host 3 aqp-2
   local number
   for number in 1 2 3; do
-    site_upstream "lote-$number" lote "$number" --slots 7 --run-log "$dir/runs.log"
+    site_upstream "lote-$number" lote "$number" --slots 7 --run-log "$dir/runs.log" --linger-ms 8000
   done
   site_ctl apply "$1" >/dev/null
   site_wait_revision 1 1 2 3
--- a/tests/process/zone_test.sh
+++ b/tests/process/zone_test.sh
@@ -8,7 +8,7 @@
 small_site "$dir/rules"
 
 site_call --hosts "$(site_hosts 2 3)" --target /lote/status/1 --key grower-key \
-  --rate 100 --length-ms 24000 --order-prefix z >"$dir/z.json" &
+  --rate 100 --length-ms 27000 --order-prefix z >"$dir/z.json" &
 run=$!
 sleep 1.5
 kill -STOP "${site_pids[host1]}"
@@ -36,10 +36,11 @@
 site_ctl upstream in lote-2 >/dev/null
 sleep 1
 left=$(now_ms)
-site_stop lote-3
-sleep 1
+# It says that it leaves and still serves for 8 s, so work sent to it would show.
+site_kill lote-3 TERM
+sleep 7
 expect "a leaving upstream gets nothing after 5 s" "$(runs_after "$dir/runs.log" $((left + 5000)) lote-3)" = 0
 wait "$run"
 cat "$dir/z.json"
-expect "every request was served" "$(jq '.status["200"]' "$dir/z.json")" = 2400
+expect "every request was served" "$(jq '.status["200"]' "$dir/z.json")" = 2700
 finish
