--- a/apps/kingcupstaird/daemon.cc
+++ b/apps/kingcupstaird/daemon.cc
@@ -252,7 +252,7 @@
           },
       .lend =
           [this](limits::ShardId shard, const std::string& asker) {
-            return this->rates.Lend(shard, asker);
+            return this->permits.Lend(shard, asker);
           },
       .give_back =
           [this](limits::ShardId shard, const std::string& asker) {
--- a/components/control/loan_loop.cc
+++ b/components/control/loan_loop.cc
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr Duration kRound{std::chrono::milliseconds(200)};
-constexpr Duration kShortestLoan{std::chrono::seconds(2)};
+constexpr Duration kShortestLoan{std::chrono::seconds(1)};
 constexpr Duration kLoanPerHost{std::chrono::milliseconds(100)};
 constexpr Duration kAskTimeout{std::chrono::milliseconds(300)};
 constexpr Duration kPauseAfterFailure{std::chrono::milliseconds(500)};
--- a/components/control/permit_source.cc
+++ b/components/control/permit_source.cc
@@ -20,6 +20,15 @@
   this->pool_hosts.Publish(std::move(updated));
 }
 
+limits::LoanGrant PermitSource::Lend(limits::ShardId shard,
+                                     const std::string& asker) {
+  const auto hosts = this->pool_hosts.Read();
+  if ((*hosts)[static_cast<size_t>(shard)] != asker) {
+    return {};
+  }
+  return this->fleet.rates.Lend(shard, asker);
+}
+
 limits::PermitGrant PermitSource::Acquire(const std::string& organisation) {
   const auto hosts = this->pool_hosts.Read();
   const std::string& pool =
--- a/components/control/permit_source.h
+++ b/components/control/permit_source.h
@@ -18,6 +18,10 @@
   /// Works out anew which hosts pool which shards.
   void UpdatePoolHosts();
 
+  /// Lends this host's share of `shard`, but only to the host that this one
+  /// takes its permits from: a share lent to any other would be out of reach.
+  limits::LoanGrant Lend(limits::ShardId shard, const std::string& asker);
+
   /// Takes one permit; suspends the calling fiber.
   limits::PermitGrant Acquire(const std::string& organisation);
 
