--- a/components/ingress/attempt_runner.cc
+++ b/components/ingress/attempt_runner.cc
@@ -22,7 +22,11 @@
                              rpc::PeerClients& peers,
                              FleetBoard& board,
                              events::Recorder& recorder)
-    : options(std::move(options)), guard(guard), peers(peers), board(board) {}
+    : options(std::move(options)),
+      guard(guard),
+      peers(peers),
+      board(board),
+      recorder(recorder) {}
 
 once::Outcome AttemptRunner::Run(const Choice& choice,
                                  const once::RunRequest& request) {
