--- a/CI/mutants.sh
+++ b/CI/mutants.sh
@@ -12,6 +12,15 @@
 cmake -S . -B build -G Ninja >/dev/null
 missed=0
 
+targets_of() {
+  case "$1" in
+    unit) echo unit_tests ;;
+    io) echo io_tests ;;
+    scenario) echo scenarios ;;
+    *) echo all ;;
+  esac
+}
+
 # mutant NAME FILE SED-EXPRESSION PROOF...
 mutant() {
   local name="$1" file="$2" expression="$3" log
@@ -25,7 +34,8 @@
     return 0
   fi
   log="$copy/mutant.log"
-  if ! ninja -C build >"$log" 2>&1; then
+  # shellcheck disable=SC2046
+  if ! ninja -C build $(targets_of "$1") >"$log" 2>&1; then
     echo "mutant $name: does not build"
     tail -n 5 "$log"
     missed=1
@@ -44,12 +54,12 @@
 scenario() { build/tests/scenarios "tests/scenario/scripts/$1.lua"; }
 process() { "tests/process/$1_test.sh"; }
 
-mutant floor components/health/ejection_planner.cc 's/if (this->ejected.size() >= allowed)/if (false)/' unit EjectionPlanner
+mutant floor components/health/ejection_planner.cc 's/if (this->ejected.size() >= allowed)/if (this->ejected.size() >= allowed + 9)/' unit EjectionPlanner
 mutant key_stripped components/ingress/ingress.cc 's/{"Authorization", "Proxy-Authorization", "X-Api-Key"}/{"X-None"}/' process keys
 mutant isolation components/membership/isolation.cc 's/return hosts_known > 1 \&\&/return false \&\&/' process keys
 mutant loan_exclusive components/limits/share_lender.cc 's/const bool taken = .*/const bool taken = false;/' unit RatesWorld
 mutant permits_counted components/limits/rate_pool.cc 's/bucket->outstanding_count += granted;/;/; s/bucket.outstanding_count += granted;/;/' unit RatesWorld
-mutant restart_holds_back components/limits/share_lender.cc 's/loan = {.fraction = 1, .expires = until + this->options.margin};/(void)until;/' unit RatesWorld
+mutant restart_holds_back components/limits/share_lender.cc 's/.expires = until + this->options.margin/.expires = until - std::chrono::hours(1)/' unit RatesWorld
 mutant warm_up components/admission/concurrency_limit.cc 's/1 \/ (kAnswersPerStep \* this->value)/100/' scenario warm_up
 mutant zone_at_guard components/guard/guard.cc 's/return current->IsZoneOut(this->options.zone) ||/return false \&\&/' process zone
 mutant drain_at_guard components/guard/guard.cc 's/return found->second.announcement.draining ?/return false ?/' process zone
--- a/components/guard/guard.cc
+++ b/components/guard/guard.cc
@@ -242,6 +242,10 @@
   }
   GuardedUpstream& upstream = found->second;
   upstream.running.erase(ticket);
+  this->recorder.counters().Add(
+      "kingcupstair_upstream_runs_total",
+      {{.name = "upstream", .value = request.upstream},
+       {.name = "result", .value = once::ResultOf(outcome)}});
   if (std::holds_alternative<once::Ran>(outcome)) {
     this->crashes.Clear(request.fingerprint, now);
   }
--- a/components/ingress/ingress.cc
+++ b/components/ingress/ingress.cc
@@ -6,6 +6,7 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "components/base/hash.h"
+#include "components/logging/log.h"
 #include "components/retry/retry_policy.h"
 
 namespace kingcupstair::ingress {
@@ -51,6 +52,28 @@
   return route.deadline;
 }
 
+/// Logs an attempt that brought no answer; names and ids only, no key.
+void LogAttempt(const std::string& request_id,
+                const std::string& organisation,
+                const std::string& host,
+                const once::Outcome& outcome) {
+  if (std::holds_alternative<once::Ran>(outcome)) {
+    return;
+  }
+  const auto* refusal = std::get_if<once::NotRun>(&outcome);
+  logging::Write(
+      logging::Level::kWarning, "an attempt brought no answer",
+      {{.name = "request_id", .value = request_id},
+       {.name = "organisation", .value = organisation},
+       {.name = "step", .value = "attempt"},
+       {.name = "peer", .value = host},
+       {.name = "outcome", .value = refusal != nullptr ? "not-run" : "unknown"},
+       {.name = "reason",
+        .value = refusal != nullptr
+                     ? once::ToText(refusal->reason)
+                     : std::get<once::Unknown>(outcome).detail}});
+}
+
 }  // namespace
 
 /// A request on its way through the ingress.
@@ -191,6 +214,8 @@
     tried.insert(choice->upstream);
     last.outcome = this->runner.Run(*choice, this->MakeRun(admitted, *choice));
     ++last.attempts;
+    LogAttempt(admitted.request_id, admitted.organisation, choice->host,
+               last.outcome);
     const auto* unknown = std::get_if<once::Unknown>(&last.outcome);
     last.upstreams_broken +=
         unknown != nullptr && unknown->upstream_broke ? 1 : 0;
@@ -202,8 +227,7 @@
     }
     this->Count(admitted, "retried");
   }
-  constexpr const char* kResults[] = {"ran", "not_run", "unknown"};
-  this->Count(admitted, kResults[last.outcome.index()]);
+  this->Count(admitted, once::ResultOf(last.outcome));
   if (!std::holds_alternative<once::Ran>(last.outcome)) {
     const auto* refusal = std::get_if<once::NotRun>(&last.outcome);
     this->recorder.Record(
--- a/components/once/outcome.cc
+++ b/components/once/outcome.cc
@@ -28,4 +28,9 @@
   return "none";
 }
 
+const char* ResultOf(const Outcome& outcome) {
+  constexpr const char* kResults[] = {"ran", "not_run", "unknown"};
+  return kResults[outcome.index()];
+}
+
 }  // namespace kingcupstair::once
--- a/components/once/outcome.h
+++ b/components/once/outcome.h
@@ -54,6 +54,9 @@
 /// What became of one attempt to run a request.
 using Outcome = std::variant<Ran, NotRun, Unknown>;
 
+/// "ran", "not_run" or "unknown", for counters and logs.
+const char* ResultOf(const Outcome& outcome);
+
 }  // namespace kingcupstair::once
 
 #endif  // COMPONENTS_ONCE_OUTCOME_H_
--- a/tests/process/silent_link_test.sh
+++ b/tests/process/silent_link_test.sh
@@ -38,4 +38,5 @@
 expect "requests are served also while the path is cut" "$(awk -v t="$before" '$1 > t - 5000 && $1 < t - 3000 && $3 == 200' "$dir/outcomes" | wc -l)" -gt 60
 expect "the path is used again when it is whole" "$(runs_after "$dir/runs.log" "$before" lote-2)" -gt 0
 expect "the time line tells of the lost path" "$(site_ctl timeline | grep -c path_lost)" -gt 0
+expect "logs name the request, organisation, step and peer" "$(grep -h 'brought no answer' "$dir"/host1.log | jq -r 'select(.context_map | .request_id and .organisation and .step and .peer) | .level' | grep -c WARN)" -gt 0
 finish
