--- a/tests/http/raw_server.cc
+++ b/tests/http/raw_server.cc
@@ -5,6 +5,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <stdexcept>
+
 namespace kingcupstair {
 
 RawServer::RawServer(std::vector<Reply> replies) : replies(std::move(replies)) {
@@ -13,8 +15,10 @@
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   socklen_t size = sizeof(address);
-  bind(this->listener, reinterpret_cast<sockaddr*>(&address), size);
-  listen(this->listener, 8);
+  if (bind(this->listener, reinterpret_cast<sockaddr*>(&address), size) != 0 ||
+      listen(this->listener, 8) != 0) {
+    throw std::runtime_error("the raw server can't listen");
+  }
   getsockname(this->listener, reinterpret_cast<sockaddr*>(&address), &size);
   this->endpoint = {.address = "127.0.0.1", .port = ntohs(address.sin_port)};
   this->thread = std::thread([this] { this->Run(); });
