--- a/apps/kingcupstaird/admin_pages.cc
+++ b/apps/kingcupstaird/admin_pages.cc
@@ -8,6 +8,7 @@
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
 
 http::Response PlainText(std::string text) {
   return {.status = kOk,
@@ -46,12 +47,16 @@
 
 AdminPages::AdminPages(control::Fleet& fleet,
                        guard::Guard& guard,
+                       const site::SiteInterface& interface,
                        const std::atomic<bool>& leaving)
-    : fleet(fleet), guard(guard), leaving(leaving) {}
+    : fleet(fleet), guard(guard), interface(interface), leaving(leaving) {}
 
 http::Response AdminPages::Handle(const http::Request& request) {
-  if (request.method == "POST" && request.target == "/announce") {
-    return this->TakeAnnouncement(request);
+  if (const auto call = this->interface.read_upstream_call(request)) {
+    return this->TakeUpstreamCall(*call);
+  }
+  if (request.target == this->interface.readiness_target) {
+    return this->Readiness();
   }
   if (request.target == "/status") {
     return http::JsonResponse(kOk, this->StatusText());
@@ -68,18 +73,27 @@
   return http::JsonResponse(kNotFound, "{\"error\":\"no such page\"}\n");
 }
 
-http::Response AdminPages::TakeAnnouncement(const http::Request& request) {
-  const auto announcement = guard::DecodeAnnouncement(request.body);
-  if (!announcement.ok()) {
-    const auto message = announcement.status().message();
+http::Response AdminPages::TakeUpstreamCall(
+    const absl::StatusOr<site::UpstreamCall>& call) {
+  if (!call.ok()) {
+    const auto message = call.status().message();
     const std::string text(message.data(), message.size());
     return http::JsonResponse(kBadRequest,
                               nlohmann::json{{"error", text}}.dump() + "\n");
   }
-  this->guard.Announce(*announcement);
+  if (const auto* departure = std::get_if<site::Departure>(&*call)) {
+    this->guard.Withdraw(departure->id);
+  } else {
+    this->guard.Announce(std::get<guard::Announcement>(*call));
+  }
   return http::JsonResponse(kOk, "{}\n");
 }
 
+http::Response AdminPages::Readiness() const {
+  const bool ready = !this->leaving && this->fleet.config.Revision() > 0;
+  return {.status = ready ? kOk : kUnavailable};
+}
+
 std::string AdminPages::EventLines() const {
   std::string lines;
   for (const events::Event& event : this->fleet.recorder.ring().All()) {
--- a/apps/kingcupstaird/daemon.cc
+++ b/apps/kingcupstaird/daemon.cc
@@ -16,6 +16,8 @@
 constexpr Duration kFollowInterval{std::chrono::milliseconds(20)};
 constexpr Duration kLeavePoll{std::chrono::milliseconds(20)};
 constexpr Duration kLongestLeave{std::chrono::seconds(60)};
+/// Hosts that start together know each other after some rounds of gossip.
+constexpr Duration kShareGatheringTime{std::chrono::milliseconds(2500)};
 constexpr int kRandomIncarnationBits = 16;
 
 /// Rises with each start; the low bits tell starts in the same millisecond
@@ -50,8 +52,10 @@
 
 }  // namespace
 
-Daemon::Daemon(DaemonSettings given)
+Daemon::Daemon(DaemonSettings given, site::SiteInterface site_interface)
     : settings(std::move(given)),
+      interface(std::move(site_interface)),
+      dialect(std::make_shared<const Dialect>(this->interface.dialect)),
       incarnation(NewIncarnation()),
       workers(this->settings.threads),
       recorder({.host = ToText(this->settings.peer_address),
@@ -64,7 +68,8 @@
             {.own_host = ToText(this->settings.peer_address),
              .incarnation = this->incarnation,
              .fleet_key = this->settings.fleet_key}),
-      store({.server = this->settings.store}),
+      store({.server = this->settings.store,
+             .protocol = this->interface.store}),
       fleet{.places = PlacesOf(this->settings),
             .config = this->config,
             .directory = this->directory,
@@ -74,6 +79,12 @@
             .peers = this->peers,
             .store = this->store,
             .recorder = this->recorder,
+            .configuration_source = this->interface.configuration,
+            .watchers_per_zone =
+                static_cast<size_t>(this->settings.watchers_per_zone),
+            .share_gathering_time =
+                this->interface.hosts_in_store ? kShareGatheringTime
+                                               : Duration{},
             .on_reached =
                 [this](const std::string& host) {
                   this->board.OnPathReached(host);
@@ -82,10 +93,12 @@
       gossip_loop(this->fleet, this->incarnation),
       loan_loop(this->fleet),
       share_loop(this->fleet),
+      host_loop(this->fleet, this->gossip_loop),
       permits(this->fleet),
       guard({.zone = this->settings.zone,
              .incarnation = [this] { return this->directory.OwnIncarnation(); },
-             .isolated = [this] { return this->IsIsolated(); }},
+             .isolated = [this] { return this->IsIsolated(); },
+             .dialect = this->dialect},
             this->config.snapshot(),
             this->crashes,
             this->recorder),
@@ -99,7 +112,11 @@
                .acquire =
                    [this](const std::string& organisation) {
                      return this->permits.Acquire(organisation);
-                   }},
+                   },
+               .hosts = [this] { return this->directory.size(); },
+               .retries = this->settings.retries,
+               .dialect = this->dialect,
+               .caller_service = this->settings.caller_service},
               this->config.snapshot(),
               this->board,
               this->runner,
@@ -110,16 +127,29 @@
                    .fleet_key = this->settings.fleet_key},
                   this->MakeHandlers()),
       caller_server(this->workers,
-                    {.listen = this->settings.listen},
-                    [this](const http::Request& request) {
-                      return this->ingress.Handle(request);
-                    }),
-      admin_pages(this->fleet, this->guard, this->leaving),
+                    {.listen = this->settings.listen,
+                     .limits = [this] { return this->CallerLimits(); }},
+                    http::CancellableHandler(
+                        [this](const http::Request& request,
+                               const CancellationPtr& caller) {
+                          return this->ingress.Handle(request, caller);
+                        })),
+      admin_pages(this->fleet, this->guard, this->interface, this->leaving),
       admin_server(this->workers,
                    {.listen = this->settings.admin_listen},
                    [this](const http::Request& request) {
                      return this->admin_pages.Handle(request);
-                   }) {}
+                   }),
+      ready_server(this->workers,
+                   {.listen = this->settings.ready_listen},
+                   [this](const http::Request& request) {
+                     return this->admin_pages.Handle(request);
+                   }),
+      metrics_server(this->workers,
+                     {.listen = this->settings.metrics_listen},
+                     [this](const http::Request& request) {
+                       return this->admin_pages.Handle(request);
+                     }) {}
 
 // The loops and the RPC thread use the members, so they end first.
 Daemon::~Daemon() {
@@ -133,6 +163,16 @@
   if (const auto status = this->admin_server.Start(); !status.ok()) {
     return status;
   }
+  for (const auto& [server, listen] :
+       {std::pair(&this->ready_server, this->settings.ready_listen),
+        std::pair(&this->metrics_server, this->settings.metrics_listen)}) {
+    if (listen.port == 0) {
+      continue;
+    }
+    if (const auto status = server->Start(); !status.ok()) {
+      return status;
+    }
+  }
   if (const auto status = this->peer_server.Start(); !status.ok()) {
     return status;
   }
@@ -159,6 +199,9 @@
   this->Loop([this] { this->gossip_loop.Step(); });
   this->Loop([this] { this->loan_loop.Step(); });
   this->Loop([this] { this->share_loop.Step(); });
+  if (this->interface.hosts_in_store) {
+    this->Loop([this] { this->host_loop.Step(); });
+  }
   this->Loop([this] { this->FollowPeers(); });
   this->Loop([this] {
     this->guard.Tick();
@@ -224,8 +267,17 @@
   fibers::SleepFor(kPlanInterval);
 }
 
+http::ServerLimits Daemon::CallerLimits() const {
+  const auto current = this->config.snapshot().Read();
+  const config::CallersRule& callers = current->callers();
+  return {.header_bytes = callers.header_bytes,
+          .body_bytes = callers.body_bytes,
+          .idle_timeout = callers.idle_timeout};
+}
+
 bool Daemon::IsIsolated() const {
-  return this->isolation.IsIsolated(this->directory.size(), MonotonicNow());
+  return !this->interface.serves_when_isolated &&
+         this->isolation.IsIsolated(this->directory.size(), MonotonicNow());
 }
 
 rpc::PeerHandlers Daemon::MakeHandlers() {
@@ -274,6 +326,17 @@
                 [this, run = std::get<guard::AcceptedRun>(std::move(answer)),
                  done = std::move(done)] { done(this->guard.Run(run)); });
           },
+      .reserve =
+          [this](const once::SlotRequest& request,
+                 std::function<void(rpc::SlotAnswer)> done) {
+            this->workers.Spawn([this, request, done = std::move(done)] {
+              done(this->guard.Reserve(request));
+            });
+          },
+      .cancel =
+          [this](const std::string& request_id, uint64_t asked_incarnation) {
+            this->guard.Cancel(request_id, asked_incarnation);
+          },
       .resolve =
           [this](const std::string& request_id, uint64_t asked_incarnation) {
             return this->guard.Resolve(request_id, asked_incarnation);
--- a/apps/kingcupstaird/daemon.h
+++ b/apps/kingcupstaird/daemon.h
@@ -13,6 +13,7 @@
 #include "components/control/directory_keeper.h"
 #include "components/control/fleet.h"
 #include "components/control/gossip_loop.h"
+#include "components/control/host_loop.h"
 #include "components/control/loan_loop.h"
 #include "components/control/permit_source.h"
 #include "components/control/rate_keeper.h"
@@ -22,13 +23,14 @@
 #include "components/http/server.h"
 #include "components/ingress/ingress.h"
 #include "components/rpc/peer_server.h"
+#include "components/site/site_interface.h"
 
 namespace kingcupstair {
 
 /// One process of the fleet: ingress, guard and its part of the control plane.
 class Daemon {
  public:
-  explicit Daemon(DaemonSettings settings);
+  Daemon(DaemonSettings settings, site::SiteInterface interface);
   ~Daemon();
 
   /// Opens all ports and starts the loops.
@@ -41,6 +43,7 @@
  private:
   membership::HostRecord OwnRecord() const;
   rpc::PeerHandlers MakeHandlers();
+  http::ServerLimits CallerLimits() const;
   void StartLoops();
   void Loop(std::function<void()> step);
   void PublishOwn();
@@ -50,6 +53,8 @@
   bool IsIsolated() const;
 
   DaemonSettings settings;
+  site::SiteInterface interface;
+  std::shared_ptr<const Dialect> dialect;
   uint64_t incarnation;
   std::atomic<bool> leaving{false};
   std::atomic<bool> stopping{false};
@@ -70,6 +75,7 @@
   control::GossipLoop gossip_loop;
   control::LoanLoop loan_loop;
   control::ShareLoop share_loop;
+  control::HostLoop host_loop;
   control::PermitSource permits;
   guard::Guard guard;
   ingress::FleetBoard board;
@@ -79,6 +85,8 @@
   http::Server caller_server;
   AdminPages admin_pages;
   http::Server admin_server;
+  http::Server ready_server;
+  http::Server metrics_server;
 
   uint64_t board_digest = 0;
   uint64_t board_revision = 0;
--- a/apps/kingcupstaird/daemon_settings.cc
+++ b/apps/kingcupstaird/daemon_settings.cc
@@ -62,6 +62,31 @@
   flags.Add({.name = "threads",
              .help = "threads for requests, 1 to 64",
              .set = settings::SetInteger(settings.threads, 1, kMaxThreads)});
+  flags.Add({.name = "ready-listen",
+             .help = "ADDRESS:PORT at which it is asked whether this host "
+                     "takes callers, if not admin-listen",
+             .set = settings::SetEndpoint(settings.ready_listen)});
+  flags.Add({.name = "metrics-listen",
+             .help = "ADDRESS:PORT at which counters are read, if not "
+                     "admin-listen",
+             .set = settings::SetEndpoint(settings.metrics_listen)});
+  flags.Add({.name = "site-interface",
+             .help = "how callers, upstreams, the store and operators are "
+                     "talked with: own or platform",
+             .set = settings::SetText(settings.site_interface)});
+  flags.Add({.name = "caller-service",
+             .help = "service of the upstream on this host, told to other "
+                     "upstreams",
+             .set = settings::SetText(settings.caller_service)});
+  flags.Add({.name = "retry-ratio",
+             .help = "retries of all hosts for each request, 0 to 1",
+             .set = settings::SetFraction(settings.retries.ratio)});
+  flags.Add({.name = "retry-slack",
+             .help = "retries of all hosts together beyond that",
+             .set = settings::SetNumber(settings.retries.slack)});
+  flags.Add({.name = "watchers-per-zone",
+             .help = "hosts of each availability zone that watch the store",
+             .set = settings::SetInteger(settings.watchers_per_zone, 1, 100)});
   flags.Add({.name = "leave-ms",
              .help = "milliseconds for which a leaving host still takes "
                      "requests, at most 60000",
--- a/apps/kingcupstaird/daemon_settings.h
+++ b/apps/kingcupstaird/daemon_settings.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "components/base/endpoint.h"
+#include "components/retry/retry_budget.h"
 #include "components/settings/flag_set.h"
 
 namespace kingcupstair {
@@ -26,6 +27,18 @@
   /// Peers to ask first when the store is out.
   std::vector<Endpoint> seeds;
   int threads = 2;
+  /// Where it is asked whether the host takes callers; with the admin port when
+  /// the port is 0.
+  Endpoint ready_listen;
+  /// Where counters are read; with the admin port when the port is 0.
+  Endpoint metrics_listen;
+  /// "own", or the name of the site whose interface is spoken.
+  std::string site_interface = "own";
+  /// The service beside which this host stands; may be empty.
+  std::string caller_service;
+  /// Bounds of the site on retries of all hosts together.
+  retry::RetryBudget::Options retries;
+  int watchers_per_zone = 2;
   /// How long a leaving host goes on taking requests for other hosts.
   Duration leave_time{std::chrono::seconds(2)};
 };
--- a/apps/kingcupstaird/main.cc
+++ b/apps/kingcupstaird/main.cc
@@ -1,10 +1,22 @@
 #include "apps/kingcupstaird/daemon.h"
 #include "components/logging/log.h"
 #include "components/settings/end_signals.h"
+#include "platform/interface.h"
 
 namespace kingcupstair {
 namespace {
 
+absl::StatusOr<site::SiteInterface> InterfaceNamed(const std::string& name) {
+  if (name == "own") {
+    return site::OwnInterface();
+  }
+  if (name == "platform") {
+    return platform::Interface();
+  }
+  return absl::InvalidArgumentError("--site-interface is own or platform, not '" +
+                                    name + "'");
+}
+
 int Main(int argc, char** argv) {
   DaemonSettings settings;
   if (const auto code =
@@ -13,14 +25,22 @@
   }
   logging::Init("kingcupstaird");
   const settings::EndSignals end_signals;
-  Daemon daemon(settings);
+  auto interface = InterfaceNamed(settings.site_interface);
+  if (!interface.ok()) {
+    settings::EndProcess(
+        settings::ReportError("kingcupstaird", interface.status()));
+  }
+  Daemon daemon(settings, *std::move(interface));
   if (const auto status = daemon.Start(); !status.ok()) {
     settings::EndProcess(settings::ReportError("kingcupstaird", status));
   }
   logging::Write(logging::Level::kInfo, "serving",
                  {{.name = "peer", .value = ToText(settings.peer_listen)},
                   {.name = "zone", .value = settings.zone}});
-  end_signals.Wait();
+  end_signals.Wait([] {
+    logging::Write(logging::Level::kInfo,
+                   "settings are read at start only; reload passed over");
+  });
   daemon.Leave();
   logging::Write(logging::Level::kInfo, "left");
   settings::EndProcess(settings::kExitOk);
--- a/components/admission/fair_queue.cc
+++ b/components/admission/fair_queue.cc
@@ -6,7 +6,7 @@
 namespace kingcupstair::admission {
 namespace {
 
-constexpr double kLeastWeight = 1e-3;
+constexpr double kLeastWeight = 1e-9;
 /// Requests by which an organisation that used less than its part may catch up.
 /// Small organisations' requests come unevenly, and without this they would
 /// wait longer than those of large ones.
--- a/components/admission/upstream_gate.cc
+++ b/components/admission/upstream_gate.cc
@@ -1,6 +1,9 @@
 #include "components/admission/upstream_gate.h"
 
 #include <algorithm>
+#include <cmath>
+
+#include "absl/strings/str_cat.h"
 
 namespace kingcupstair::admission {
 namespace {
@@ -11,6 +14,23 @@
 constexpr int kEnoughTimes = 3;
 constexpr Duration kRetryWhenFull{std::chrono::seconds(1)};
 
+/// Bounds on new requests hold for each span of this length.
+constexpr Duration kRateWindow{std::chrono::seconds(1)};
+/// A request that does not wait still needs its ticket to be valid now.
+constexpr Duration kLeastWait{std::chrono::milliseconds(1)};
+/// One rank of priority outweighs this many times the rate.
+constexpr double kPriorityFactor = 8;
+
+// Each rank of an organisation waits in a flow of its own, so that what is
+// urgent does not stand behind what is not.
+std::string FlowOf(const GateRequest& request) {
+  return absl::StrCat(request.priority, "/", request.organisation);
+}
+
+double WeightOf(const GateRequest& request) {
+  return request.weight * std::pow(kPriorityFactor, -request.priority);
+}
+
 RefuseTicket Refuse(TicketId ticket, once::RefusalReason reason) {
   const bool busy = reason == once::RefusalReason::kQueueFull ||
                     reason == once::RefusalReason::kQueueTimeout;
@@ -27,8 +47,17 @@
 std::vector<GateDecision> UpstreamGate::Offer(const GateRequest& request,
                                               Instant now) {
   std::vector<GateDecision> decisions;
-  const Instant expires = std::min(request.deadline - this->UsualLatency(),
-                                   now + this->options.max_wait);
+  const Duration max_wait = request.max_wait.value_or(this->options.max_wait);
+  if (max_wait == Duration{} &&
+      (this->queue.size() > 0 || this->in_flight() >= this->Limit() ||
+       !this->MayStart(now))) {
+    decisions.push_back(
+        Refuse(request.ticket, once::RefusalReason::kQueueFull));
+    return decisions;
+  }
+  const Instant expires =
+      std::min(request.deadline - this->UsualLatency(),
+               now + std::max(max_wait, kLeastWait));
   if (expires <= now) {
     decisions.push_back(
         Refuse(request.ticket, once::RefusalReason::kQueueTimeout));
@@ -36,14 +65,15 @@
   }
   const bool queued = now + this->ExpectedWait(request) < expires &&
                       this->queue.Push({.ticket = request.ticket,
-                                        .organisation = request.organisation,
-                                        .weight = request.weight,
+                                        .organisation = FlowOf(request),
+                                        .weight = WeightOf(request),
                                         .expires = expires});
   if (!queued) {
     decisions.push_back(
         Refuse(request.ticket, once::RefusalReason::kQueueFull));
     return decisions;
   }
+  this->waiting[request.ticket] = request.objective;
   this->StartWaiting(now, decisions);
   return decisions;
 }
@@ -56,11 +86,12 @@
   if (found == this->running.end()) {
     return decisions;
   }
-  const Duration latency = now - found->second;
+  const Duration latency = now - found->second.since;
+  const Duration objective = found->second.objective;
   this->running.erase(found);
   const bool had_time = latency > this->UsualLatency() * kEnoughTimes;
   if (end == RunEnd::kSuccess) {
-    this->NoteLatency(latency);
+    this->NoteLatency(latency, objective);
     this->error_share *= 1 - kErrorWeight;
     this->concurrency.OnSuccess(latency, now);
     ++this->finished;
@@ -74,6 +105,7 @@
 std::vector<GateDecision> UpstreamGate::Tick(Instant now) {
   std::vector<GateDecision> decisions;
   for (const TicketId ticket : this->queue.TakeExpired(now)) {
+    this->waiting.erase(ticket);
     decisions.push_back(Refuse(ticket, once::RefusalReason::kQueueTimeout));
   }
   this->StartWaiting(now, decisions);
@@ -86,12 +118,14 @@
   for (const TicketId ticket : this->queue.TakeAll()) {
     decisions.push_back(Refuse(ticket, reason));
   }
+  this->waiting.clear();
   return decisions;
 }
 
 void UpstreamGate::Restart() {
   this->concurrency = ConcurrencyLimit({.slots = this->options.slots});
   this->latency_micros = 0;
+  this->relative_latency = 0;
   this->error_share = 0;
   this->finished = 0;
 }
@@ -100,26 +134,31 @@
 // latency too.
 GateReport UpstreamGate::Report(Instant now) const {
   Duration oldest{};
-  for (const auto& [ticket, started] : this->running) {
-    oldest = std::max(oldest, now - started);
+  for (const auto& [ticket, each] : this->running) {
+    oldest = std::max(oldest, now - each.since);
   }
+  const bool by_rate =
+      std::holds_alternative<WarmUpByRate>(this->options.warm_up);
   return {.in_flight = this->in_flight(),
           .queued = static_cast<int>(this->queue.size()),
-          .limit = this->concurrency.limit(),
-          .cold = this->concurrency.cold(),
-          .latency = std::max(this->UsualLatency(), oldest),
+          .limit = this->Limit(),
+          .cold = !by_rate && this->concurrency.cold(),
+          .latency = by_rate ? this->RelativeLatency()
+                             : std::max(this->UsualLatency(), oldest),
           .error_share = this->error_share,
           .finished = this->finished};
 }
 
 void UpstreamGate::StartWaiting(Instant now,
                                 std::vector<GateDecision>& decisions) {
-  while (this->in_flight() < this->concurrency.limit()) {
+  while (this->in_flight() < this->Limit() && this->MayStart(now)) {
     const std::optional<TicketId> next = this->queue.Pop(now);
     if (!next.has_value()) {
       return;
     }
-    this->running[*next] = now;
+    this->running[*next] = {.since = now, .objective = this->waiting[*next]};
+    this->waiting.erase(*next);
+    this->starts.push_back(now);
     decisions.push_back(StartTicket{.ticket = *next});
   }
 }
@@ -135,12 +174,43 @@
 }
 
 Duration UpstreamGate::ExpectedWait(const GateRequest& request) const {
-  const double ahead = this->queue.Ahead(request.organisation, request.weight);
-  const double waves = ahead / this->concurrency.limit();
+  const double ahead =
+      this->queue.Ahead(FlowOf(request), WeightOf(request));
+  const double waves = ahead / this->Limit();
   return Duration(static_cast<int64_t>(waves * this->latency_micros));
 }
 
-void UpstreamGate::NoteLatency(Duration latency) {
+int UpstreamGate::Limit() const {
+  return std::holds_alternative<WarmUpByRate>(this->options.warm_up)
+             ? this->options.slots
+             : this->concurrency.limit();
+}
+
+bool UpstreamGate::MayStart(Instant now) {
+  while (!this->starts.empty() && now - this->starts.front() >= kRateWindow) {
+    this->starts.pop_front();
+  }
+  const auto* paced = std::get_if<WarmUpByRate>(&this->options.warm_up);
+  return paced == nullptr || paced->rate <= 0 ||
+         static_cast<double>(this->starts.size()) + 1 <= paced->rate;
+}
+
+// Requests of one service may differ much in the time they take, so upstreams
+// are compared by how much of each request's objective was used.
+Duration UpstreamGate::RelativeLatency() const {
+  return Duration(static_cast<int64_t>(
+      this->relative_latency * static_cast<double>(kRateWindow.count())));
+}
+
+void UpstreamGate::NoteLatency(Duration latency, Duration objective) {
+  if (objective > Duration{}) {
+    const double part = static_cast<double>(latency.count()) /
+                        static_cast<double>(objective.count());
+    this->relative_latency +=
+        this->relative_latency == 0
+            ? part
+            : kLatencyWeight * (part - this->relative_latency);
+  }
   const auto micros = static_cast<double>(latency.count());
   if (this->latency_micros == 0) {
     this->latency_micros = micros;
--- a/components/admission/upstream_gate.h
+++ b/components/admission/upstream_gate.h
@@ -1,8 +1,10 @@
 #ifndef COMPONENTS_ADMISSION_UPSTREAM_GATE_H_
 #define COMPONENTS_ADMISSION_UPSTREAM_GATE_H_
 
+#include <deque>
 #include <map>
 #include <optional>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -39,12 +41,37 @@
   kCancelled,  ///< It says nothing about the upstream.
 };
 
+/// The upstream says nothing of its warm-up, so its answers tell how many
+/// requests it bears at once.
+struct WarmUpByAnswers {
+  bool operator==(const WarmUpByAnswers&) const = default;
+};
+
+/// The upstream runs as many requests as it has slots, and while it is cold it
+/// bears a known number of new ones a second. It may turn cold unseen, so the
+/// number always holds.
+struct WarmUpByRate {
+  /// Requests a second; 0 for no bound.
+  double rate = 0;
+
+  bool operator==(const WarmUpByRate&) const = default;
+};
+
+using WarmUp = std::variant<WarmUpByAnswers, WarmUpByRate>;
+
 /// A request at the gate.
 struct GateRequest {
   TicketId ticket = 0;
   std::string organisation;
   double weight = 1;
+  /// 0 is the most urgent.
+  int priority = 0;
   Instant deadline;
+  /// The time within which an answer is as useful as it can be; zero when not
+  /// known.
+  Duration objective{};
+  /// Longest wait for a slot, if not that of the gate.
+  std::optional<Duration> max_wait;
 
   bool operator==(const GateRequest&) const = default;
 };
@@ -73,6 +100,7 @@
     int slots = 1;
     /// Longest wait for a slot.
     Duration max_wait{std::chrono::seconds(1)};
+    WarmUp warm_up = WarmUpByAnswers{};
   };
 
   explicit UpstreamGate(Options options);
@@ -99,7 +127,10 @@
 
  private:
   void StartWaiting(Instant now, std::vector<GateDecision>& decisions);
-  void NoteLatency(Duration latency);
+  void NoteLatency(Duration latency, Duration objective);
+  Duration RelativeLatency() const;
+  int Limit() const;
+  bool MayStart(Instant now);
   void NoteFailure(Instant now);
   Duration UsualLatency() const;
   Duration ExpectedWait(const GateRequest& request) const;
@@ -107,8 +138,19 @@
   Options options;
   ConcurrencyLimit concurrency;
   FairQueue queue;
-  std::map<TicketId, Instant> running;
+  struct Running {
+    Instant since;
+    Duration objective;
+  };
+
+  std::map<TicketId, Running> running;
+  /// Objectives of the requests that wait.
+  std::map<TicketId, Duration> waiting;
+  /// Starts within the last second, the oldest first.
+  std::deque<Instant> starts;
   double latency_micros = 0;
+  /// Latency as a part of the objective, exponentially weighted.
+  double relative_latency = 0;
   double error_share = 0;
   uint64_t finished = 0;
 };
--- a/components/balancing/chooser.cc
+++ b/components/balancing/chooser.cc
@@ -20,7 +20,8 @@
 
 std::optional<std::string> Chooser::Choose(
     const std::vector<Candidate>& candidates,
-    const std::set<std::string>& tried) {
+    const std::set<std::string>& tried,
+    Reach reach) {
   std::vector<const health::UpstreamView*> usable;
   std::vector<const health::UpstreamView*> trials;
   for (const Candidate& candidate : candidates) {
@@ -40,11 +41,24 @@
   if (usable.empty()) {
     return std::nullopt;
   }
+  if (reach == Reach::kOwnZone) {
+    this->KeepOwnZone(usable);
+  }
   const health::UpstreamView* first = pick(usable);
   const health::UpstreamView* second = pick(usable);
   return this->Cost(*second) < this->Cost(*first) ? second->id : first->id;
 }
 
+void Chooser::KeepOwnZone(
+    std::vector<const health::UpstreamView*>& usable) const {
+  const auto elsewhere = [this](const health::UpstreamView* view) {
+    return view->zone != this->options.own_zone;
+  };
+  if (!std::all_of(usable.begin(), usable.end(), elsewhere)) {
+    std::erase_if(usable, elsewhere);
+  }
+}
+
 // The expected time in the upstream: what is ahead, over what it runs at once,
 // times how long each takes.
 double Chooser::Cost(const health::UpstreamView& view) const {
--- a/components/balancing/chooser.h
+++ b/components/balancing/chooser.h
@@ -20,6 +20,12 @@
   bool operator==(const Candidate&) const = default;
 };
 
+/// Which upstreams a request goes to first.
+enum class Reach {
+  kOwnZone,  ///< Those of the own availability zone, if there are any left.
+  kAnyZone,
+};
+
 /// Chooses upstreams by the better of two random ones.
 class Chooser {
  public:
@@ -33,9 +39,11 @@
   /// The id of the upstream for the next request; nothing when none is left.
   /// `tried` are upstreams that this request has been to.
   std::optional<std::string> Choose(const std::vector<Candidate>& candidates,
-                                    const std::set<std::string>& tried);
+                                    const std::set<std::string>& tried,
+                                    Reach reach = Reach::kAnyZone);
 
  private:
+  void KeepOwnZone(std::vector<const health::UpstreamView*>& usable) const;
   double Cost(const health::UpstreamView& view) const;
 
   Options options;
--- a/components/base/time.cc
+++ b/components/base/time.cc
@@ -1,10 +1,17 @@
 #include "components/base/time.h"
 
+#include <ctime>
+
 namespace kingcupstair {
 
+// CLOCK_BOOTTIME also counts the time for which the host was suspended, which
+// leases and loans held elsewhere do not wait for.
 Instant MonotonicNow() {
-  return std::chrono::time_point_cast<Duration>(
-      std::chrono::steady_clock::now());
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return Instant(std::chrono::duration_cast<Duration>(
+      std::chrono::seconds(now.tv_sec) +
+      std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 int64_t WallClockMillis() {
--- a/components/config/configuration.cc
+++ b/components/config/configuration.cc
@@ -5,8 +5,14 @@
 namespace kingcupstair::config {
 namespace {
 
-std::string RouteKey(std::string_view method, std::string_view prefix) {
-  std::string key(method);
+constexpr std::string_view kAnyMethod = "ANY";
+
+std::string RouteKey(std::string_view host,
+                     std::string_view method,
+                     std::string_view prefix) {
+  std::string key(host);
+  key.push_back(' ');
+  key.append(method);
   key.push_back(' ');
   key.append(prefix);
   return key;
@@ -55,7 +61,7 @@
   }
 
   void Add(const RouteRule& rule) {
-    const std::string key = RouteKey(rule.method, rule.prefix);
+    const std::string key = RouteKey(rule.host, rule.method, rule.prefix);
     if (!this->built.routes.emplace(key, rule).second) {
       this->Fail(absl::StrCat("route '", key, "' stands twice"));
     }
@@ -75,6 +81,8 @@
     }
   }
 
+  void Add(const CallersRule& rule) { this->built.callers_rule = rule; }
+
   void Add(const ZoneOutRule& rule) { this->built.zones.insert(rule.zone); }
 
   void Add(const UpstreamOutRule& rule) {
@@ -84,11 +92,15 @@
   void CheckServicesExist() {
     for (const PlacedRule& placed : this->rules) {
       const auto* route = std::get_if<RouteRule>(&placed.rule);
-      if (route == nullptr || this->built.services.contains(route->service)) {
+      if (route == nullptr) {
         continue;
       }
       this->line = placed.line;
-      this->Fail(absl::StrCat("no service '", route->service, "'"));
+      for (const RoutePart& part : route->parts) {
+        if (!this->built.services.contains(part.service)) {
+          this->Fail(absl::StrCat("no service '", part.service, "'"));
+        }
+      }
     }
   }
 
@@ -109,18 +121,52 @@
       .Build();
 }
 
+const RouteRule* Configuration::FindExact(std::string_view host,
+                                          std::string_view method,
+                                          std::string_view prefix) const {
+  const auto* route = FindIn(this->routes, RouteKey(host, method, prefix));
+  return route != nullptr
+             ? route
+             : FindIn(this->routes, RouteKey(host, kAnyMethod, prefix));
+}
+
 // Cuts the path at one slash after the other, so the cost grows with the
 // segments of the path and not with the number of routes.
-const RouteRule* Configuration::FindRoute(std::string_view method,
+const RouteRule* Configuration::FindBelow(std::string_view host,
+                                          std::string_view method,
                                           std::string_view path) const {
-  path = path.substr(0, path.find_first_of("?#"));
-  while (!path.empty()) {
-    if (const RouteRule* route = FindIn(this->routes, RouteKey(method, path))) {
+  if (const RouteRule* route = this->FindExact(host, method, path)) {
+    return route;
+  }
+  for (size_t slash = path.rfind('/'); slash != std::string_view::npos;
+       slash = slash == 0 ? std::string_view::npos
+                          : path.rfind('/', slash - 1)) {
+    if (const auto* route =
+            this->FindExact(host, method, path.substr(0, slash + 1))) {
       return route;
     }
-    path = path.substr(0, path.rfind('/'));
+    if (slash == 0) {
+      return nullptr;
+    }
+    if (const auto* route =
+            this->FindExact(host, method, path.substr(0, slash))) {
+      return route;
+    }
+  }
+  return nullptr;
+}
+
+const RouteRule* Configuration::FindRoute(std::string_view host,
+                                          std::string_view method,
+                                          std::string_view path) const {
+  path = path.substr(0, path.find_first_of("?#"));
+  if (path.empty() || path.front() != '/') {
+    return nullptr;
+  }
+  if (const RouteRule* route = this->FindBelow(host, method, path)) {
+    return route;
   }
-  return FindIn(this->routes, RouteKey(method, "/"));
+  return this->FindBelow("", method, path);
 }
 
 const ServiceRule* Configuration::FindService(std::string_view name) const {
--- a/components/config/configuration.h
+++ b/components/config/configuration.h
@@ -26,10 +26,16 @@
 
   uint64_t revision() const { return this->revision_number; }
 
-  /// The route with the longest prefix that covers `path`, or null.
-  const RouteRule* FindRoute(std::string_view method,
+  /// The route with the longest prefix that covers `path`, or null. Routes of
+  /// `host` go before those of any host, then longer prefixes before shorter
+  /// ones, then routes of `method` before those of any method.
+  const RouteRule* FindRoute(std::string_view host,
+                             std::string_view method,
                              std::string_view path) const;
 
+  /// What callers may send.
+  const CallersRule& callers() const { return this->callers_rule; }
+
   /// The service named `name`, or null.
   const ServiceRule* FindService(std::string_view name) const;
 
@@ -50,9 +56,17 @@
  private:
   class Builder;
 
+  const RouteRule* FindBelow(std::string_view host,
+                             std::string_view method,
+                             std::string_view path) const;
+  const RouteRule* FindExact(std::string_view host,
+                             std::string_view method,
+                             std::string_view prefix) const;
+
   uint64_t revision_number = 0;
   std::unordered_map<std::string, ServiceRule> services;
-  /// By method, a space and the prefix.
+  CallersRule callers_rule;
+  /// By host, method and prefix with spaces between.
   std::unordered_map<std::string, RouteRule> routes;
   std::unordered_map<std::string, OrganisationRule> organisations;
   std::unordered_map<std::string, std::string> organisation_by_digest;
--- a/components/config/parse.cc
+++ b/components/config/parse.cc
@@ -1,6 +1,7 @@
 #include "components/config/parse.h"
 
 #include <algorithm>
+#include <cctype>
 #include <optional>
 
 #include "absl/strings/str_cat.h"
@@ -13,6 +14,10 @@
 constexpr size_t kDigestLength = 64;
 constexpr double kMaxRate = 1e6;
 constexpr double kMaxSlots = 10'000;
+constexpr double kMaxPriority = 100;
+constexpr double kMaxWeight = 1e6;
+constexpr double kMaxAttempts = 100;
+constexpr double kMaxBytes = 1e9;
 
 std::string_view Trim(std::string_view text) {
   const size_t start = text.find_first_not_of(" \t\r");
@@ -29,8 +34,10 @@
       rule.floor = reader.TakeNumber("floor", 0, 1);
     } else if (word->text == "slots") {
       rule.slots = static_cast<int>(reader.TakeNumber("slots", 1, kMaxSlots));
+    } else if (word->text == "warmup-rate") {
+      rule.warmup_rate = reader.TakeNumber("warmup-rate", 0, kMaxRate);
     } else {
-      reader.Fail("expected 'floor' or 'slots'");
+      reader.Fail("expected 'floor', 'slots' or 'warmup-rate'");
       break;
     }
   }
@@ -42,17 +49,37 @@
   if (!reader.failed() && prefix.front() != '/') {
     reader.Fail("a path prefix starts with '/'");
   }
-  while (prefix.size() > 1 && prefix.back() == '/') {
-    prefix.pop_back();
-  }
   return prefix;
 }
 
+std::string LowerCase(std::string text) {
+  std::transform(text.begin(), text.end(), text.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  return text;
+}
+
+RoutePart TakePart(LineReader& reader) {
+  return {.service = reader.Take("a service name"),
+          .weight = reader.TakeNumber("weight", 0, kMaxWeight)};
+}
+
 bool TakeRouteOption(const std::string& word,
                      LineReader& reader,
                      RouteRule& rule) {
   if (word == "service") {
-    rule.service = reader.Take("a service name");
+    rule.parts.push_back({.service = reader.Take("a service name")});
+  } else if (word == "split") {
+    rule.parts.push_back(TakePart(reader));
+  } else if (word == "host") {
+    rule.host = LowerCase(reader.Take("a host name"));
+  } else if (word == "objective") {
+    rule.objective = reader.TakeDuration("objective");
+  } else if (word == "priority") {
+    rule.priority =
+        static_cast<int>(reader.TakeNumber("priority", 0, kMaxPriority));
+  } else if (word == "attempts") {
+    rule.attempts =
+        static_cast<int>(reader.TakeNumber("attempts", 1, kMaxAttempts));
   } else if (word == "idempotent") {
     rule.repeat = Repeat::kIdempotent;
   } else if (word == "once") {
@@ -80,13 +107,16 @@
   while (const auto word = reader.Next()) {
     if (!TakeRouteOption(word->text, reader, rule)) {
       reader.Fail(
-          "expected 'service', 'idempotent', 'once', 'open', 'keyed' or "
-          "'deadline'");
+          "expected 'service', 'split', 'host', 'idempotent', 'once', 'open', "
+          "'keyed', 'deadline', 'objective', 'priority' or 'attempts'");
       break;
     }
   }
-  if (!reader.failed() && rule.service.empty()) {
-    reader.Fail("a route names its service");
+  const bool has_weight =
+      std::any_of(rule.parts.begin(), rule.parts.end(),
+                  [](const RoutePart& part) { return part.weight > 0; });
+  if (!reader.failed() && !has_weight) {
+    reader.Fail("a route names its service, or parts of which one has weight");
   }
   return rule;
 }
@@ -114,10 +144,39 @@
       rule.rate = reader.TakeNumber("rate", 0, kMaxRate);
     } else if (word->text == "burst") {
       rule.burst = reader.TakeNumber("burst", 0, kMaxRate);
+    } else if (word->text == "unlimited") {
+      rule.unlimited = true;
+    } else if (word->text == "priority") {
+      rule.priority =
+          static_cast<int>(reader.TakeNumber("priority", 0, kMaxPriority));
     } else if (word->text == "key") {
       rule.key_digests.push_back(TakeDigest(reader));
     } else {
-      reader.Fail("expected 'rate', 'burst' or 'key'");
+      reader.Fail(
+          "expected 'rate', 'burst', 'unlimited', 'priority' or 'key'");
+      break;
+    }
+  }
+  return rule;
+}
+
+Rule ParseCallers(LineReader& reader) {
+  CallersRule rule;
+  while (const auto word = reader.Next()) {
+    if (word->text == "header-bytes") {
+      rule.header_bytes =
+          static_cast<int64_t>(reader.TakeNumber("size", 1, kMaxBytes));
+    } else if (word->text == "body-bytes") {
+      rule.body_bytes =
+          static_cast<int64_t>(reader.TakeNumber("size", 0, kMaxBytes));
+    } else if (word->text == "header-timeout") {
+      rule.header_timeout = reader.TakeDuration("header-timeout");
+    } else if (word->text == "idle-timeout") {
+      rule.idle_timeout = reader.TakeDuration("idle-timeout");
+    } else {
+      reader.Fail(
+          "expected 'header-bytes', 'body-bytes', 'header-timeout' or "
+          "'idle-timeout'");
       break;
     }
   }
@@ -156,6 +215,9 @@
   if (kind == "organisation") {
     return ParseOrganisation(reader);
   }
+  if (kind == "callers") {
+    return ParseCallers(reader);
+  }
   if (kind == "zone") {
     return ParseZone(reader);
   }
@@ -163,7 +225,8 @@
     return ParseUpstream(reader);
   }
   reader.Fail(
-      "expected 'service', 'route', 'organisation', 'zone' or 'upstream'");
+      "expected 'service', 'route', 'organisation', 'callers', 'zone' or "
+      "'upstream'");
   return ServiceRule{};
 }
 
--- a/components/control/config_loop.cc
+++ b/components/control/config_loop.cc
@@ -4,6 +4,8 @@
 
 #include "absl/strings/str_cat.h"
 #include "components/base/hash.h"
+#include "components/config/chunks.h"
+#include "components/config/head.h"
 #include "components/fibers/worker_pool.h"
 #include "components/logging/log.h"
 #include "components/store/keys.h"
@@ -11,8 +13,9 @@
 namespace kingcupstair::control {
 namespace {
 
-constexpr size_t kWatchersPerZone = 2;
 constexpr Duration kWatchTime{std::chrono::seconds(1)};
+/// Waiting watches are calls too; a lost one is found out after this.
+constexpr Duration kRecordsWatchTime{std::chrono::seconds(8)};
 constexpr Duration kIdleTime{std::chrono::milliseconds(500)};
 constexpr Duration kPauseAfterFailure{std::chrono::milliseconds(500)};
 constexpr Duration kPeerTimeout{std::chrono::seconds(1)};
@@ -40,26 +43,117 @@
       ++ahead;
     }
   }
-  return ahead < kWatchersPerZone;
+  return ahead < this->fleet.watchers_per_zone;
 }
 
 void ConfigLoop::Step() {
   if (!this->IsWatcher()) {
+    this->records_revision = 0;
     fibers::SleepFor(kIdleTime);
     return;
   }
-  const auto entry =
-      this->fleet.store.Watch(store::kHeadKey, this->head_version, kWatchTime);
-  if (entry.ok() != this->store_answered) {
-    this->store_answered = entry.ok();
+  std::visit([this](const auto& source) { this->Follow(source); },
+             this->fleet.configuration_source);
+}
+
+bool ConfigLoop::NoteStoreAnswer(const absl::Status& status) {
+  if (status.ok() != this->store_answered) {
+    this->store_answered = status.ok();
     this->fleet.recorder.Record(
-        {.kind = entry.ok() ? "store_back" : "store_lost"});
+        {.kind = status.ok() ? "store_back" : "store_lost",
+         .detail = std::string(status.message().data(),
+                               status.message().size())});
   }
-  if (!entry.ok()) {
+  if (status.ok()) {
+    this->fleet.isolation.OnHeard(MonotonicNow());
+  } else {
     fibers::SleepFor(kPauseAfterFailure);
+  }
+  return status.ok();
+}
+
+void ConfigLoop::Follow(const site::OperatorRecords& source) {
+  if (this->records_revision == 0) {
+    this->ReadRecords(source);
+  } else {
+    this->WatchRecords(source);
+  }
+}
+
+void ConfigLoop::ReadRecords(const site::OperatorRecords& source) {
+  const auto listing =
+      this->fleet.store.List(source.prefix, /*may_be_stale=*/false);
+  if (!this->NoteStoreAnswer(listing.status())) {
+    return;
+  }
+  this->records.clear();
+  for (const store::KeyedEntry& record : listing->entries) {
+    this->records[record.key] = record.entry;
+  }
+  this->records_revision = listing->revision;
+  this->AdoptRecords(source);
+}
+
+// A change made while nobody listened is told at once by the store, since the
+// watch goes on from the revision that was read last.
+void ConfigLoop::WatchRecords(const site::OperatorRecords& source) {
+  const auto changes =
+      this->fleet.store.WatchPrefix({.prefix = source.prefix,
+                                     .after = this->records_revision,
+                                     .wait = kRecordsWatchTime});
+  if (!this->NoteStoreAnswer(changes.status())) {
+    return;
+  }
+  if (changes->history_lost) {
+    this->records_revision = 0;
+    return;
+  }
+  for (const store::KeyedEntry& change : changes->entries) {
+    if (change.entry.version == 0) {
+      this->records.erase(change.key);
+    } else {
+      this->records[change.key] = change.entry;
+    }
+  }
+  this->records_revision = std::max(this->records_revision, changes->revision);
+  if (!changes->entries.empty()) {
+    this->AdoptRecords(source);
+  }
+}
+
+void ConfigLoop::AdoptRecords(const site::OperatorRecords& source) {
+  std::vector<store::KeyedEntry> all;
+  for (const auto& [key, entry] : this->records) {
+    all.push_back({.key = key, .entry = entry});
+  }
+  const auto rules = source.to_rules(all);
+  if (!rules.ok()) {
+    this->fleet.recorder.Record(
+        {.kind = "configuration_refused",
+         .detail = std::string(rules.status().message().data(),
+                               rules.status().message().size())});
+    return;
+  }
+  config::Head head{.revision = this->records_revision, .author = "operator"};
+  const auto chunks = config::SplitIntoChunks(*rules);
+  for (const config::Chunk& chunk : chunks) {
+    head.chunks.push_back(chunk.id);
+  }
+  if (!this->fleet.config.OfferHead(config::EncodeHead(head))) {
+    return;
+  }
+  for (const config::Chunk& chunk : chunks) {
+    this->fleet.config.AddChunk(chunk.id, chunk.text);
+  }
+  this->Adopt("store");
+}
+
+void ConfigLoop::Follow(const site::PublishedConfiguration&) {
+  const auto entry =
+      this->fleet.store.Watch(store::kHeadKey, this->head_version, kWatchTime);
+  if (!this->NoteStoreAnswer(entry.status())) {
     return;
   }
-  this->fleet.isolation.OnHeard(MonotonicNow());
   if (entry->version == 0) {
     fibers::SleepFor(kPauseAfterFailure);
     return;
--- a/components/control/config_loop.h
+++ b/components/control/config_loop.h
@@ -1,6 +1,7 @@
 #ifndef COMPONENTS_CONTROL_CONFIG_LOOP_H_
 #define COMPONENTS_CONTROL_CONFIG_LOOP_H_
 
+#include <map>
 #include <string>
 
 #include "components/control/fleet.h"
@@ -25,6 +26,12 @@
   bool IsWatcher() const;
 
  private:
+  void Follow(const site::PublishedConfiguration& source);
+  void Follow(const site::OperatorRecords& source);
+  bool NoteStoreAnswer(const absl::Status& status);
+  void ReadRecords(const site::OperatorRecords& source);
+  void WatchRecords(const site::OperatorRecords& source);
+  void AdoptRecords(const site::OperatorRecords& source);
   void FetchFromStore(const std::string& head_text);
   bool Adopt(const std::string& source);
   void RecordOuts(const config::Configuration& before,
@@ -32,6 +39,10 @@
 
   Fleet& fleet;
   uint64_t head_version = 0;
+  /// The operators' records by key, and the store's revision of them; 0 before
+  /// they were first read.
+  std::map<std::string, store::Entry> records;
+  uint64_t records_revision = 0;
   bool store_answered = true;
 };
 
--- a/components/control/fleet.h
+++ b/components/control/fleet.h
@@ -12,6 +12,7 @@
 #include "components/guard/crash_watch.h"
 #include "components/membership/isolation.h"
 #include "components/rpc/peer_clients.h"
+#include "components/site/site_interface.h"
 #include "components/store/client.h"
 
 namespace kingcupstair::control {
@@ -41,6 +42,13 @@
   rpc::PeerClients& peers;
   const store::Client& store;
   events::Recorder& recorder;
+  site::ConfigurationSource configuration_source;
+  /// Hosts of each availability zone that watch the store.
+  size_t watchers_per_zone = 2;
+  /// How long a fleet that starts for the first time gathers its hosts before
+  /// one of them writes equal shares for all; zero lets the first take all and
+  /// hand on.
+  Duration share_gathering_time{};
   /// Called when a peer has answered a probe.
   std::function<void(const std::string& host)> on_reached;
 };
--- a/components/control/gossip_loop.cc
+++ b/components/control/gossip_loop.cc
@@ -128,6 +128,12 @@
   this->fleet.directory.Suspect(host);
 }
 
+void GossipLoop::Meet(const std::string& host) {
+  if (this->Exchange(host)) {
+    this->SyncWith(host);
+  }
+}
+
 bool GossipLoop::Reaches(const std::string& host) {
   return this->fleet.peers.Gossip(host, this->MakeMessage(), kProbeTimeout)
       .ok();
--- a/components/control/gossip_loop.h
+++ b/components/control/gossip_loop.h
@@ -27,6 +27,9 @@
   /// Sends news to a few peers now, without waiting for the next period.
   void SpreadNow();
 
+  /// Exchanges all that is known with a host that is new here.
+  void Meet(const std::string& host);
+
   /// True when `host` answers a probe from here.
   bool Reaches(const std::string& host);
 
--- a/components/control/share_loop.cc
+++ b/components/control/share_loop.cc
@@ -1,6 +1,7 @@
 #include "components/control/share_loop.h"
 
 #include <algorithm>
+#include <map>
 
 #include "absl/strings/str_cat.h"
 #include "components/control/loan_loop.h"
@@ -11,6 +12,10 @@
 namespace {
 
 constexpr Duration kShortestPause{std::chrono::milliseconds(1000)};
+/// Hosts that start together meet conflicts, so they come back at random.
+constexpr Duration kLeastJoinPause{std::chrono::milliseconds(300)};
+/// Between the hosts that may create the table, one after the other.
+constexpr Duration kCreationStagger{std::chrono::milliseconds(150)};
 constexpr Duration kPausePerHost{std::chrono::milliseconds(500)};
 constexpr Duration kPollWhileLent{std::chrono::milliseconds(50)};
 
@@ -27,9 +32,11 @@
     this->Follow();
   }
   const auto hosts = static_cast<int64_t>(this->fleet.directory.size());
+  std::uniform_int_distribution<int64_t> jitter(kLeastJoinPause.count(),
+                                                kShortestPause.count());
   fibers::SleepFor(this->joined
                        ? std::max(kShortestPause, kPausePerHost * hosts)
-                       : kShortestPause);
+                       : Duration(jitter(this->random)));
 }
 
 absl::StatusOr<ShareLoop::StoredTable> ShareLoop::Read() const {
@@ -61,7 +68,18 @@
   if (!stored.ok()) {
     return;
   }
+  if (stored->version == 0 &&
+      this->fleet.share_gathering_time > Duration{}) {
+    this->saw_no_table = true;
+    this->CreateTable();
+    return;
+  }
   const Places& places = this->fleet.places;
+  if (this->saw_no_table && stored->table.Find(places.host) != nullptr) {
+    this->joined = true;
+    this->fleet.rates.SetShare(stored->table.Fraction(places.host));
+    return;
+  }
   const bool had_former_life = stored->table.Find(places.host) != nullptr;
   stored->table.Join(
       places.host,
@@ -78,6 +96,37 @@
   this->fleet.rates.SetShare(stored->table.Fraction(places.host));
 }
 
+// While there is no table nobody holds a share, so whoever writes it first may
+// give them to all hosts at once.
+void ShareLoop::CreateTable() {
+  if (MonotonicNow() - this->start < this->CreationDelay()) {
+    return;
+  }
+  std::map<std::string, limits::ShareEntry> hosts;
+  for (const auto& record : this->fleet.directory.Present()) {
+    hosts[record.host] = {.zone = record.zone,
+                          .region = record.region,
+                          .admin = record.admin};
+  }
+  const auto table = limits::ShareTable::EqualShares(hosts);
+  if (this->Write(table, 0)) {
+    this->joined = true;
+    this->fleet.rates.SetShare(table.Fraction(this->fleet.places.host));
+    this->fleet.recorder.Record(
+        {.kind = "shares_created",
+         .detail = absl::StrCat(hosts.size(), " hosts")});
+  }
+}
+
+Duration ShareLoop::CreationDelay() const {
+  const auto present = this->fleet.directory.Present();
+  const auto before = std::count_if(
+      present.begin(), present.end(), [this](const auto& record) {
+        return record.host < this->fleet.places.host;
+      });
+  return this->fleet.share_gathering_time + kCreationStagger * before;
+}
+
 void ShareLoop::Follow() {
   const auto stored = this->Read();
   if (!stored.ok()) {
--- a/components/control/share_loop.h
+++ b/components/control/share_loop.h
@@ -2,6 +2,7 @@
 #define COMPONENTS_CONTROL_SHARE_LOOP_H_
 
 #include <optional>
+#include <random>
 
 #include "absl/status/statusor.h"
 #include "components/control/fleet.h"
@@ -27,6 +28,8 @@
   absl::StatusOr<StoredTable> Read() const;
   bool Write(const limits::ShareTable& table, uint64_t version) const;
   void Join();
+  void CreateTable();
+  Duration CreationDelay() const;
   void Follow();
   void HandOver(const StoredTable& stored, const limits::ShareMove& move);
 
@@ -34,9 +37,13 @@
   /// When this process began; loans of a former one may run on from here.
   Instant start;
   bool joined = false;
+  /// There was no table yet when this process began, so no former life of it
+  /// can have written to one.
+  bool saw_no_table = false;
   /// Set while a hand-over may be on its way to the store: until the table has
   /// been written anew, the share stays lowered.
   bool unsettled = false;
+  std::mt19937_64 random{std::random_device{}()};
 };
 
 }  // namespace kingcupstair::control
--- a/components/guard/guard.cc
+++ b/components/guard/guard.cc
@@ -12,6 +12,11 @@
 
 constexpr Duration kEarlierPollInterval{std::chrono::milliseconds(20)};
 constexpr int kDefaultSlots = 4;
+/// How long a slot is held for the request that follows: several round trips
+/// between zones on a slow host.
+constexpr Duration kReservationLife{std::chrono::milliseconds(800)};
+/// Longer than an announcement can be under way.
+constexpr Duration kWithdrawnMemory{std::chrono::seconds(60)};
 
 }  // namespace
 
@@ -29,6 +34,10 @@
 void Guard::Announce(const Announcement& announcement) {
   Wakes wakes;
   const std::lock_guard lock(this->mutex);
+  if (this->IsStale(announcement)) {
+    return;
+  }
+  this->ForgetPredecessors(announcement, wakes);
   const auto found = this->upstreams.find(announcement.id);
   if (found == this->upstreams.end()) {
     this->AddUpstream(announcement);
@@ -41,6 +50,7 @@
   upstream.unreachable = false;
   if (before.incarnation != announcement.incarnation) {
     upstream.gate->Restart();
+    upstream.judge.Restart();
     this->RecordUpstream("upstream_restarted", announcement, "");
     this->BlameBroken(upstream);
     upstream.broken.clear();
@@ -52,25 +62,202 @@
   }
 }
 
+// An announcement may have been held up on its way until after its sender has
+// left, crashed, or been followed by another at the same endpoint.
+bool Guard::IsStale(const Announcement& announcement) const {
+  if (this->withdrawn.contains(announcement.id + announcement.incarnation)) {
+    return true;
+  }
+  for (const auto& [id, upstream] : this->upstreams) {
+    const Announcement& known = upstream.announcement;
+    if (known.endpoint != announcement.endpoint) {
+      continue;
+    }
+    if (known.started_at > announcement.started_at) {
+      return true;
+    }
+    const bool same_start = id == announcement.id &&
+                            known.incarnation == announcement.incarnation;
+    if (same_start && announcement.sequence > 0 &&
+        announcement.sequence <= known.sequence) {
+      return true;
+    }
+  }
+  return false;
+}
+
+// Whoever is announced at an endpoint now, nobody else is there any more.
+void Guard::ForgetPredecessors(const Announcement& announcement, Wakes& wakes) {
+  for (auto at = this->upstreams.begin(); at != this->upstreams.end();) {
+    GuardedUpstream& upstream = at->second;
+    if (at->first == announcement.id ||
+        upstream.announcement.endpoint != announcement.endpoint) {
+      ++at;
+      continue;
+    }
+    this->BlameBroken(upstream);
+    this->waiters.Dispatch(
+        upstream.gate->RefuseWaiting(once::RefusalReason::kUpstreamGone),
+        wakes);
+    this->RecordUpstream("upstream_gone", upstream.announcement,
+                         "another is at its endpoint");
+    at = this->upstreams.erase(at);
+  }
+}
+
+void Guard::Withdraw(const std::string& id) {
+  Wakes wakes;
+  const std::lock_guard lock(this->mutex);
+  const auto found = this->upstreams.find(id);
+  if (found == this->upstreams.end()) {
+    return;
+  }
+  GuardedUpstream& upstream = found->second;
+  this->withdrawn[id + upstream.announcement.incarnation] = MonotonicNow();
+  upstream.announcement.draining = true;
+  this->RecordUpstream("upstream_left", upstream.announcement, "");
+  this->waiters.Dispatch(
+      upstream.gate->RefuseWaiting(once::RefusalReason::kDraining), wakes);
+}
+
 void Guard::AddUpstream(const Announcement& announcement) {
   const auto current = this->configuration.Read();
   const auto* service = current->FindService(announcement.service);
   const int configured = service == nullptr ? kDefaultSlots : service->slots;
-  const int slots = announcement.slots > 0
-                        ? std::min(announcement.slots, configured)
-                        : configured;
+  const bool bounded = service != nullptr && !announcement.tells_warm_up;
+  const int slots =
+      announcement.slots <= 0 ? configured
+      : bounded               ? std::min(announcement.slots, configured)
+                              : announcement.slots;
   GuardedUpstream& upstream = this->upstreams[announcement.id];
   upstream.announcement = announcement;
+  const admission::WarmUp warm_up =
+      announcement.tells_warm_up
+          ? admission::WarmUp(admission::WarmUpByRate{
+                .rate = service == nullptr ? 0 : service->warmup_rate})
+          : admission::WarmUp(admission::WarmUpByAnswers{});
   upstream.gate = std::make_unique<admission::UpstreamGate>(
-      admission::UpstreamGate::Options{.slots = slots});
+      admission::UpstreamGate::Options{.slots = slots, .warm_up = warm_up});
   upstream.last_seen = MonotonicNow();
   this->RecordUpstream("upstream_started", announcement, "");
 }
 
+rpc::SlotAnswer Guard::Reserve(const once::SlotRequest& request) {
+  admission::TicketId ticket = 0;
+  {
+    const std::lock_guard lock(this->mutex);
+    const auto reason = this->ReasonToRefuseSlot(request, MonotonicNow());
+    if (reason != once::RefusalReason::kNone) {
+      return this->SlotAnswerFor(request.upstream, {.reason = reason}, false);
+    }
+    ticket = ++this->last_ticket;
+  }
+  const auto decision = this->WaitForSlot(request, ticket);
+  const std::lock_guard lock(this->mutex);
+  if (const auto* refused = std::get_if<admission::RefuseTicket>(&decision)) {
+    return this->SlotAnswerFor(request.upstream, refused->refusal, false);
+  }
+  this->reservations[request.request_id] = {
+      .ticket = ticket,
+      .upstream = request.upstream,
+      .lapses = MonotonicNow() + kReservationLife};
+  return this->SlotAnswerFor(request.upstream, {}, true);
+}
+
+// One request at a time goes to an upstream that looks unwell, to see whether
+// it still is, and only one that may be repeated elsewhere.
+once::RefusalReason Guard::ReasonToRefuseSlot(const once::SlotRequest& request,
+                                              Instant now) const {
+  const auto reason =
+      this->ReasonToRefuse(request.upstream, request.incarnation);
+  if (reason != once::RefusalReason::kNone || request.last_resort) {
+    return reason;
+  }
+  const GuardedUpstream& upstream = this->upstreams.at(request.upstream);
+  const bool trial = request.idempotent && upstream.gate->in_flight() == 0;
+  const bool unwell = upstream.announcement.tells_warm_up && !trial &&
+                      upstream.judge.LooksUnwell(now);
+  return unwell ? once::RefusalReason::kLooksUnwell
+                : once::RefusalReason::kNone;
+}
+
+admission::GateDecision Guard::WaitForSlot(const once::SlotRequest& request,
+                                           admission::TicketId ticket) {
+  DecisionFuture decided;
+  {
+    Wakes wakes;
+    const std::lock_guard lock(this->mutex);
+    const auto found = this->upstreams.find(request.upstream);
+    if (found == this->upstreams.end()) {
+      return admission::RefuseTicket{
+          .ticket = ticket,
+          .refusal = {.reason = once::RefusalReason::kUpstreamGone}};
+    }
+    decided = this->waiters.Expect(ticket);
+    const Instant now = MonotonicNow();
+    const admission::GateRequest offered{
+        .ticket = ticket,
+        .organisation = request.organisation,
+        .weight = this->WeightOf(request.organisation),
+        .priority = request.priority,
+        .deadline = now + request.time_left,
+        .objective = request.objective,
+        .max_wait = request.max_wait};
+    this->waiters.Dispatch(found->second.gate->Offer(offered, now), wakes);
+  }
+  return decided.get();
+}
+
+rpc::SlotAnswer Guard::SlotAnswerFor(const std::string& upstream,
+                                     const once::NotRun& refusal,
+                                     bool granted) const {
+  const rpc::RunResult standing = this->ResultFor(upstream, refusal);
+  return {.granted = granted,
+          .refusal = refusal,
+          .report = standing.report,
+          .in_flight = standing.in_flight,
+          .queued = standing.queued};
+}
+
+void Guard::ReleaseReservation(const std::string& request_id, Wakes& wakes) {
+  const auto found = this->reservations.find(request_id);
+  if (found == this->reservations.end()) {
+    return;
+  }
+  const auto upstream = this->upstreams.find(found->second.upstream);
+  if (upstream != this->upstreams.end()) {
+    this->waiters.Dispatch(
+        upstream->second.gate->Finish(found->second.ticket,
+                                      admission::RunEnd::kCancelled,
+                                      MonotonicNow()),
+        wakes);
+  }
+  this->reservations.erase(found);
+}
+
+void Guard::LapseReservations(Instant now, Wakes& wakes) {
+  std::vector<std::string> lapsed;
+  for (const auto& [request_id, reservation] : this->reservations) {
+    if (reservation.lapses <= now) {
+      lapsed.push_back(request_id);
+    }
+  }
+  for (const std::string& request_id : lapsed) {
+    this->ReleaseReservation(request_id, wakes);
+  }
+}
+
 AcceptAnswer Guard::Accept(const once::RunRequest& request) {
+  Wakes wakes;
   const std::lock_guard lock(this->mutex);
-  const once::RefusalReason reason = this->ReasonToRefuse(request);
+  once::RefusalReason reason =
+      this->ReasonToRefuse(request.upstream, request.incarnation);
+  if (reason == once::RefusalReason::kNone &&
+      !this->reservations.contains(request.request_id)) {
+    reason = once::RefusalReason::kSlotLapsed;
+  }
   if (reason != once::RefusalReason::kNone) {
+    this->ReleaseReservation(request.request_id, wakes);
     return this->ResultFor(request.upstream, once::NotRun{.reason = reason});
   }
   const Instant now = MonotonicNow();
@@ -85,6 +272,7 @@
         ended != nullptr && std::holds_alternative<once::NotRun>(*ended);
     if (state.has_value() && !never_ran) {
       accepted.earlier_attempt = *earlier;
+      this->ReleaseReservation(request.request_id, wakes);
       ++this->in_flight;
       return accepted;
     }
@@ -92,16 +280,19 @@
   }
   if (this->ledger.Accept(request.request_id, now) !=
       once::AcceptResult::kAccepted) {
+    this->ReleaseReservation(request.request_id, wakes);
     return this->ResultFor(
         request.upstream, once::NotRun{.reason = once::RefusalReason::kFenced});
   }
+  accepted.ticket = this->reservations.at(request.request_id).ticket;
+  this->reservations.erase(request.request_id);
   ++this->in_flight;
   return accepted;
 }
 
-once::RefusalReason Guard::ReasonToRefuse(
-    const once::RunRequest& request) const {
-  if (request.incarnation != this->options.incarnation()) {
+once::RefusalReason Guard::ReasonToRefuse(const std::string& upstream,
+                                          uint64_t asked_incarnation) const {
+  if (asked_incarnation != this->options.incarnation()) {
     return once::RefusalReason::kWrongIncarnation;
   }
   if (this->draining) {
@@ -110,7 +301,7 @@
   if (this->options.isolated()) {
     return once::RefusalReason::kIsolated;
   }
-  const auto found = this->upstreams.find(request.upstream);
+  const auto found = this->upstreams.find(upstream);
   if (found == this->upstreams.end() || found->second.unreachable) {
     return once::RefusalReason::kUpstreamGone;
   }
@@ -133,36 +324,63 @@
     return this->WaitForEarlier(accepted);
   }
   const Instant deadline = MonotonicNow() + request.time_left;
-  admission::TicketId ticket = 0;
+  const auto cancellation = std::make_shared<Cancellation>();
+  UpstreamTarget target{.dialect = this->options.dialect};
   {
+    Wakes wakes;
     const std::lock_guard lock(this->mutex);
-    ticket = ++this->last_ticket;
+    const auto found = this->upstreams.find(request.upstream);
+    if (found == this->upstreams.end() ||
+        !this->ledger.BeginForward(request.request_id)) {
+      return this->EndUnsent(accepted, wakes);
+    }
+    GuardedUpstream& upstream = found->second;
+    upstream.running[accepted.ticket] = request.fingerprint;
+    upstream.judge.OnStart(accepted.ticket, request.objective, MonotonicNow());
+    if (request.idempotent) {
+      this->cancellable[request.request_id] = cancellation;
+    }
+    target.endpoint = upstream.announcement.endpoint;
   }
-  const auto decision = this->WaitForSlot(request, ticket, deadline);
-  if (const auto* refused = std::get_if<admission::RefuseTicket>(&decision)) {
-    return this->Refused(request, refused->refusal);
+  const once::Outcome outcome =
+      CallUpstream(target, request, deadline, cancellation);
+  const bool crashed = BrokeConnection(outcome) && !Listens(target.endpoint);
+  return this->EndRun(request, accepted.ticket, outcome, crashed);
+}
+
+rpc::RunResult Guard::EndUnsent(const AcceptedRun& accepted, Wakes& wakes) {
+  const once::RunRequest& request = accepted.request;
+  const once::NotRun refusal{.reason = once::RefusalReason::kFenced};
+  const auto found = this->upstreams.find(request.upstream);
+  if (found != this->upstreams.end()) {
+    this->waiters.Dispatch(
+        found->second.gate->Finish(
+            accepted.ticket, admission::RunEnd::kCancelled, MonotonicNow()),
+        wakes);
   }
-  Endpoint endpoint;
+  this->ledger.Finish(request.request_id, refusal, MonotonicNow());
+  --this->in_flight;
+  return this->ResultFor(request.upstream, refusal);
+}
+
+void Guard::Cancel(const std::string& request_id, uint64_t incarnation) {
+  if (incarnation != this->options.incarnation()) {
+    return;
+  }
+  CancellationPtr cancelled;
   {
     Wakes wakes;
     const std::lock_guard lock(this->mutex);
-    GuardedUpstream& upstream = this->upstreams.at(request.upstream);
-    if (!this->ledger.BeginForward(request.request_id)) {
-      this->waiters.Dispatch(
-          upstream.gate->Finish(ticket, admission::RunEnd::kCancelled,
-                                MonotonicNow()),
-          wakes);
-      --this->in_flight;
-      return this->ResultFor(
-          request.upstream,
-          once::NotRun{.reason = once::RefusalReason::kFenced});
+    this->ReleaseReservation(request_id, wakes);
+    this->ledger.Resolve(request_id, MonotonicNow());
+    const auto found = this->cancellable.find(request_id);
+    if (found != this->cancellable.end()) {
+      cancelled = found->second;
     }
-    upstream.running[ticket] = request.fingerprint;
-    endpoint = upstream.announcement.endpoint;
   }
-  const once::Outcome outcome = CallUpstream(endpoint, request, deadline);
-  const bool crashed = BrokeConnection(outcome) && !Listens(endpoint);
-  return this->EndRun(request, ticket, outcome, crashed);
+  if (cancelled != nullptr) {
+    cancelled->Cancel();
+  }
 }
 
 rpc::RunResult Guard::WaitForEarlier(const AcceptedRun& accepted) {
@@ -187,39 +405,6 @@
   return this->ResultFor(accepted.request.upstream, outcome);
 }
 
-rpc::RunResult Guard::Refused(const once::RunRequest& request,
-                              const once::NotRun& refusal) {
-  const std::lock_guard lock(this->mutex);
-  this->ledger.Finish(request.request_id, refusal, MonotonicNow());
-  --this->in_flight;
-  return this->ResultFor(request.upstream, refusal);
-}
-
-admission::GateDecision Guard::WaitForSlot(const once::RunRequest& request,
-                                           admission::TicketId ticket,
-                                           Instant deadline) {
-  DecisionFuture decided;
-  {
-    Wakes wakes;
-    const std::lock_guard lock(this->mutex);
-    const auto found = this->upstreams.find(request.upstream);
-    if (found == this->upstreams.end()) {
-      return admission::RefuseTicket{
-          .ticket = ticket,
-          .refusal = {.reason = once::RefusalReason::kUpstreamGone}};
-    }
-    decided = this->waiters.Expect(ticket);
-    const admission::GateRequest offered{
-        .ticket = ticket,
-        .organisation = request.organisation,
-        .weight = this->WeightOf(request.organisation),
-        .deadline = deadline};
-    this->waiters.Dispatch(found->second.gate->Offer(offered, MonotonicNow()),
-                           wakes);
-  }
-  return decided.get();
-}
-
 // Organisations share the slots of an upstream in proportion to their rates.
 double Guard::WeightOf(const std::string& organisation) const {
   const auto current = this->configuration.Read();
@@ -235,6 +420,7 @@
   const std::lock_guard lock(this->mutex);
   const Instant now = MonotonicNow();
   this->ledger.Finish(request.request_id, outcome, now);
+  this->cancellable.erase(request.request_id);
   --this->in_flight;
   const auto found = this->upstreams.find(request.upstream);
   if (found == this->upstreams.end()) {
@@ -242,6 +428,7 @@
   }
   GuardedUpstream& upstream = found->second;
   upstream.running.erase(ticket);
+  upstream.judge.OnEnd(ticket, VerdictOf(outcome), now);
   this->recorder.counters().Add(
       "kingcupstair_upstream_runs_total",
       {{.name = "upstream", .value = request.upstream},
@@ -252,7 +439,11 @@
   if (BrokeConnection(outcome)) {
     this->NoteBreak(upstream, request);
   }
-  if (crashed || std::holds_alternative<once::NotRun>(outcome)) {
+  const auto* not_run = std::get_if<once::NotRun>(&outcome);
+  const bool unreachable =
+      not_run != nullptr &&
+      not_run->reason == once::RefusalReason::kConnectFailed;
+  if (crashed || unreachable) {
     this->MarkUnreachable(upstream);
   }
   this->waiters.Dispatch(upstream.gate->Finish(ticket, EndOf(outcome), now),
@@ -304,6 +495,10 @@
   const std::lock_guard lock(this->mutex);
   const Instant now = MonotonicNow();
   this->ledger.Expire(now);
+  this->LapseReservations(now, wakes);
+  std::erase_if(this->withdrawn, [&](const auto& entry) {
+    return now - entry.second > kWithdrawnMemory;
+  });
   const bool refuse_all = this->draining || this->options.isolated();
   for (auto at = this->upstreams.begin(); at != this->upstreams.end();) {
     GuardedUpstream& upstream = at->second;
--- a/components/guard/guard.h
+++ b/components/guard/guard.h
@@ -12,8 +12,10 @@
 #include <vector>
 
 #include "components/admission/upstream_gate.h"
+#include "components/base/cancellation.h"
 #include "components/base/snapshot.h"
 #include "components/config/configuration.h"
+#include "components/dialect/dialect.h"
 #include "components/events/recorder.h"
 #include "components/guard/announcement.h"
 #include "components/guard/crash_watch.h"
@@ -33,6 +35,15 @@
   /// Set when the caller's Idempotency-Key stands for an earlier attempt that
   /// this one must wait for instead of running.
   std::string earlier_attempt;
+  /// The slot that was reserved for it.
+  admission::TicketId ticket = 0;
+};
+
+/// A slot held for a request that is about to be submitted.
+struct Reservation {
+  admission::TicketId ticket = 0;
+  std::string upstream;
+  Instant lapses;
 };
 
 /// Accepting a run gives the run or, at once, its final result.
@@ -50,6 +61,7 @@
     std::function<uint64_t()> incarnation;
     /// True while this host must take no new work.
     std::function<bool()> isolated;
+    std::shared_ptr<const Dialect> dialect = std::make_shared<const Dialect>();
   };
 
   Guard(Options options,
@@ -60,7 +72,19 @@
   /// An upstream on this host tells of itself.
   void Announce(const Announcement& announcement);
 
-  /// Records the run as accepted, or refuses it.
+  /// The upstream says that it has left.
+  void Withdraw(const std::string& id);
+
+  /// Holds a slot for a request that is submitted right after; suspends the
+  /// calling fiber while it waits for one.
+  rpc::SlotAnswer Reserve(const once::SlotRequest& request);
+
+  /// Nobody waits for the request any more: it is not sent to its upstream,
+  /// and if it may be repeated and runs already it is given up.
+  void Cancel(const std::string& request_id, uint64_t incarnation);
+
+  /// Records the run as accepted, or refuses it. It uses the slot reserved for
+  /// its request id.
   AcceptAnswer Accept(const once::RunRequest& request);
 
   /// Carries out an accepted run; suspends the calling fiber meanwhile.
@@ -83,14 +107,22 @@
   std::vector<membership::UpstreamRecord> Upstreams() const;
 
  private:
-  once::RefusalReason ReasonToRefuse(const once::RunRequest& request) const;
+  once::RefusalReason ReasonToRefuse(const std::string& upstream,
+                                     uint64_t asked_incarnation) const;
+  once::RefusalReason ReasonToRefuseSlot(const once::SlotRequest& request,
+                                         Instant now) const;
+  admission::GateDecision WaitForSlot(const once::SlotRequest& request,
+                                      admission::TicketId ticket);
+  rpc::SlotAnswer SlotAnswerFor(const std::string& upstream,
+                                const once::NotRun& refusal,
+                                bool granted) const;
+  void ReleaseReservation(const std::string& request_id, Wakes& wakes);
+  void LapseReservations(Instant now, Wakes& wakes);
+  bool IsStale(const Announcement& announcement) const;
+  void ForgetPredecessors(const Announcement& announcement, Wakes& wakes);
   bool IsWithdrawn(const GuardedUpstream& upstream) const;
   rpc::RunResult WaitForEarlier(const AcceptedRun& accepted);
-  rpc::RunResult Refused(const once::RunRequest& request,
-                         const once::NotRun& refusal);
-  admission::GateDecision WaitForSlot(const once::RunRequest& request,
-                                      admission::TicketId ticket,
-                                      Instant deadline);
+  rpc::RunResult EndUnsent(const AcceptedRun& accepted, Wakes& wakes);
   double WeightOf(const std::string& organisation) const;
   rpc::RunResult EndRun(const once::RunRequest& request,
                         admission::TicketId ticket,
@@ -118,6 +150,12 @@
   once::RunLedger ledger;
   once::KeyIndex keys;
   Waiters waiters;
+  std::map<std::string, Reservation> reservations;
+  /// Runs that are out at an upstream and may be given up, by request id.
+  std::map<std::string, CancellationPtr> cancellable;
+  /// Upstreams that have said that they leave; their announcements may still
+  /// be on the way.
+  std::map<std::string, Instant> withdrawn;
   admission::TicketId last_ticket = 0;
 };
 
--- a/components/guard/guarded_upstream.cc
+++ b/components/guard/guarded_upstream.cc
@@ -17,10 +17,22 @@
           .slots = std::max(1, upstream.announcement.slots),
           .limit = report.limit,
           .latency = report.latency,
-          .error_share = report.error_share,
+          .error_share = upstream.announcement.tells_warm_up
+                             ? upstream.judge.BadShare(now)
+                             : report.error_share,
           .finished = report.finished};
 }
 
+health::Verdict VerdictOf(const once::Outcome& outcome) {
+  if (const auto* ran = std::get_if<once::Ran>(&outcome)) {
+    return ran->response.status < kFirstServerError ? health::Verdict::kGood
+                                                    : health::Verdict::kBad;
+  }
+  const auto* unknown = std::get_if<once::Unknown>(&outcome);
+  return unknown != nullptr && unknown->cancelled ? health::Verdict::kNone
+                                                  : health::Verdict::kBad;
+}
+
 admission::RunEnd EndOf(const once::Outcome& outcome) {
   if (const auto* ran = std::get_if<once::Ran>(&outcome)) {
     return ran->response.status < kFirstServerError
@@ -28,6 +40,9 @@
                : admission::RunEnd::kFailure;
   }
   const auto* unknown = std::get_if<once::Unknown>(&outcome);
+  if (unknown != nullptr && unknown->cancelled) {
+    return admission::RunEnd::kCancelled;
+  }
   const bool timed_out = unknown != nullptr && !unknown->upstream_broke;
   return timed_out ? admission::RunEnd::kTimeout : admission::RunEnd::kFailure;
 }
--- a/components/guard/guarded_upstream.h
+++ b/components/guard/guarded_upstream.h
@@ -7,6 +7,7 @@
 
 #include "components/admission/upstream_gate.h"
 #include "components/guard/announcement.h"
+#include "components/health/upstream_judge.h"
 #include "components/membership/host_record.h"
 #include "components/once/crash_ledger.h"
 #include "components/once/outcome.h"
@@ -20,6 +21,7 @@
   Instant last_seen;
   /// Its port refused a connection since its last announcement.
   bool unreachable = false;
+  health::UpstreamJudge judge;
   std::map<admission::TicketId, once::Fingerprint> running;
   /// Requests whose connections broke since its last start.
   std::vector<once::Fingerprint> broken;
@@ -29,6 +31,9 @@
 membership::UpstreamRecord RecordOf(const GuardedUpstream& upstream,
                                     Instant now);
 
+/// What it says about the health of the upstream.
+health::Verdict VerdictOf(const once::Outcome& outcome);
+
 /// What the outcome of a run says about the upstream that ran it.
 admission::RunEnd EndOf(const once::Outcome& outcome);
 
--- a/components/guard/upstream_call.cc
+++ b/components/guard/upstream_call.cc
@@ -1,6 +1,7 @@
 #include "components/guard/upstream_call.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "components/fibers/worker_pool.h"
@@ -13,36 +14,81 @@
 constexpr Duration kListenTimeout{std::chrono::milliseconds(100)};
 constexpr Duration kListenPause{std::chrono::milliseconds(20)};
 constexpr char kHealthTarget[] = "/health";
+constexpr int kMisdirected = 421;
 
-}  // namespace
+void AddHeader(http::Headers& headers,
+               const std::string& name,
+               const std::string& value) {
+  if (!name.empty() && !value.empty()) {
+    headers.push_back({.name = name, .value = value});
+  }
+}
 
 // A request that may not be repeated gets a connection of its own: on a kept
 // one the upstream may just be closing, and then nobody knows whether it ran.
-once::Outcome CallUpstream(const Endpoint& endpoint,
-                           const once::RunRequest& request,
-                           Instant deadline) {
-  const Duration left = deadline - MonotonicNow();
-  http::Call call{.server = endpoint,
+http::Call CallFor(const UpstreamTarget& target,
+                   const once::RunRequest& request,
+                   Duration left,
+                   const CancellationPtr& cancellation) {
+  const Dialect& dialect = *target.dialect;
+  http::Call call{.server = target.endpoint,
                   .request = request.request,
                   .timeout = std::max(left, Duration(1)),
-                  .reuse_connection = request.idempotent};
-  call.request.headers.push_back(
-      {.name = "Kingcupstair-Request-Id", .value = request.request_id});
-  call.request.headers.push_back(
-      {.name = "Kingcupstair-Organisation", .value = request.organisation});
-  call.request.headers.push_back(
-      {.name = "Kingcupstair-Deadline-Ms",
-       .value = absl::StrCat(ToMillisRoundedUp(left))});
-  const http::Result result = http::Exchange(call);
+                  .reuse_connection = request.idempotent,
+                  .cancellation = cancellation};
+  http::Headers& headers = call.request.headers;
+  if (http::Find(headers, dialect.request_id).empty()) {
+    AddHeader(headers, dialect.request_id, request.request_id);
+  }
+  call.echoed = http::Header{
+      .name = dialect.request_id,
+      .value = std::string(http::Find(headers, dialect.request_id))};
+  if (request.organisation != once::kNoOrganisation) {
+    AddHeader(headers, dialect.organisation, request.organisation);
+  }
+  AddHeader(headers, dialect.deadline, absl::StrCat(ToMillisRoundedUp(left)));
+  AddHeader(headers, dialect.expected_upstream, request.upstream);
+  AddHeader(headers, dialect.caller_service, request.caller_service);
+  return call;
+}
+
+bool HasHeader(const http::Response& response, const std::string& name) {
+  return !name.empty() && !http::Find(response.headers, name).empty();
+}
+
+once::Outcome OutcomeOf(const Dialect& dialect, http::Response response) {
+  if (HasHeader(response, dialect.not_run)) {
+    return once::NotRun{.reason = once::RefusalReason::kShed};
+  }
+  if (response.status == kMisdirected && !dialect.expected_upstream.empty()) {
+    return once::NotRun{.reason = once::RefusalReason::kMisdirected};
+  }
+  if (HasHeader(response, "Content-Encoding")) {
+    return once::Unknown{.detail = "the answer came in an encoding that "
+                                   "nobody asked for"};
+  }
+  return once::Ran{.response = std::move(response)};
+}
+
+}  // namespace
+
+once::Outcome CallUpstream(const UpstreamTarget& target,
+                           const once::RunRequest& request,
+                           Instant deadline,
+                           const CancellationPtr& cancellation) {
+  http::Result result = http::Exchange(
+      CallFor(target, request, deadline - MonotonicNow(), cancellation));
   if (result.ok()) {
-    return once::Ran{.response = result.response};
+    return OutcomeOf(*target.dialect, std::move(result.response));
   }
   if (result.failure.stage == http::Stage::kConnect) {
     return once::NotRun{.reason = once::RefusalReason::kConnectFailed};
   }
   const auto message = result.failure.status.message();
-  return once::Unknown{.detail = std::string(message.data(), message.size()),
-                       .upstream_broke = !result.failure.timed_out};
+  return once::Unknown{
+      .detail = std::string(message.data(), message.size()),
+      .upstream_broke = !result.failure.timed_out && !result.failure.cancelled,
+      .cancelled = result.failure.cancelled};
 }
 
 // A process that is ending may close its port a moment after its connections.
--- /dev/null
+++ b/components/health/upstream_judge.cc
@@ -0,0 +1,80 @@
+#include "components/health/upstream_judge.h"
+
+#include <algorithm>
+
+namespace kingcupstair::health {
+namespace {
+
+/// The latest requests that count. From the length of a spell (seconds) and
+/// the rate at an upstream (some requests a second): more would dilute a spell
+/// with what was before it.
+constexpr int kJudged = 4;
+/// Bad ones among them that make an upstream look unwell: one alone is often
+/// a slow request at a sound upstream.
+constexpr int kBadToLookUnwell = 2;
+/// A request out for longer than this part of its objective counts as hanging.
+/// Objectives are about three times what a sound upstream takes.
+constexpr double kOverduePart = 0.7;
+/// What is known fades: the spells last for seconds.
+constexpr Duration kMemory{std::chrono::seconds(6)};
+constexpr size_t kMostKept = 256;
+
+}  // namespace
+
+void UpstreamJudge::OnStart(uint64_t request, Duration objective, Instant now) {
+  const Duration allowed(
+      static_cast<int64_t>(static_cast<double>(objective.count()) *
+                           kOverduePart));
+  this->requests.push_back({.request = request,
+                            .started = now,
+                            .overdue = objective > Duration{} ? now + allowed
+                                                              : Instant::max()});
+  while (this->requests.size() > kMostKept) {
+    this->requests.pop_front();
+  }
+}
+
+void UpstreamJudge::OnEnd(uint64_t request, Verdict verdict, Instant now) {
+  const auto found = std::find_if(
+      this->requests.begin(), this->requests.end(),
+      [&](const Observed& each) { return each.request == request; });
+  if (found == this->requests.end()) {
+    return;
+  }
+  found->ended = true;
+  found->verdict = verdict;
+  found->ended_at = now;
+  std::erase_if(this->requests, [&](const Observed& each) {
+    return each.ended && now - each.ended_at > kMemory;
+  });
+}
+
+// The latest by the time of sending: what was sent before a spell began and
+// ended well says nothing about the spell.
+UpstreamJudge::Tally UpstreamJudge::Count(Instant now) const {
+  Tally tally;
+  for (auto at = this->requests.rbegin();
+       at != this->requests.rend() && tally.judged < kJudged; ++at) {
+    const bool hangs = !at->ended && now >= at->overdue;
+    const bool faded = at->ended && now - at->ended_at > kMemory;
+    const bool says_something =
+        hangs || (at->ended && at->verdict != Verdict::kNone);
+    if (!says_something || faded) {
+      continue;
+    }
+    ++tally.judged;
+    tally.bad += hangs || at->verdict == Verdict::kBad ? 1 : 0;
+  }
+  return tally;
+}
+
+bool UpstreamJudge::LooksUnwell(Instant now) const {
+  return this->Count(now).bad >= kBadToLookUnwell;
+}
+
+double UpstreamJudge::BadShare(Instant now) const {
+  const Tally tally = this->Count(now);
+  return tally.judged == 0 ? 0 : static_cast<double>(tally.bad) / kJudged;
+}
+
+}  // namespace kingcupstair::health
--- a/components/http/client.cc
+++ b/components/http/client.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -10,8 +11,10 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
+#include "absl/strings/numbers.h"
 #include "components/base/error.h"
 #include "components/fibers/await.h"
 #include "components/fibers/worker_pool.h"
@@ -24,19 +27,24 @@
 using tcp = boost::asio::ip::tcp;
 
 constexpr size_t kMaxIdlePerServer = 64;
-constexpr std::chrono::seconds kMaxIdleTime{10};
-constexpr uint64_t kMaxBodyBytes = 16 * 1024 * 1024;
+/// Without a time told by the server: shorter than the usual idle timeouts.
+constexpr Duration kMaxIdleTime{std::chrono::seconds(4)};
+/// Ahead of the idle timeout that a server tells.
+constexpr Duration kIdleMargin{std::chrono::seconds(1)};
+constexpr uint64_t kMaxBodyBytes = 64 * 1024 * 1024;
+/// Answers to earlier requests that are passed over on one connection.
+constexpr int kMaxPassedOver = 3;
 
 struct Connection {
   explicit Connection(boost::asio::io_context& io) : stream(io) {}
 
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
-  Instant idle_since;
+  Instant usable_until;
 };
 
 using IdleConnections =
-    std::map<Endpoint, std::vector<std::unique_ptr<Connection>>>;
+    std::map<Endpoint, std::vector<std::shared_ptr<Connection>>>;
 
 IdleConnections& Idle() {
   thread_local IdleConnections idle;
@@ -47,7 +55,7 @@
 bool LooksOpen(Connection& connection) {
   beast::error_code ec;
   auto& socket = connection.stream.socket();
-  if (MonotonicNow() - connection.idle_since > kMaxIdleTime) {
+  if (MonotonicNow() > connection.usable_until) {
     return false;
   }
   char byte = 0;
@@ -57,7 +65,7 @@
   return peeked == 0 && ec == boost::asio::error::would_block;
 }
 
-std::unique_ptr<Connection> TakeIdle(const Endpoint& server) {
+std::shared_ptr<Connection> TakeIdle(const Endpoint& server) {
   auto& kept = Idle()[server];
   while (!kept.empty()) {
     auto connection = std::move(kept.back());
@@ -69,12 +77,33 @@
   return nullptr;
 }
 
-void Keep(const Endpoint& server, std::unique_ptr<Connection> connection) {
+/// How long a kept connection may stay idle, by the server's own word if it
+/// gave one.
+Duration IdleTime(const beast::http::fields& fields) {
+  constexpr absl::string_view kTimeout = "timeout=";
+  const std::string told(fields[beast::http::field::keep_alive]);
+  const size_t start = told.find(kTimeout.data());
+  int64_t seconds = 0;
+  if (start == std::string::npos) {
+    return kMaxIdleTime;
+  }
+  const std::string number = told.substr(start + kTimeout.size());
+  if (!absl::SimpleAtoi(number.substr(0, number.find_first_not_of("0123456789")),
+                        &seconds)) {
+    return kMaxIdleTime;
+  }
+  return std::clamp<Duration>(std::chrono::seconds(seconds) - kIdleMargin,
+                              Duration{}, kMaxIdleTime);
+}
+
+void Keep(const Endpoint& server,
+          std::shared_ptr<Connection> connection,
+          Duration idle_time) {
   auto& kept = Idle()[server];
   if (kept.size() >= kMaxIdlePerServer) {
     return;
   }
-  connection->idle_since = MonotonicNow();
+  connection->usable_until = MonotonicNow() + idle_time;
   kept.push_back(std::move(connection));
 }
 
@@ -84,6 +113,8 @@
   return {.failure = {
               .stage = stage,
               .timed_out = timed_out,
+              .cancelled = call.cancellation != nullptr &&
+                           call.cancellation->IsCancelled(),
               .status = ErrorAt(timed_out ? absl::StatusCode::kDeadlineExceeded
                                           : absl::StatusCode::kUnavailable,
                                 {.step = kSteps[static_cast<int>(stage)],
@@ -120,44 +151,94 @@
       .error;
 }
 
+using Parser = beast::http::response_parser<beast::http::string_body>;
+
+bool BelongsHere(const Call& call, const Parser& parser) {
+  if (!call.echoed.has_value()) {
+    return true;
+  }
+  const auto found = parser.get().find(call.echoed->name);
+  return found == parser.get().end() || found->value() == call.echoed->value;
+}
+
+/// Reads until an answer to this request is whole.
+beast::error_code Receive(const Call& call,
+                          Connection& connection,
+                          std::optional<Parser>& parser) {
+  for (int passed_over = 0; passed_over <= kMaxPassedOver; ++passed_over) {
+    parser.emplace();
+    parser->body_limit(kMaxBodyBytes);
+    parser->skip(call.request.method == "HEAD");
+    const auto read = fibers::Await([&](auto handler) {
+      beast::http::async_read(connection.stream, connection.buffer, *parser,
+                              handler);
+    });
+    if (read.error) {
+      return read.error;
+    }
+    if (BelongsHere(call, *parser)) {
+      return {};
+    }
+  }
+  return beast::http::error::bad_value;
+}
+
+/// Closes the connection when the call is cancelled, from any thread.
+void CloseOnCancel(const Call& call,
+                   const std::shared_ptr<Connection>& connection) {
+  if (call.cancellation == nullptr) {
+    return;
+  }
+  call.cancellation->OnCancel([io = fibers::CurrentIo(),
+                               weak = std::weak_ptr(connection)] {
+    boost::asio::post(*io, [weak] {
+      if (const auto open = weak.lock()) {
+        open->stream.close();
+      }
+    });
+  });
+}
+
+std::shared_ptr<Connection> Open(const Call& call, beast::error_code& ec) {
+  auto connection = call.reuse_connection ? TakeIdle(call.server) : nullptr;
+  if (connection == nullptr) {
+    connection = std::make_shared<Connection>(*fibers::CurrentIo());
+    ec = Connect(call, *connection);
+  }
+  return connection;
+}
+
 }  // namespace
 
-// An answer whose end is marked only by the end of the connection can't be
-// told from one cut short, so it counts as cut.
 Result Exchange(const Call& call) {
   const Instant deadline = MonotonicNow() + call.timeout;
-  std::unique_ptr<Connection> connection =
-      call.reuse_connection ? TakeIdle(call.server) : nullptr;
-  if (connection == nullptr) {
-    connection = std::make_unique<Connection>(*fibers::CurrentIo());
-    if (const auto ec = Connect(call, *connection)) {
-      return Fail(call, Stage::kConnect, ec);
-    }
+  beast::error_code ec;
+  const auto connection = Open(call, ec);
+  if (ec) {
+    return Fail(call, Stage::kConnect, ec);
   }
-  connection->stream.expires_at(deadline);
-  if (const auto ec = Send(call, *connection)) {
+  connection->stream.expires_after(
+      std::max(deadline - MonotonicNow(), Duration(1)));
+  CloseOnCancel(call, connection);
+  if ((ec = Send(call, *connection))) {
     return Fail(call, Stage::kSend, ec);
   }
-  beast::http::response_parser<beast::http::string_body> parser;
-  parser.body_limit(kMaxBodyBytes);
-  parser.skip(call.request.method == "HEAD");
-  const auto read = fibers::Await([&](auto handler) {
-    beast::http::async_read(connection->stream, connection->buffer, parser,
-                            handler);
-  });
-  if (read.error) {
-    return Fail(call, Stage::kReceive, read.error);
+  std::optional<Parser> parser;
+  if ((ec = Receive(call, *connection, parser))) {
+    return Fail(call, Stage::kReceive, ec);
   }
-  if (parser.need_eof()) {
-    return Fail(call, Stage::kReceive, beast::http::error::partial_message);
+  if (call.cancellation != nullptr) {
+    call.cancellation->OnCancel(nullptr);
   }
-  auto message = parser.release();
+  const bool reusable = !parser->need_eof() && parser->keep_alive() &&
+                        connection->buffer.size() == 0;
+  auto message = parser->release();
   Result result{.response = {.status = static_cast<int>(message.result_int()),
                              .headers = FromBeast(message),
                              .body = std::move(message.body())}};
-  if (message.keep_alive() && connection->buffer.size() == 0) {
+  if (reusable) {
     connection->stream.expires_never();
-    Keep(call.server, std::move(connection));
+    Keep(call.server, connection, IdleTime(message));
   }
   return result;
 }
--- a/components/http/client.h
+++ b/components/http/client.h
@@ -1,7 +1,10 @@
 #ifndef COMPONENTS_HTTP_CLIENT_H_
 #define COMPONENTS_HTTP_CLIENT_H_
 
+#include <optional>
+
 #include "absl/status/status.h"
+#include "components/base/cancellation.h"
 #include "components/base/endpoint.h"
 #include "components/base/time.h"
 #include "components/http/message.h"
@@ -19,6 +22,7 @@
 struct Failure {
   Stage stage = Stage::kConnect;
   bool timed_out = false;
+  bool cancelled = false;
   absl::Status status;
 };
 
@@ -41,10 +45,17 @@
   /// A kept connection may be used. Leave it off where a second run would do
   /// harm: a kept connection can die unseen between two requests.
   bool reuse_connection = true;
+  /// Ends the exchange early and closes its connection; may be empty.
+  CancellationPtr cancellation;
+  /// A header that the answer to this request bears with this value, if it
+  /// bears it at all. An answer with another value belongs to an earlier
+  /// request and is passed over.
+  std::optional<Header> echoed;
 };
 
 /// Sends a request and reads the whole answer. A body that ends early is a
-/// failure, never a short answer.
+/// failure, never a short answer; one without a length ends where the server
+/// closes the connection in good order.
 Result Exchange(const Call& call);
 
 }  // namespace kingcupstair::http
--- a/components/ingress/attempt_runner.cc
+++ b/components/ingress/attempt_runner.cc
@@ -11,9 +11,10 @@
 /// After this long without a result the host is asked about the request: the
 /// connection may have gone silent. Longer than any wait in its queue.
 constexpr Duration kPatience{std::chrono::milliseconds(1200)};
+constexpr Duration kCancelTimeout{std::chrono::milliseconds(300)};
 constexpr Duration kResolveTimeout{std::chrono::milliseconds(300)};
 constexpr Duration kShortestResolvePause{std::chrono::milliseconds(20)};
-constexpr Duration kLongestResolvePause{std::chrono::milliseconds(500)};
+constexpr Duration kLongestResolvePause{std::chrono::milliseconds(100)};
 
 }  // namespace
 
@@ -28,13 +29,49 @@
       board(board),
       recorder(recorder) {}
 
+// A slot that was granted and not heard of lapses at its guard.
+rpc::SlotAnswer AttemptRunner::Reserve(const Choice& choice,
+                                       const once::SlotRequest& request) {
+  rpc::SlotAnswer answer;
+  if (choice.host == this->options.own_host) {
+    answer = this->guard.Reserve(request);
+  } else {
+    const auto reply = this->peers.Reserve(choice.host, request,
+                                           request.max_wait + kAcceptTimeout);
+    if (!reply.ok()) {
+      this->NotePathLost(choice.host);
+      return {.refusal = {.reason = once::RefusalReason::kConnectFailed}};
+    }
+    answer = *reply;
+    this->board.OnPathReached(choice.host);
+  }
+  this->board.OnStanding({.report = answer.report,
+                          .in_flight = answer.in_flight,
+                          .queued = answer.queued},
+                         MonotonicNow());
+  return answer;
+}
+
+void AttemptRunner::Cancel(const Choice& choice,
+                           const std::string& request_id) {
+  if (choice.host == this->options.own_host) {
+    this->guard.Cancel(request_id, choice.incarnation);
+    return;
+  }
+  const auto status = this->peers.Cancel(choice.host, request_id,
+                                         choice.incarnation, kCancelTimeout);
+  if (!status.ok()) {
+    this->NotePathLost(choice.host);
+  }
+}
+
 once::Outcome AttemptRunner::Run(const Choice& choice,
                                  const once::RunRequest& request) {
   if (choice.host != this->options.own_host) {
     return this->RunThere(choice.host, request);
   }
   const rpc::RunResult result = this->RunHere(request);
-  this->board.OnResult(result, MonotonicNow());
+  this->board.OnStanding(result, MonotonicNow());
   return result.outcome;
 }
 
@@ -51,11 +88,11 @@
   const Instant deadline = MonotonicNow() + request.time_left;
   const rpc::SubmitResult submitted = this->peers.Submit(
       host, request, std::min(kAcceptTimeout, request.time_left),
-      std::min(kPatience, request.time_left));
+      std::min(std::max(kPatience, request.objective), request.time_left));
   const Instant now = MonotonicNow();
   if (submitted.ok()) {
     this->board.OnPathReached(host);
-    this->board.OnResult(submitted.run, now);
+    this->board.OnStanding(submitted.run, now);
     return submitted.run.outcome;
   }
   if (submitted.stage == rpc::SubmitStage::kNotAccepted) {
--- a/components/ingress/attempt_runner.h
+++ b/components/ingress/attempt_runner.h
@@ -26,6 +26,14 @@
                 FleetBoard& board,
                 events::Recorder& recorder);
 
+  /// Asks the guard of the chosen upstream for a slot; suspends the calling
+  /// fiber while it waits for one.
+  rpc::SlotAnswer Reserve(const Choice& choice,
+                          const once::SlotRequest& request);
+
+  /// Tells the guard that nobody waits for an attempt any more.
+  void Cancel(const Choice& choice, const std::string& request_id);
+
   /// Runs the attempt before its time is up; suspends the calling fiber.
   once::Outcome Run(const Choice& choice, const once::RunRequest& request);
 
--- a/components/ingress/caller_answer.cc
+++ b/components/ingress/caller_answer.cc
@@ -10,23 +10,28 @@
 
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
-constexpr Duration kDefaultRetryAfter{std::chrono::seconds(1)};
+constexpr int kGatewayTimeout = 504;
+/// About the time that several requests take: a slot is free by then, or load
+/// is such that coming sooner would not help.
+constexpr Duration kDefaultRetryAfter{std::chrono::milliseconds(500)};
 
-int64_t WholeSeconds(Duration duration) {
-  return std::chrono::ceil<std::chrono::seconds>(duration).count();
+/// Seconds with a fraction of milliseconds.
+std::string SecondsText(Duration duration) {
+  return absl::StrCat(static_cast<double>(ToMillisRoundedUp(duration)) / 1000);
 }
 
 class OutcomeAnswer {
  public:
-  explicit OutcomeAnswer(const std::string& request_id)
-      : request_id(request_id) {}
+  explicit OutcomeAnswer(const AnswerName& name) : name(name) {}
 
   http::Response operator()(const once::Ran& ran) const {
     http::Response response = ran.response;
     response.headers.push_back(
         {.name = "Kingcupstair-Outcome", .value = "ran"});
-    response.headers.push_back(
-        {.name = "Kingcupstair-Request-Id", .value = this->request_id});
+    if (http::Find(response.headers, this->name.request_id_header).empty()) {
+      response.headers.push_back({.name = this->name.request_id_header,
+                                  .value = this->name.request_id});
+    }
     return response;
   }
 
@@ -34,20 +39,24 @@
     return AnswerFor(Problem{
         .status = kUnavailable,
         .reason = once::ToText(refusal.reason),
-        .request_id = this->request_id,
+        .request_id = this->name.request_id,
+        .request_id_header = this->name.request_id_header,
         .retry_after = std::max(refusal.retry_after, kDefaultRetryAfter)});
   }
 
   http::Response operator()(const once::Unknown& unknown) const {
-    return AnswerFor(Problem{.status = kBadGateway,
-                             .outcome = "unknown",
-                             .reason = unknown.detail,
-                             .request_id = this->request_id,
-                             .retry_after = kDefaultRetryAfter});
+    return AnswerFor(
+        Problem{.status = unknown.upstream_broke ? kBadGateway
+                                                 : kGatewayTimeout,
+                .outcome = "unknown",
+                .reason = unknown.detail,
+                .request_id = this->name.request_id,
+                .request_id_header = this->name.request_id_header,
+                .retry_after = kDefaultRetryAfter});
   }
 
  private:
-  const std::string& request_id;
+  const AnswerName& name;
 };
 
 }  // namespace
@@ -66,18 +75,18 @@
   response.headers.push_back(
       {.name = "Kingcupstair-Outcome", .value = problem.outcome});
   response.headers.push_back(
-      {.name = "Kingcupstair-Request-Id", .value = problem.request_id});
+      {.name = problem.request_id_header, .value = problem.request_id});
   if (problem.retry_after > Duration{}) {
     response.headers.push_back(
         {.name = "Retry-After",
-         .value = absl::StrCat(WholeSeconds(problem.retry_after))});
+         .value = SecondsText(problem.retry_after)});
   }
   return response;
 }
 
 http::Response AnswerFor(const once::Outcome& outcome,
-                         const std::string& request_id) {
-  return std::visit(OutcomeAnswer(request_id), outcome);
+                         const AnswerName& name) {
+  return std::visit(OutcomeAnswer(name), outcome);
 }
 
 }  // namespace kingcupstair::ingress
--- a/components/ingress/caller_answer.h
+++ b/components/ingress/caller_answer.h
@@ -16,6 +16,7 @@
   std::string outcome = "not-run";
   std::string reason;
   std::string request_id;
+  std::string request_id_header = "Kingcupstair-Request-Id";
   /// When coming back makes sense; zero when it does not.
   Duration retry_after{};
 
@@ -26,9 +27,16 @@
 /// JSON body.
 http::Response AnswerFor(const Problem& problem);
 
+/// How the fleet's own answers name a request.
+struct AnswerName {
+  std::string request_id;
+  std::string request_id_header = "Kingcupstair-Request-Id";
+
+  bool operator==(const AnswerName&) const = default;
+};
+
 /// The caller's answer to the outcome of its last attempt.
-http::Response AnswerFor(const once::Outcome& outcome,
-                         const std::string& request_id);
+http::Response AnswerFor(const once::Outcome& outcome, const AnswerName& name);
 
 }  // namespace kingcupstair::ingress
 
--- a/components/ingress/fleet_board.cc
+++ b/components/ingress/fleet_board.cc
@@ -91,7 +91,7 @@
   service.heard_of = true;
 }
 
-void FleetBoard::OnResult(const rpc::RunResult& result, Instant now) {
+void FleetBoard::OnStanding(const rpc::RunResult& result, Instant now) {
   const std::lock_guard lock(this->mutex);
   const auto service = this->services.find(result.report.service);
   if (service == this->services.end()) {
@@ -166,6 +166,7 @@
 
 std::optional<Choice> FleetBoard::Choose(const std::string& name,
                                          const std::set<std::string>& tried,
+                                         balancing::Reach reach,
                                          Instant now) {
   const std::lock_guard lock(this->mutex);
   const auto service = this->services.find(name);
@@ -173,7 +174,7 @@
     return std::nullopt;
   }
   const auto chosen =
-      this->chooser.Choose(this->Candidates(service->second, now), tried);
+      this->chooser.Choose(this->Candidates(service->second, now), tried, reach);
   if (!chosen.has_value()) {
     return std::nullopt;
   }
@@ -204,7 +205,7 @@
   for (balancing::Candidate& candidate : candidates) {
     candidate.view.path_open = true;
   }
-  const auto chosen = this->chooser.Choose(candidates, {});
+  const auto chosen = this->chooser.Choose(candidates, {}, balancing::Reach::kAnyZone);
   if (!chosen.has_value()) {
     return std::nullopt;
   }
--- a/components/ingress/fleet_board.h
+++ b/components/ingress/fleet_board.h
@@ -12,21 +12,12 @@
 #include "components/config/configuration.h"
 #include "components/health/ejection_planner.h"
 #include "components/health/path_health.h"
+#include "components/ingress/choice.h"
 #include "components/membership/host_record.h"
 #include "components/rpc/messages.h"
 
 namespace kingcupstair::ingress {
 
-/// Where a chosen upstream is.
-struct Choice {
-  std::string upstream;
-  std::string host;
-  /// The life of the host that the choice is meant for.
-  uint64_t incarnation = 0;
-
-  bool operator==(const Choice&) const = default;
-};
-
 /// What one ingress knows of all upstreams: the newest of what their hosts
 /// tell by gossip and with each answer, its own judgement of paths, and the
 /// ejections that follow. Safe to use from several threads.
@@ -45,8 +36,8 @@
               const config::Configuration& configuration,
               Instant now);
 
-  /// Takes in what came with an answer.
-  void OnResult(const rpc::RunResult& result, Instant now);
+  /// Takes in how an upstream stands, as told with an answer.
+  void OnStanding(const rpc::RunResult& result, Instant now);
 
   void OnPathReached(const std::string& host);
   void OnPathLost(const std::string& host, Instant now);
@@ -58,6 +49,7 @@
   /// Chooses an upstream of `service` that is not among `tried`.
   std::optional<Choice> Choose(const std::string& service,
                                const std::set<std::string>& tried,
+                               balancing::Reach reach,
                                Instant now);
 
   /// Chooses on the one host that is the home of `key` for `service`.
--- a/components/ingress/ingress.cc
+++ b/components/ingress/ingress.cc
@@ -1,72 +1,48 @@
 #include "components/ingress/ingress.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "components/base/hash.h"
+#include "components/ingress/request_run.h"
 #include "components/logging/log.h"
-#include "components/retry/retry_policy.h"
 
 namespace kingcupstair::ingress {
 namespace {
 
+constexpr int kBadRequest = 400;
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
 constexpr int kTooManyRequests = 429;
 constexpr int kUnavailable = 503;
+/// When to come back to a host that is not in service yet: a configuration is
+/// there within seconds.
 constexpr Duration kSoon{std::chrono::seconds(1)};
-constexpr char kOpenOrganisation[] = "-";
-constexpr char kBearer[] = "Bearer ";
-constexpr char kDeadlineHeader[] = "Kingcupstair-Deadline-Ms";
+/// The shortest time after which a caller over its rate should come back.
+constexpr Duration kLeastOverRate{std::chrono::milliseconds(200)};
+constexpr int64_t kMaxDeadlineMillis = 600'000;
 
-/// What of a caller's headers no upstream gets to see: keys, and names that
-/// only the fleet may use.
-http::Headers HeadersForUpstream(const http::Headers& headers) {
-  http::Headers kept = http::Without(
-      headers, {"Authorization", "Proxy-Authorization", "X-Api-Key"});
-  std::erase_if(kept, [](const http::Header& header) {
-    return absl::StartsWithIgnoreCase(header.name, "Kingcupstair-");
-  });
-  return kept;
-}
-
-std::string KeyOf(const http::Headers& headers) {
-  const std::string_view authorization = http::Find(headers, "Authorization");
-  const std::string_view bearer = kBearer;
-  if (authorization.substr(0, bearer.size()) == bearer) {
-    return std::string(authorization.substr(bearer.size()));
-  }
-  return std::string(http::Find(headers, "X-Api-Key"));
-}
-
-Duration TimeFor(const config::RouteRule& route, const http::Headers& headers) {
-  int64_t millis = 0;
-  const std::string asked(http::Find(headers, kDeadlineHeader));
-  if (absl::SimpleAtoi(asked, &millis) && millis > 0) {
-    return std::min<Duration>(
-        route.deadline,
-        std::chrono::milliseconds(std::min<int64_t>(millis, 600'000)));
-  }
-  return route.deadline;
-}
-
-/// Logs an attempt that brought no answer; names and ids only, no key.
-void LogAttempt(const std::string& request_id,
-                const std::string& organisation,
-                const std::string& host,
-                const once::Outcome& outcome) {
+/// Logs a step of a request that brought no answer; names and ids only, no key.
+void LogStep(const AdmittedRequest& admitted,
+             const std::string& message,
+             const std::string& host,
+             const once::Outcome& outcome) {
   if (std::holds_alternative<once::Ran>(outcome)) {
     return;
   }
   const auto* refusal = std::get_if<once::NotRun>(&outcome);
+  const Duration age = MonotonicNow() - admitted.arrived;
   logging::Write(
-      logging::Level::kWarning, "an attempt brought no answer",
-      {{.name = "request_id", .value = request_id},
-       {.name = "organisation", .value = organisation},
+      logging::Level::kWarning, message,
+      {{.name = "request_id", .value = admitted.request_id},
+       {.name = "service", .value = admitted.service},
+       {.name = "organisation", .value = admitted.organisation},
        {.name = "step", .value = "attempt"},
        {.name = "peer", .value = host},
+       {.name = "age_ms", .value = absl::StrCat(ToMillisRoundedUp(age))},
        {.name = "outcome", .value = refusal != nullptr ? "not-run" : "unknown"},
        {.name = "reason",
         .value = refusal != nullptr
@@ -76,17 +52,6 @@
 
 }  // namespace
 
-/// A request on its way through the ingress.
-struct Ingress::Admitted {
-  std::string request_id;
-  config::RouteRule route;
-  std::string organisation = kOpenOrganisation;
-  http::Request request;
-  once::Fingerprint fingerprint = 0;
-  std::string dedupe_key;
-  Instant deadline;
-};
-
 Ingress::Ingress(Options options,
                  const Snapshot<config::Configuration>& configuration,
                  FleetBoard& board,
@@ -98,35 +63,50 @@
       board(board),
       runner(runner),
       crashes(crashes),
-      recorder(recorder) {}
+      recorder(recorder),
+      budget(this->options.retries) {}
 
-http::Response Ingress::Handle(const http::Request& request) {
-  Admitted admitted{.request_id = RandomId(), .request = request};
+http::Response Ingress::Handle(const http::Request& request,
+                               const CancellationPtr& caller) {
+  const std::string named(
+      this->options.dialect->callers_name_requests
+          ? http::Find(request.headers, this->options.dialect->request_id)
+          : "");
+  AdmittedRequest admitted{.request_id = named.empty() ? RandomId() : named,
+                           .request = request,
+                           .arrived = MonotonicNow(),
+                           .caller = caller};
+  if (named.empty() && this->options.dialect->callers_name_requests) {
+    return this->Refuse(admitted,
+                        {.status = kBadRequest, .reason = "no_request_id"});
+  }
   const auto current = this->configuration.Read();
-  if (auto problem = this->CheckInService(*current)) {
+  if (auto problem = this->Admit(*current, admitted)) {
     return this->Refuse(admitted, *problem);
   }
-  const auto* route = current->FindRoute(request.method, request.target);
-  if (route == nullptr) {
-    return this->Refuse(admitted,
-                        {.status = kNotFound, .reason = "no_such_route"});
+  return this->Run(admitted);
+}
+
+std::optional<Problem> Ingress::Admit(const config::Configuration& current,
+                                      AdmittedRequest& admitted) {
+  if (auto problem = this->CheckInService(current)) {
+    return problem;
   }
-  admitted.route = *route;
-  admitted.deadline = MonotonicNow() + TimeFor(*route, request.headers);
-  if (auto problem = this->Authenticate(*current, request, admitted)) {
-    return this->Refuse(admitted, *problem);
+  if (auto problem = this->FindRoute(current, admitted)) {
+    return problem;
   }
-  admitted.request.headers = HeadersForUpstream(request.headers);
+  if (auto problem = this->Authenticate(current, admitted)) {
+    return problem;
+  }
+  const http::Request& request = admitted.request;
+  admitted.request.headers = this->HeadersForUpstream(request.headers);
   admitted.fingerprint =
       StableHash(absl::StrCat(admitted.organisation, "\n", request.method, "\n",
                               request.target, "\n", request.body));
   if (auto problem = this->CheckCrashes(admitted)) {
-    return this->Refuse(admitted, *problem);
+    return problem;
   }
-  if (auto problem = this->TakePermit(admitted)) {
-    return this->Refuse(admitted, *problem);
-  }
-  return this->RunWithRetries(admitted);
+  return this->TakePermit(current, admitted);
 }
 
 std::optional<Problem> Ingress::CheckInService(
@@ -144,33 +124,98 @@
   return std::nullopt;
 }
 
+std::optional<Problem> Ingress::FindRoute(const config::Configuration& current,
+                                          AdmittedRequest& admitted) {
+  const http::Request& request = admitted.request;
+  std::string host(http::Find(request.headers, "Host"));
+  host = host.substr(0, host.find(':'));
+  std::transform(host.begin(), host.end(), host.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  const auto* route = current.FindRoute(host, request.method, request.target);
+  if (route == nullptr) {
+    return Problem{.status = kNotFound, .reason = "no_such_route"};
+  }
+  admitted.route = *route;
+  admitted.service = this->ChoosePart(*route);
+  admitted.priority = route->priority;
+  admitted.deadline = admitted.arrived + this->TimeFor(admitted);
+  return std::nullopt;
+}
+
+// A part that is short of room refuses: what was meant for it is not moved to
+// another, which may be a trial of a new version of the service.
+std::string Ingress::ChoosePart(const config::RouteRule& route) {
+  if (route.parts.size() == 1) {
+    return route.parts.front().service;
+  }
+  std::vector<double> weights;
+  for (const config::RoutePart& part : route.parts) {
+    weights.push_back(part.weight);
+  }
+  const std::lock_guard lock(this->mutex);
+  std::discrete_distribution<size_t> pick(weights.begin(), weights.end());
+  return route.parts[pick(this->random)].service;
+}
+
+Duration Ingress::TimeFor(const AdmittedRequest& admitted) const {
+  int64_t millis = 0;
+  const std::string asked(http::Find(admitted.request.headers,
+                                     this->options.dialect->deadline));
+  if (absl::SimpleAtoi(asked, &millis) && millis > 0) {
+    return std::min<Duration>(admitted.route.deadline,
+                              std::chrono::milliseconds(
+                                  std::min(millis, kMaxDeadlineMillis)));
+  }
+  return admitted.route.deadline;
+}
+
+// What of a caller's headers no upstream gets to see: keys, and names that
+// only the fleet may use.
+http::Headers Ingress::HeadersForUpstream(const http::Headers& headers) const {
+  const Dialect& dialect = *this->options.dialect;
+  http::Headers kept = http::Without(
+      headers,
+      {"Authorization", "Proxy-Authorization", "X-Api-Key", dialect.deadline,
+       dialect.organisation, dialect.expected_upstream,
+       dialect.caller_service});
+  std::erase_if(kept, [](const http::Header& header) {
+    return absl::StartsWithIgnoreCase(header.name, "Kingcupstair-");
+  });
+  return kept;
+}
+
 // The key is checked anew with each request, so a withdrawn one stops working
 // on open connections too.
 std::optional<Problem> Ingress::Authenticate(
     const config::Configuration& current,
-    const http::Request& request,
-    Admitted& admitted) const {
+    AdmittedRequest& admitted) const {
   if (admitted.route.access == config::Access::kOpen) {
     return std::nullopt;
   }
-  const std::string key = KeyOf(request.headers);
+  const http::Headers& headers = admitted.request.headers;
+  const std::string& scheme = this->options.dialect->key_scheme;
+  const std::string_view authorization = http::Find(headers, "Authorization");
+  const bool has_scheme = authorization.substr(0, scheme.size()) == scheme;
+  const std::string key(has_scheme ? authorization.substr(scheme.size())
+                                   : http::Find(headers, "X-Api-Key"));
   const auto* organisation =
       key.empty() ? nullptr : current.FindByKeyDigest(Sha256Hex(key));
   if (organisation == nullptr) {
     return Problem{.status = kUnauthorized, .reason = "key_not_valid"};
   }
   admitted.organisation = organisation->name;
-  const std::string_view repeat_key =
-      http::Find(request.headers, "Idempotency-Key");
-  if (admitted.route.repeat == config::Repeat::kOnce && !repeat_key.empty()) {
+  admitted.priority = organisation->priority.value_or(admitted.route.priority);
+  const std::string_view repeat_key = http::Find(headers, "Idempotency-Key");
+  if (!admitted.IsIdempotent() && !repeat_key.empty()) {
     admitted.dedupe_key = Sha256Hex(absl::StrCat(admitted.organisation, "\n",
-                                                 admitted.route.service, "\n",
+                                                 admitted.service, "\n",
                                                  std::string(repeat_key)));
   }
   return std::nullopt;
 }
 
-std::optional<Problem> Ingress::CheckCrashes(const Admitted& admitted) const {
+std::optional<Problem> Ingress::CheckCrashes(
+    const AdmittedRequest& admitted) const {
   const Duration refused =
       this->crashes.RefusedFor(admitted.fingerprint, MonotonicNow());
   if (refused == Duration{}) {
@@ -181,8 +226,11 @@
                  .retry_after = refused};
 }
 
-std::optional<Problem> Ingress::TakePermit(const Admitted& admitted) const {
-  if (admitted.organisation == kOpenOrganisation) {
+std::optional<Problem> Ingress::TakePermit(
+    const config::Configuration& current,
+    const AdmittedRequest& admitted) const {
+  const auto* rule = current.FindOrganisation(admitted.organisation);
+  if (rule == nullptr || rule->unlimited) {
     return std::nullopt;
   }
   const Instant asked = MonotonicNow();
@@ -193,95 +241,83 @@
   }
   return Problem{.status = kTooManyRequests,
                  .reason = "over_rate",
-                 .retry_after = std::max(grant.retry_after, Duration(1000))};
+                 .retry_after = std::max(grant.retry_after, kLeastOverRate)};
 }
 
-http::Response Ingress::RunWithRetries(const Admitted& admitted) {
+http::Response Ingress::Run(const AdmittedRequest& admitted) {
   {
-    const std::lock_guard lock(this->budget_mutex);
-    this->budget.OnFirstAttempt();
+    const std::lock_guard lock(this->mutex);
+    this->budget.OnRequest(admitted.service, this->options.hosts());
   }
-  std::set<std::string> tried;
-  retry::AttemptResult last{
-      .outcome = once::NotRun{.reason = once::RefusalReason::kUpstreamGone},
-      .repeat = admitted.route.repeat,
-      .attempts = 0};
-  while (true) {
-    const auto choice = this->Choose(admitted, tried);
-    if (!choice.has_value()) {
-      break;
-    }
-    tried.insert(choice->upstream);
-    last.outcome = this->runner.Run(*choice, this->MakeRun(admitted, *choice));
-    ++last.attempts;
-    LogAttempt(admitted.request_id, admitted.organisation, choice->host,
-               last.outcome);
-    const auto* unknown = std::get_if<once::Unknown>(&last.outcome);
-    last.upstreams_broken +=
-        unknown != nullptr && unknown->upstream_broke ? 1 : 0;
-    last.time_left = admitted.deadline - MonotonicNow();
-    const bool again =
-        std::holds_alternative<retry::TryAgain>(retry::DecideNextStep(last));
-    if (!again || !admitted.dedupe_key.empty() || !this->MayRetry()) {
-      break;
-    }
-    this->Count(admitted, "retried");
+  RequestRun run(
+      {.board = this->board,
+       .runner = this->runner,
+       .may_retry =
+           [this](const std::string& service) {
+             return this->MayRetry(service);
+           },
+       .note =
+           [&admitted](const std::string& message, const std::string& host,
+                       const once::Outcome& outcome) {
+             LogStep(admitted, message, host, outcome);
+           },
+       .caller_service = this->options.caller_service},
+      admitted);
+  const auto outcome = run.Execute();
+  if (!outcome.has_value()) {
+    this->Count(admitted, "caller_gone");
+    return {.status = http::kCloseWithoutAnswer};
   }
-  this->Count(admitted, once::ResultOf(last.outcome));
-  if (!std::holds_alternative<once::Ran>(last.outcome)) {
-    const auto* refusal = std::get_if<once::NotRun>(&last.outcome);
-    this->recorder.Record(
-        {.kind = refusal != nullptr ? "not_run" : "outcome_unknown",
-         .organisation = admitted.organisation,
-         .detail = refusal != nullptr
-                       ? once::ToText(refusal->reason)
-                       : std::get<once::Unknown>(last.outcome).detail});
-  }
-  return AnswerFor(last.outcome, admitted.request_id);
+  this->NoteOutcome(admitted, *outcome);
+  return AnswerFor(*outcome, {.request_id = admitted.request_id,
+                              .request_id_header =
+                                  this->options.dialect->request_id});
 }
 
-std::optional<Choice> Ingress::Choose(const Admitted& admitted,
-                                      const std::set<std::string>& tried) {
-  const Instant now = MonotonicNow();
-  if (!admitted.dedupe_key.empty()) {
-    return this->board.ChooseHome(admitted.route.service, admitted.dedupe_key,
-                                  now);
+void Ingress::NoteOutcome(const AdmittedRequest& admitted,
+                          const once::Outcome& outcome) {
+  this->Count(admitted, once::ResultOf(outcome));
+  if (std::holds_alternative<once::Ran>(outcome)) {
+    return;
   }
-  return this->board.Choose(admitted.route.service, tried, now);
-}
-
-once::RunRequest Ingress::MakeRun(const Admitted& admitted,
-                                  const Choice& choice) const {
-  return {.request_id = RandomId(),
-          .incarnation = choice.incarnation,
-          .organisation = admitted.organisation,
-          .upstream = choice.upstream,
-          .fingerprint = admitted.fingerprint,
-          .idempotent = admitted.route.repeat == config::Repeat::kIdempotent,
-          .dedupe_key = admitted.dedupe_key,
-          .time_left = admitted.deadline - MonotonicNow(),
-          .request = admitted.request};
+  LogStep(admitted, "a request was not served", "", outcome);
+  const auto* refusal = std::get_if<once::NotRun>(&outcome);
+  this->recorder.Record(
+      {.kind = refusal != nullptr ? "not_run" : "outcome_unknown",
+       .organisation = admitted.organisation,
+       .detail = refusal != nullptr
+                     ? once::ToText(refusal->reason)
+                     : std::get<once::Unknown>(outcome).detail});
 }
 
-bool Ingress::MayRetry() {
-  const std::lock_guard lock(this->budget_mutex);
-  return this->budget.TryRetry();
+bool Ingress::MayRetry(const std::string& service) {
+  const std::lock_guard lock(this->mutex);
+  return this->budget.TryRetry(service, this->options.hosts());
 }
 
-http::Response Ingress::Refuse(const Admitted& admitted, Problem problem) {
+http::Response Ingress::Refuse(const AdmittedRequest& admitted,
+                               Problem problem) {
   problem.request_id = admitted.request_id;
+  problem.request_id_header = this->options.dialect->request_id;
   this->Count(admitted, problem.reason);
   this->recorder.Record({.kind = "refused",
                          .organisation = admitted.organisation,
                          .detail = problem.reason});
+  logging::Write(logging::Level::kWarning, "a request was refused",
+                 {{.name = "request_id", .value = admitted.request_id},
+                  {.name = "organisation", .value = admitted.organisation},
+                  {.name = "service", .value = admitted.service},
+                  {.name = "step", .value = "admit"},
+                  {.name = "reason", .value = problem.reason}});
   return AnswerFor(problem);
 }
 
-void Ingress::Count(const Admitted& admitted, const std::string& result) {
+void Ingress::Count(const AdmittedRequest& admitted,
+                    const std::string& result) {
   this->recorder.counters().Add(
       "kingcupstair_requests_total",
       {{.name = "organisation", .value = admitted.organisation},
-       {.name = "service", .value = admitted.route.service},
+       {.name = "service", .value = admitted.service},
        {.name = "result", .value = result}});
 }
 
--- a/components/ingress/ingress.h
+++ b/components/ingress/ingress.h
@@ -2,15 +2,18 @@
 #define COMPONENTS_INGRESS_INGRESS_H_
 
 #include <functional>
+#include <memory>
 #include <mutex>
 #include <optional>
-#include <set>
+#include <random>
 #include <string>
 
 #include "components/control/rate_keeper.h"
+#include "components/dialect/dialect.h"
 #include "components/events/recorder.h"
 #include "components/guard/crash_watch.h"
 #include "components/http/message.h"
+#include "components/ingress/admitted_request.h"
 #include "components/ingress/attempt_runner.h"
 #include "components/ingress/caller_answer.h"
 #include "components/ingress/fleet_board.h"
@@ -28,6 +31,12 @@
     std::function<bool()> isolated;
     /// Takes one permit for an organisation, wherever its pool is.
     std::function<limits::PermitGrant(const std::string& organisation)> acquire;
+    /// Hosts of the fleet, which share the retry budget.
+    std::function<size_t()> hosts;
+    retry::RetryBudget::Options retries;
+    std::shared_ptr<const Dialect> dialect = std::make_shared<const Dialect>();
+    /// The service beside which this host stands; may be empty.
+    std::string caller_service;
   };
 
   Ingress(Options options,
@@ -37,26 +46,30 @@
           guard::CrashWatch& crashes,
           events::Recorder& recorder);
 
-  /// Answers one request.
-  http::Response Handle(const http::Request& request);
+  /// Answers one request. `caller` is cancelled when the caller goes away.
+  http::Response Handle(const http::Request& request,
+                        const CancellationPtr& caller);
 
  private:
-  struct Admitted;
-
+  std::optional<Problem> Admit(const config::Configuration& current,
+                               AdmittedRequest& admitted);
   std::optional<Problem> CheckInService(const config::Configuration& current);
+  std::optional<Problem> FindRoute(const config::Configuration& current,
+                                   AdmittedRequest& admitted);
   std::optional<Problem> Authenticate(const config::Configuration& current,
-                                      const http::Request& request,
-                                      Admitted& admitted) const;
-  std::optional<Problem> TakePermit(const Admitted& admitted) const;
-  std::optional<Problem> CheckCrashes(const Admitted& admitted) const;
-  http::Response RunWithRetries(const Admitted& admitted);
-  std::optional<Choice> Choose(const Admitted& admitted,
-                               const std::set<std::string>& tried);
-  once::RunRequest MakeRun(const Admitted& admitted,
-                           const Choice& choice) const;
-  bool MayRetry();
-  http::Response Refuse(const Admitted& admitted, Problem problem);
-  void Count(const Admitted& admitted, const std::string& result);
+                                      AdmittedRequest& admitted) const;
+  std::optional<Problem> TakePermit(const config::Configuration& current,
+                                    const AdmittedRequest& admitted) const;
+  std::optional<Problem> CheckCrashes(const AdmittedRequest& admitted) const;
+  http::Headers HeadersForUpstream(const http::Headers& headers) const;
+  Duration TimeFor(const AdmittedRequest& admitted) const;
+  std::string ChoosePart(const config::RouteRule& route);
+  http::Response Run(const AdmittedRequest& admitted);
+  bool MayRetry(const std::string& service);
+  http::Response Refuse(const AdmittedRequest& admitted, Problem problem);
+  void NoteOutcome(const AdmittedRequest& admitted,
+                   const once::Outcome& outcome);
+  void Count(const AdmittedRequest& admitted, const std::string& result);
 
   Options options;
   const Snapshot<config::Configuration>& configuration;
@@ -64,8 +77,9 @@
   AttemptRunner& runner;
   guard::CrashWatch& crashes;
   events::Recorder& recorder;
-  std::mutex budget_mutex;
+  std::mutex mutex;
   retry::RetryBudget budget;
+  std::mt19937_64 random{std::random_device{}()};
 };
 
 }  // namespace kingcupstair::ingress
--- a/components/limits/share_table.cc
+++ b/components/limits/share_table.cc
@@ -21,6 +21,16 @@
   return entry == nullptr ? 0 : static_cast<double>(entry->parts) / kAllParts;
 }
 
+ShareTable ShareTable::EqualShares(
+    const std::map<std::string, ShareEntry>& hosts) {
+  ShareTable table;
+  table.entries = hosts;
+  for (auto& [host, entry] : table.entries) {
+    entry.parts = kAllParts / static_cast<int64_t>(hosts.size());
+  }
+  return table;
+}
+
 bool ShareTable::Join(const std::string& host, const ShareEntry& places) {
   const bool first = this->entries.empty();
   const auto [at, added] = this->entries.emplace(host, places);
--- a/components/limits/share_table.h
+++ b/components/limits/share_table.h
@@ -45,6 +45,9 @@
   /// The share of `host` as a fraction of the whole.
   double Fraction(const std::string& host) const;
 
+  /// The first table of a fleet: equal shares for all `hosts`.
+  static ShareTable EqualShares(const std::map<std::string, ShareEntry>& hosts);
+
   /// Adds `host` or renews its places. The first host of a table gets all
   /// parts, later ones none. False when nothing changed.
   bool Join(const std::string& host, const ShareEntry& places);
--- a/components/once/outcome.cc
+++ b/components/once/outcome.cc
@@ -24,6 +24,14 @@
       return "connect_failed";
     case RefusalReason::kIsolated:
       return "isolated";
+    case RefusalReason::kLooksUnwell:
+      return "looks_unwell";
+    case RefusalReason::kSlotLapsed:
+      return "slot_lapsed";
+    case RefusalReason::kMisdirected:
+      return "misdirected";
+    case RefusalReason::kShed:
+      return "shed";
   }
   return "none";
 }
--- a/components/once/outcome.h
+++ b/components/once/outcome.h
@@ -21,6 +21,10 @@
   kQueueTimeout,
   kConnectFailed,
   kIsolated,
+  kLooksUnwell,
+  kSlotLapsed,
+  kMisdirected,
+  kShed,
 };
 
 /// The reason in the form used in answers, logs and counters.
@@ -47,6 +51,8 @@
   std::string detail;
   /// The upstream closed the connection while it ran the request.
   bool upstream_broke = false;
+  /// It was given up because nobody waited for it any more.
+  bool cancelled = false;
 
   bool operator==(const Unknown&) const = default;
 };
--- a/components/once/run_request.h
+++ b/components/once/run_request.h
@@ -10,6 +10,29 @@
 
 namespace kingcupstair::once {
 
+/// Stands for the organisation of a request that needs no key.
+inline constexpr char kNoOrganisation[] = "-";
+
+/// Asks for a slot of an upstream, which is held for the request that follows.
+struct SlotRequest {
+  /// That of the attempt that will use the slot.
+  std::string request_id;
+  uint64_t incarnation = 0;
+  std::string organisation;
+  std::string upstream;
+  /// 0 is the most urgent.
+  int priority = 1;
+  bool idempotent = false;
+  /// No upstream that looks well had a slot, so one that does not will do.
+  bool last_resort = false;
+  Duration objective{};
+  /// Longest wait for a slot; zero asks for one that is free now.
+  Duration max_wait{};
+  Duration time_left{};
+
+  bool operator==(const SlotRequest&) const = default;
+};
+
 /// One attempt to run a request on a chosen upstream.
 struct RunRequest {
   /// Unique to this attempt.
@@ -23,6 +46,10 @@
   /// The caller's Idempotency-Key made unique by organisation; may be empty.
   std::string dedupe_key;
   Duration time_left{};
+  /// The time within which an answer is as useful as it can be.
+  Duration objective{};
+  /// The service beside which the request entered the fleet; may be empty.
+  std::string caller_service;
   http::Request request;
 
   bool operator==(const RunRequest&) const = default;
--- a/components/retry/retry_policy.cc
+++ b/components/retry/retry_policy.cc
@@ -3,18 +3,17 @@
 namespace kingcupstair::retry {
 namespace {
 
-constexpr int kMaxAttempts = 4;
 constexpr int kMaxUpstreamsBroken = 2;
 constexpr Duration kLeastTimeForRetry{std::chrono::milliseconds(20)};
-constexpr int kServiceUnavailable = 503;
+constexpr int kFirstServerError = 500;
 
 class Decider {
  public:
   explicit Decider(const AttemptResult& result) : result(result) {}
 
   NextStep operator()(const once::Ran& ran) const {
-    const bool shed = ran.response.status == kServiceUnavailable;
-    return this->If(shed && this->MayRepeat());
+    const bool failed = ran.response.status >= kFirstServerError;
+    return this->If(failed && this->MayRepeat());
   }
 
   NextStep operator()(const once::NotRun&) const { return this->If(true); }
@@ -30,8 +29,9 @@
   }
 
   NextStep If(bool allowed) const {
-    if (allowed && this->result.attempts<kMaxAttempts&& this->result.time_left>
-                       kLeastTimeForRetry) {
+    const bool in_time = this->result.time_left > kLeastTimeForRetry;
+    if (allowed && in_time &&
+        this->result.attempts < this->result.max_attempts) {
       return TryAgain{};
     }
     return GiveAnswer{};
--- a/components/retry/retry_policy.h
+++ b/components/retry/retry_policy.h
@@ -26,6 +26,7 @@
   once::Outcome outcome;
   config::Repeat repeat = config::Repeat::kOnce;
   int attempts = 1;
+  int max_attempts = 4;
   /// Attempts at which an upstream broke while running this request.
   int upstreams_broken = 0;
   Duration time_left{};
--- a/components/rpc/convert.h
+++ b/components/rpc/convert.h
@@ -34,6 +34,12 @@
            wire::Upstream::Builder out);
 membership::UpstreamRecord Read(wire::Upstream::Reader in);
 
+void Write(const once::SlotRequest& request, wire::SlotRequest::Builder out);
+once::SlotRequest Read(wire::SlotRequest::Reader in);
+
+void Write(const SlotAnswer& answer, wire::SlotAnswer::Builder out);
+SlotAnswer Read(wire::SlotAnswer::Reader in);
+
 void Write(const once::RunRequest& request, wire::Run::Builder out);
 once::RunRequest Read(wire::Run::Reader in);
 
--- a/components/rpc/convert_run.cc
+++ b/components/rpc/convert_run.cc
@@ -17,6 +17,24 @@
   return {reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()};
 }
 
+uint64_t ToMicros(Duration duration) {
+  return static_cast<uint64_t>(std::max<int64_t>(0, duration.count()));
+}
+
+Duration FromMicros(uint64_t micros) {
+  return Duration(static_cast<int64_t>(micros));
+}
+
+void WriteRefusal(const once::NotRun& not_run, wire::Refusal::Builder out) {
+  out.setReason(static_cast<uint8_t>(not_run.reason));
+  out.setRetryAfterMicros(ToMicros(not_run.retry_after));
+}
+
+once::NotRun ReadRefusal(wire::Refusal::Reader in) {
+  return {.reason = static_cast<once::RefusalReason>(in.getReason()),
+          .retry_after = FromMicros(in.getRetryAfterMicros())};
+}
+
 void WriteHeaders(const http::Headers& headers,
                   capnp::List<wire::Header>::Builder out) {
   for (unsigned i = 0; i < headers.size(); ++i) {
@@ -48,16 +66,14 @@
   }
 
   void operator()(const once::NotRun& not_run) {
-    auto refusal = this->out.initNotRun();
-    refusal.setReason(static_cast<uint8_t>(not_run.reason));
-    refusal.setRetryAfterMicros(
-        static_cast<uint64_t>(not_run.retry_after.count()));
+    WriteRefusal(not_run, this->out.initNotRun());
   }
 
   void operator()(const once::Unknown& unknown) {
     auto builder = this->out.initUnknown();
     builder.setDetail(unknown.detail);
     builder.setUpstreamBroke(unknown.upstream_broke);
+    builder.setCancelled(unknown.cancelled);
   }
 
  private:
@@ -84,6 +100,49 @@
 
 }  // namespace
 
+void Write(const once::SlotRequest& request, wire::SlotRequest::Builder out) {
+  out.setRequestId(request.request_id);
+  out.setIncarnation(request.incarnation);
+  out.setOrganisation(request.organisation);
+  out.setUpstream(request.upstream);
+  out.setPriority(static_cast<uint16_t>(request.priority));
+  out.setRepeatable(request.idempotent);
+  out.setLastResort(request.last_resort);
+  out.setObjectiveMicros(ToMicros(request.objective));
+  out.setMaxWaitMicros(ToMicros(request.max_wait));
+  out.setTimeLeftMicros(ToMicros(request.time_left));
+}
+
+once::SlotRequest Read(wire::SlotRequest::Reader in) {
+  return {.request_id = ToString(in.getRequestId()),
+          .incarnation = in.getIncarnation(),
+          .organisation = ToString(in.getOrganisation()),
+          .upstream = ToString(in.getUpstream()),
+          .priority = in.getPriority(),
+          .idempotent = in.getRepeatable(),
+          .last_resort = in.getLastResort(),
+          .objective = FromMicros(in.getObjectiveMicros()),
+          .max_wait = FromMicros(in.getMaxWaitMicros()),
+          .time_left = FromMicros(in.getTimeLeftMicros())};
+}
+
+void Write(const SlotAnswer& answer, wire::SlotAnswer::Builder out) {
+  out.setGranted(answer.granted);
+  WriteRefusal(answer.refusal, out.initRefusal());
+  Write(answer.report, out.initReport());
+  auto load = out.initLoad();
+  load.setInFlight(static_cast<uint32_t>(answer.in_flight));
+  load.setQueued(static_cast<uint32_t>(answer.queued));
+}
+
+SlotAnswer Read(wire::SlotAnswer::Reader in) {
+  return {.granted = in.getGranted(),
+          .refusal = ReadRefusal(in.getRefusal()),
+          .report = Read(in.getReport()),
+          .in_flight = static_cast<int>(in.getLoad().getInFlight()),
+          .queued = static_cast<int>(in.getLoad().getQueued())};
+}
+
 void Write(const once::RunRequest& request, wire::Run::Builder out) {
   out.setRequestId(request.request_id);
   out.setIncarnation(request.incarnation);
@@ -92,8 +151,9 @@
   out.setFingerprint(request.fingerprint);
   out.setRepeatable(request.idempotent);
   out.setDedupeKey(request.dedupe_key);
-  out.setTimeLeftMicros(
-      static_cast<uint64_t>(std::max<int64_t>(0, request.time_left.count())));
+  out.setObjectiveMicros(ToMicros(request.objective));
+  out.setCallerService(request.caller_service);
+  out.setTimeLeftMicros(ToMicros(request.time_left));
   out.setMethod(request.request.method);
   out.setTarget(request.request.target);
   out.setBody(ToData(request.request.body));
@@ -110,7 +170,9 @@
           .fingerprint = in.getFingerprint(),
           .idempotent = in.getRepeatable(),
           .dedupe_key = ToString(in.getDedupeKey()),
-          .time_left = Duration(static_cast<int64_t>(in.getTimeLeftMicros())),
+          .time_left = FromMicros(in.getTimeLeftMicros()),
+          .objective = FromMicros(in.getObjectiveMicros()),
+          .caller_service = ToString(in.getCallerService()),
           .request = {.method = ToString(in.getMethod()),
                       .target = ToString(in.getTarget()),
                       .headers = ReadHeaders(in.getHeaders()),
@@ -129,17 +191,13 @@
                                     .headers = ReadHeaders(ran.getHeaders()),
                                     .body = ToString(ran.getBody())}};
     }
-    case wire::Outcome::NOT_RUN: {
-      const auto refusal = in.getNotRun();
-      return once::NotRun{
-          .reason = static_cast<once::RefusalReason>(refusal.getReason()),
-          .retry_after =
-              Duration(static_cast<int64_t>(refusal.getRetryAfterMicros()))};
-    }
+    case wire::Outcome::NOT_RUN:
+      return ReadRefusal(in.getNotRun());
     case wire::Outcome::UNKNOWN: {
       const auto unknown = in.getUnknown();
       return once::Unknown{.detail = ToString(unknown.getDetail()),
-                           .upstream_broke = unknown.getUpstreamBroke()};
+                           .upstream_broke = unknown.getUpstreamBroke(),
+                           .cancelled = unknown.getCancelled()};
     }
   }
   return once::Unknown{.detail = "an outcome of a kind not known here"};
--- a/components/rpc/messages.h
+++ b/components/rpc/messages.h
@@ -48,6 +48,18 @@
   bool operator==(const RunResult&) const = default;
 };
 
+/// Whether a slot was reserved, and how its upstream stands.
+struct SlotAnswer {
+  bool granted = false;
+  /// Why not, if it was not.
+  once::NotRun refusal;
+  membership::UpstreamRecord report;
+  int in_flight = 0;
+  int queued = 0;
+
+  bool operator==(const SlotAnswer&) const = default;
+};
+
 /// The host asked is another life of that address and knows nothing.
 struct OtherIncarnation {
   bool operator==(const OtherIncarnation&) const = default;
--- a/components/rpc/peer.capnp
+++ b/components/rpc/peer.capnp
@@ -41,8 +41,33 @@
   # The pool returns loans early.
 
   submit @8 (run :Run) -> (ticket :Ticket);
-  # Returns as soon as the request is accepted.
+  # Returns as soon as the request is accepted. Uses the slot reserved for it.
   resolve @9 (requestId :Text, incarnation :UInt64) -> (resolution :Resolution);
+
+  reserve @10 (slot :SlotRequest) -> (answer :SlotAnswer);
+  # Holds a slot of an upstream for a request that follows at once.
+  cancel @11 (requestId :Text, incarnation :UInt64) -> ();
+  # Nobody waits for the request any more.
+}
+
+struct SlotRequest {
+  requestId @0 :Text;
+  incarnation @1 :UInt64;
+  organisation @2 :Text;
+  upstream @3 :Text;
+  priority @4 :UInt16;
+  repeatable @5 :Bool;
+  lastResort @6 :Bool;
+  objectiveMicros @7 :UInt64;
+  maxWaitMicros @8 :UInt64;
+  timeLeftMicros @9 :UInt64;
+}
+
+struct SlotAnswer {
+  granted @0 :Bool;
+  refusal @1 :Refusal;
+  report @2 :Upstream;
+  load @3 :Load;
 }
 
 struct Gossip {
@@ -127,6 +152,8 @@
   headers @9 :List(Header);
   body @10 :Data;
   dedupeKey @11 :Text;
+  objectiveMicros @12 :UInt64;
+  callerService @13 :Text;
 }
 
 interface Ticket {
@@ -160,6 +187,7 @@
 struct UnknownOutcome {
   detail @0 :Text;
   upstreamBroke @1 :Bool;
+  cancelled @2 :Bool;
 }
 
 struct Resolution {
