--- a/components/rpc/peer.capnp.h
+++ b/components/rpc/peer.capnp.h
@@ -46,6 +46,12 @@
 CAPNP_DECLARE_SCHEMA(fe9f1c2bac3c9da2);
 CAPNP_DECLARE_SCHEMA(ce408482415e1d4b);
 CAPNP_DECLARE_SCHEMA(baa6a069cee085b5);
+CAPNP_DECLARE_SCHEMA(fc6ebdfda8da40a7);
+CAPNP_DECLARE_SCHEMA(a8b98f0a0912d38a);
+CAPNP_DECLARE_SCHEMA(ee3f647ccda6e470);
+CAPNP_DECLARE_SCHEMA(df3cf6eaab56c117);
+CAPNP_DECLARE_SCHEMA(fa7f906901066f7a);
+CAPNP_DECLARE_SCHEMA(e503ce3515f34194);
 CAPNP_DECLARE_SCHEMA(d9899d4dcf2f46c0);
 CAPNP_DECLARE_SCHEMA(e8e7866678329ec0);
 CAPNP_DECLARE_SCHEMA(d7533715fca8b6f7);
@@ -197,6 +203,10 @@
   struct SubmitResults;
   struct ResolveParams;
   struct ResolveResults;
+  struct ReserveParams;
+  struct ReserveResults;
+  struct CancelParams;
+  struct CancelResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -506,6 +516,96 @@
   };
 };
 
+struct Peer::ReserveParams {
+  ReserveParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fc6ebdfda8da40a7, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::ReserveResults {
+  ReserveResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a8b98f0a0912d38a, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::CancelParams {
+  CancelParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ee3f647ccda6e470, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::CancelResults {
+  CancelResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(df3cf6eaab56c117, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct SlotRequest {
+  SlotRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fa7f906901066f7a, 5, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct SlotAnswer {
+  SlotAnswer() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e503ce3515f34194, 1, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Gossip {
   Gossip() = delete;
 
@@ -649,7 +749,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a761dc9d05e2daa7, 4, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(a761dc9d05e2daa7, 5, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1336,6 +1436,10 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::kingcupstair::rpc::wire::Peer::ResolveParams,  ::kingcupstair::rpc::wire::Peer::ResolveResults> resolveRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::kingcupstair::rpc::wire::Peer::ReserveParams,  ::kingcupstair::rpc::wire::Peer::ReserveResults> reserveRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::kingcupstair::rpc::wire::Peer::CancelParams,  ::kingcupstair::rpc::wire::Peer::CancelResults> cancelRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -1392,6 +1496,14 @@
   typedef  ::kingcupstair::rpc::wire::Peer::ResolveResults ResolveResults;
   typedef ::capnp::CallContext<ResolveParams, ResolveResults> ResolveContext;
   virtual ::kj::Promise<void> resolve(ResolveContext context);
+  typedef  ::kingcupstair::rpc::wire::Peer::ReserveParams ReserveParams;
+  typedef  ::kingcupstair::rpc::wire::Peer::ReserveResults ReserveResults;
+  typedef ::capnp::CallContext<ReserveParams, ReserveResults> ReserveContext;
+  virtual ::kj::Promise<void> reserve(ReserveContext context);
+  typedef  ::kingcupstair::rpc::wire::Peer::CancelParams CancelParams;
+  typedef  ::kingcupstair::rpc::wire::Peer::CancelResults CancelResults;
+  typedef ::capnp::CallContext<CancelParams, CancelResults> CancelContext;
+  virtual ::kj::Promise<void> cancel(CancelContext context);
 
   inline  ::kingcupstair::rpc::wire::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -3034,9 +3146,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Gossip::Reader {
+class Peer::ReserveParams::Reader {
 public:
-  typedef Gossip Reads;
+  typedef ReserveParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3051,24 +3163,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHost() const;
-  inline  ::capnp::Text::Reader getHost() const;
-
-  inline  ::uint64_t getDigest() const;
-
-  inline  ::uint64_t getRevision() const;
-
-  inline bool hasUpdates() const;
-  inline  ::capnp::List< ::kingcupstair::rpc::wire::HostUpdate,  ::capnp::Kind::STRUCT>::Reader getUpdates() const;
-
-  inline bool hasCrashes() const;
-  inline  ::capnp::List< ::kingcupstair::rpc::wire::Crash,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
-
-  inline bool hasRecent() const;
-  inline  ::capnp::List< ::kingcupstair::rpc::wire::RecentVersion,  ::capnp::Kind::STRUCT>::Reader getRecent() const;
-
-  inline bool hasWanted() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getWanted() const;
+  inline bool hasSlot() const;
+  inline  ::kingcupstair::rpc::wire::SlotRequest::Reader getSlot() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3082,9 +3178,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Gossip::Builder {
+class Peer::ReserveParams::Builder {
 public:
-  typedef Gossip Builds;
+  typedef ReserveParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3098,47 +3194,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHost();
-  inline  ::capnp::Text::Builder getHost();
-  inline void setHost( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initHost(unsigned int size);
-  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownHost();
-
-  inline  ::uint64_t getDigest();
-  inline void setDigest( ::uint64_t value);
-
-  inline  ::uint64_t getRevision();
-  inline void setRevision( ::uint64_t value);
-
-  inline bool hasUpdates();
-  inline  ::capnp::List< ::kingcupstair::rpc::wire::HostUpdate,  ::capnp::Kind::STRUCT>::Builder getUpdates();
-  inline void setUpdates( ::capnp::List< ::kingcupstair::rpc::wire::HostUpdate,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::kingcupstair::rpc::wire::HostUpdate,  ::capnp::Kind::STRUCT>::Builder initUpdates(unsigned int size);
-  inline void adoptUpdates(::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::HostUpdate,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::HostUpdate,  ::capnp::Kind::STRUCT>> disownUpdates();
-
-  inline bool hasCrashes();
-  inline  ::capnp::List< ::kingcupstair::rpc::wire::Crash,  ::capnp::Kind::STRUCT>::Builder getCrashes();
-  inline void setCrashes( ::capnp::List< ::kingcupstair::rpc::wire::Crash,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::kingcupstair::rpc::wire::Crash,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
-  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::Crash,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::Crash,  ::capnp::Kind::STRUCT>> disownCrashes();
-
-  inline bool hasRecent();
-  inline  ::capnp::List< ::kingcupstair::rpc::wire::RecentVersion,  ::capnp::Kind::STRUCT>::Builder getRecent();
-  inline void setRecent( ::capnp::List< ::kingcupstair::rpc::wire::RecentVersion,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::kingcupstair::rpc::wire::RecentVersion,  ::capnp::Kind::STRUCT>::Builder initRecent(unsigned int size);
-  inline void adoptRecent(::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::RecentVersion,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::RecentVersion,  ::capnp::Kind::STRUCT>> disownRecent();
-
-  inline bool hasWanted();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getWanted();
-  inline void setWanted( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setWanted(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initWanted(unsigned int size);
-  inline void adoptWanted(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownWanted();
+  inline bool hasSlot();
+  inline  ::kingcupstair::rpc::wire::SlotRequest::Builder getSlot();
+  inline void setSlot( ::kingcupstair::rpc::wire::SlotRequest::Reader value);
+  inline  ::kingcupstair::rpc::wire::SlotRequest::Builder initSlot();
+  inline void adoptSlot(::capnp::Orphan< ::kingcupstair::rpc::wire::SlotRequest>&& value);
+  inline ::capnp::Orphan< ::kingcupstair::rpc::wire::SlotRequest> disownSlot();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3150,14 +3211,15 @@
 };
 
 #if !CAPNP_LITE
-class Gossip::Pipeline {
+class Peer::ReserveParams::Pipeline {
 public:
-  typedef Gossip Pipelines;
+  typedef ReserveParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::kingcupstair::rpc::wire::SlotRequest::Pipeline getSlot();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3166,9 +3228,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class RecentVersion::Reader {
+class Peer::ReserveResults::Reader {
 public:
-  typedef RecentVersion Reads;
+  typedef ReserveResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3183,13 +3245,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getHostHash() const;
-
-  inline  ::uint64_t getIncarnation() const;
-
-  inline  ::uint32_t getVersion() const;
-
-  inline  ::uint8_t getLiveness() const;
+  inline bool hasAnswer() const;
+  inline  ::kingcupstair::rpc::wire::SlotAnswer::Reader getAnswer() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3203,9 +3260,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class RecentVersion::Builder {
+class Peer::ReserveResults::Builder {
 public:
-  typedef RecentVersion Builds;
+  typedef ReserveResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3219,17 +3276,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getHostHash();
-  inline void setHostHash( ::uint64_t value);
-
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
-
-  inline  ::uint32_t getVersion();
-  inline void setVersion( ::uint32_t value);
-
-  inline  ::uint8_t getLiveness();
-  inline void setLiveness( ::uint8_t value);
+  inline bool hasAnswer();
+  inline  ::kingcupstair::rpc::wire::SlotAnswer::Builder getAnswer();
+  inline void setAnswer( ::kingcupstair::rpc::wire::SlotAnswer::Reader value);
+  inline  ::kingcupstair::rpc::wire::SlotAnswer::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan< ::kingcupstair::rpc::wire::SlotAnswer>&& value);
+  inline ::capnp::Orphan< ::kingcupstair::rpc::wire::SlotAnswer> disownAnswer();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3241,14 +3293,15 @@
 };
 
 #if !CAPNP_LITE
-class RecentVersion::Pipeline {
+class Peer::ReserveResults::Pipeline {
 public:
-  typedef RecentVersion Pipelines;
+  typedef ReserveResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::kingcupstair::rpc::wire::SlotAnswer::Pipeline getAnswer();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3257,9 +3310,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Version::Reader {
+class Peer::CancelParams::Reader {
 public:
-  typedef Version Reads;
+  typedef CancelParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3274,15 +3327,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHost() const;
-  inline  ::capnp::Text::Reader getHost() const;
+  inline bool hasRequestId() const;
+  inline  ::capnp::Text::Reader getRequestId() const;
 
   inline  ::uint64_t getIncarnation() const;
 
-  inline  ::uint64_t getVersion() const;
-
-  inline  ::uint8_t getLiveness() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3295,9 +3344,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Version::Builder {
+class Peer::CancelParams::Builder {
 public:
-  typedef Version Builds;
+  typedef CancelParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3311,22 +3360,16 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHost();
-  inline  ::capnp::Text::Builder getHost();
-  inline void setHost( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initHost(unsigned int size);
-  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownHost();
+  inline bool hasRequestId();
+  inline  ::capnp::Text::Builder getRequestId();
+  inline void setRequestId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
+  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
 
   inline  ::uint64_t getIncarnation();
   inline void setIncarnation( ::uint64_t value);
 
-  inline  ::uint64_t getVersion();
-  inline void setVersion( ::uint64_t value);
-
-  inline  ::uint8_t getLiveness();
-  inline void setLiveness( ::uint8_t value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3337,9 +3380,9 @@
 };
 
 #if !CAPNP_LITE
-class Version::Pipeline {
+class Peer::CancelParams::Pipeline {
 public:
-  typedef Version Pipelines;
+  typedef CancelParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3353,9 +3396,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class HostUpdate::Reader {
+class Peer::CancelResults::Reader {
 public:
-  typedef HostUpdate Reads;
+  typedef CancelResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3370,29 +3413,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHost() const;
-  inline  ::capnp::Text::Reader getHost() const;
-
-  inline  ::uint64_t getIncarnation() const;
-
-  inline  ::uint64_t getVersion() const;
-
-  inline  ::uint8_t getLiveness() const;
-
-  inline bool getLeaving() const;
-
-  inline bool hasZone() const;
-  inline  ::capnp::Text::Reader getZone() const;
-
-  inline bool hasRegion() const;
-  inline  ::capnp::Text::Reader getRegion() const;
-
-  inline bool hasAdmin() const;
-  inline  ::capnp::Text::Reader getAdmin() const;
-
-  inline bool hasUpstreams() const;
-  inline  ::capnp::List< ::kingcupstair::rpc::wire::Upstream,  ::capnp::Kind::STRUCT>::Reader getUpstreams() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3405,9 +3425,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class HostUpdate::Builder {
+class Peer::CancelResults::Builder {
 public:
-  typedef HostUpdate Builds;
+  typedef CancelResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3421,82 +3441,35 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHost();
-  inline  ::capnp::Text::Builder getHost();
-  inline void setHost( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initHost(unsigned int size);
-  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownHost();
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
 
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
+#if !CAPNP_LITE
+class Peer::CancelResults::Pipeline {
+public:
+  typedef CancelResults Pipelines;
 
-  inline  ::uint64_t getVersion();
-  inline void setVersion( ::uint64_t value);
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
-  inline  ::uint8_t getLiveness();
-  inline void setLiveness( ::uint8_t value);
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
 
-  inline bool getLeaving();
-  inline void setLeaving(bool value);
-
-  inline bool hasZone();
-  inline  ::capnp::Text::Builder getZone();
-  inline void setZone( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initZone(unsigned int size);
-  inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownZone();
-
-  inline bool hasRegion();
-  inline  ::capnp::Text::Builder getRegion();
-  inline void setRegion( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRegion(unsigned int size);
-  inline void adoptRegion(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRegion();
-
-  inline bool hasAdmin();
-  inline  ::capnp::Text::Builder getAdmin();
-  inline void setAdmin( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAdmin(unsigned int size);
-  inline void adoptAdmin(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAdmin();
-
-  inline bool hasUpstreams();
-  inline  ::capnp::List< ::kingcupstair::rpc::wire::Upstream,  ::capnp::Kind::STRUCT>::Builder getUpstreams();
-  inline void setUpstreams( ::capnp::List< ::kingcupstair::rpc::wire::Upstream,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::kingcupstair::rpc::wire::Upstream,  ::capnp::Kind::STRUCT>::Builder initUpstreams(unsigned int size);
-  inline void adoptUpstreams(::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::Upstream,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::Upstream,  ::capnp::Kind::STRUCT>> disownUpstreams();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class HostUpdate::Pipeline {
-public:
-  typedef HostUpdate Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class Upstream::Reader {
+class SlotRequest::Reader {
 public:
-  typedef Upstream Reads;
+  typedef SlotRequest Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3511,21 +3484,28 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId() const;
-  inline  ::capnp::Text::Reader getId() const;
+  inline bool hasRequestId() const;
+  inline  ::capnp::Text::Reader getRequestId() const;
 
-  inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
+  inline  ::uint64_t getIncarnation() const;
 
-  inline  ::uint16_t getSlots() const;
+  inline bool hasOrganisation() const;
+  inline  ::capnp::Text::Reader getOrganisation() const;
 
-  inline  ::uint16_t getLimit() const;
+  inline bool hasUpstream() const;
+  inline  ::capnp::Text::Reader getUpstream() const;
 
-  inline  ::uint32_t getLatencyMicros() const;
+  inline  ::uint16_t getPriority() const;
 
-  inline  ::uint16_t getErrorPermille() const;
+  inline bool getRepeatable() const;
 
-  inline  ::uint64_t getFinished() const;
+  inline bool getLastResort() const;
+
+  inline  ::uint64_t getObjectiveMicros() const;
+
+  inline  ::uint64_t getMaxWaitMicros() const;
+
+  inline  ::uint64_t getTimeLeftMicros() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3539,9 +3519,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Upstream::Builder {
+class SlotRequest::Builder {
 public:
-  typedef Upstream Builds;
+  typedef SlotRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3555,34 +3535,47 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId();
-  inline  ::capnp::Text::Builder getId();
-  inline void setId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initId(unsigned int size);
-  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownId();
+  inline bool hasRequestId();
+  inline  ::capnp::Text::Builder getRequestId();
+  inline void setRequestId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
+  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
 
-  inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
-  inline void setService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownService();
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
 
-  inline  ::uint16_t getSlots();
-  inline void setSlots( ::uint16_t value);
+  inline bool hasOrganisation();
+  inline  ::capnp::Text::Builder getOrganisation();
+  inline void setOrganisation( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOrganisation(unsigned int size);
+  inline void adoptOrganisation(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOrganisation();
 
-  inline  ::uint16_t getLimit();
-  inline void setLimit( ::uint16_t value);
+  inline bool hasUpstream();
+  inline  ::capnp::Text::Builder getUpstream();
+  inline void setUpstream( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initUpstream(unsigned int size);
+  inline void adoptUpstream(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownUpstream();
 
-  inline  ::uint32_t getLatencyMicros();
-  inline void setLatencyMicros( ::uint32_t value);
+  inline  ::uint16_t getPriority();
+  inline void setPriority( ::uint16_t value);
 
-  inline  ::uint16_t getErrorPermille();
-  inline void setErrorPermille( ::uint16_t value);
+  inline bool getRepeatable();
+  inline void setRepeatable(bool value);
 
-  inline  ::uint64_t getFinished();
-  inline void setFinished( ::uint64_t value);
+  inline bool getLastResort();
+  inline void setLastResort(bool value);
+
+  inline  ::uint64_t getObjectiveMicros();
+  inline void setObjectiveMicros( ::uint64_t value);
+
+  inline  ::uint64_t getMaxWaitMicros();
+  inline void setMaxWaitMicros( ::uint64_t value);
+
+  inline  ::uint64_t getTimeLeftMicros();
+  inline void setTimeLeftMicros( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3594,9 +3587,9 @@
 };
 
 #if !CAPNP_LITE
-class Upstream::Pipeline {
+class SlotRequest::Pipeline {
 public:
-  typedef Upstream Pipelines;
+  typedef SlotRequest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3610,9 +3603,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Crash::Reader {
+class SlotAnswer::Reader {
 public:
-  typedef Crash Reads;
+  typedef SlotAnswer Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3627,12 +3620,16 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getFingerprint() const;
+  inline bool getGranted() const;
 
-  inline bool hasUpstream() const;
-  inline  ::capnp::Text::Reader getUpstream() const;
+  inline bool hasRefusal() const;
+  inline  ::kingcupstair::rpc::wire::Refusal::Reader getRefusal() const;
 
-  inline  ::uint32_t getAgeMillis() const;
+  inline bool hasReport() const;
+  inline  ::kingcupstair::rpc::wire::Upstream::Reader getReport() const;
+
+  inline bool hasLoad() const;
+  inline  ::kingcupstair::rpc::wire::Load::Reader getLoad() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3646,9 +3643,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Crash::Builder {
+class SlotAnswer::Builder {
 public:
-  typedef Crash Builds;
+  typedef SlotAnswer Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3662,18 +3659,29 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getFingerprint();
-  inline void setFingerprint( ::uint64_t value);
+  inline bool getGranted();
+  inline void setGranted(bool value);
 
-  inline bool hasUpstream();
-  inline  ::capnp::Text::Builder getUpstream();
-  inline void setUpstream( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initUpstream(unsigned int size);
-  inline void adoptUpstream(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownUpstream();
+  inline bool hasRefusal();
+  inline  ::kingcupstair::rpc::wire::Refusal::Builder getRefusal();
+  inline void setRefusal( ::kingcupstair::rpc::wire::Refusal::Reader value);
+  inline  ::kingcupstair::rpc::wire::Refusal::Builder initRefusal();
+  inline void adoptRefusal(::capnp::Orphan< ::kingcupstair::rpc::wire::Refusal>&& value);
+  inline ::capnp::Orphan< ::kingcupstair::rpc::wire::Refusal> disownRefusal();
 
-  inline  ::uint32_t getAgeMillis();
-  inline void setAgeMillis( ::uint32_t value);
+  inline bool hasReport();
+  inline  ::kingcupstair::rpc::wire::Upstream::Builder getReport();
+  inline void setReport( ::kingcupstair::rpc::wire::Upstream::Reader value);
+  inline  ::kingcupstair::rpc::wire::Upstream::Builder initReport();
+  inline void adoptReport(::capnp::Orphan< ::kingcupstair::rpc::wire::Upstream>&& value);
+  inline ::capnp::Orphan< ::kingcupstair::rpc::wire::Upstream> disownReport();
+
+  inline bool hasLoad();
+  inline  ::kingcupstair::rpc::wire::Load::Builder getLoad();
+  inline void setLoad( ::kingcupstair::rpc::wire::Load::Reader value);
+  inline  ::kingcupstair::rpc::wire::Load::Builder initLoad();
+  inline void adoptLoad(::capnp::Orphan< ::kingcupstair::rpc::wire::Load>&& value);
+  inline ::capnp::Orphan< ::kingcupstair::rpc::wire::Load> disownLoad();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3685,14 +3693,17 @@
 };
 
 #if !CAPNP_LITE
-class Crash::Pipeline {
+class SlotAnswer::Pipeline {
 public:
-  typedef Crash Pipelines;
+  typedef SlotAnswer Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::kingcupstair::rpc::wire::Refusal::Pipeline getRefusal();
+  inline  ::kingcupstair::rpc::wire::Upstream::Pipeline getReport();
+  inline  ::kingcupstair::rpc::wire::Load::Pipeline getLoad();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3701,9 +3712,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Loan::Reader {
+class Gossip::Reader {
 public:
-  typedef Loan Reads;
+  typedef Gossip Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3718,9 +3729,24 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline double getFraction() const;
+  inline bool hasHost() const;
+  inline  ::capnp::Text::Reader getHost() const;
 
-  inline  ::uint64_t getLifeMicros() const;
+  inline  ::uint64_t getDigest() const;
+
+  inline  ::uint64_t getRevision() const;
+
+  inline bool hasUpdates() const;
+  inline  ::capnp::List< ::kingcupstair::rpc::wire::HostUpdate,  ::capnp::Kind::STRUCT>::Reader getUpdates() const;
+
+  inline bool hasCrashes() const;
+  inline  ::capnp::List< ::kingcupstair::rpc::wire::Crash,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
+
+  inline bool hasRecent() const;
+  inline  ::capnp::List< ::kingcupstair::rpc::wire::RecentVersion,  ::capnp::Kind::STRUCT>::Reader getRecent() const;
+
+  inline bool hasWanted() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getWanted() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3734,9 +3760,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Loan::Builder {
+class Gossip::Builder {
 public:
-  typedef Loan Builds;
+  typedef Gossip Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3750,11 +3776,47 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline double getFraction();
-  inline void setFraction(double value);
+  inline bool hasHost();
+  inline  ::capnp::Text::Builder getHost();
+  inline void setHost( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHost(unsigned int size);
+  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHost();
 
-  inline  ::uint64_t getLifeMicros();
-  inline void setLifeMicros( ::uint64_t value);
+  inline  ::uint64_t getDigest();
+  inline void setDigest( ::uint64_t value);
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline bool hasUpdates();
+  inline  ::capnp::List< ::kingcupstair::rpc::wire::HostUpdate,  ::capnp::Kind::STRUCT>::Builder getUpdates();
+  inline void setUpdates( ::capnp::List< ::kingcupstair::rpc::wire::HostUpdate,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::kingcupstair::rpc::wire::HostUpdate,  ::capnp::Kind::STRUCT>::Builder initUpdates(unsigned int size);
+  inline void adoptUpdates(::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::HostUpdate,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::HostUpdate,  ::capnp::Kind::STRUCT>> disownUpdates();
+
+  inline bool hasCrashes();
+  inline  ::capnp::List< ::kingcupstair::rpc::wire::Crash,  ::capnp::Kind::STRUCT>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::kingcupstair::rpc::wire::Crash,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::kingcupstair::rpc::wire::Crash,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::Crash,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::Crash,  ::capnp::Kind::STRUCT>> disownCrashes();
+
+  inline bool hasRecent();
+  inline  ::capnp::List< ::kingcupstair::rpc::wire::RecentVersion,  ::capnp::Kind::STRUCT>::Builder getRecent();
+  inline void setRecent( ::capnp::List< ::kingcupstair::rpc::wire::RecentVersion,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::kingcupstair::rpc::wire::RecentVersion,  ::capnp::Kind::STRUCT>::Builder initRecent(unsigned int size);
+  inline void adoptRecent(::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::RecentVersion,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::RecentVersion,  ::capnp::Kind::STRUCT>> disownRecent();
+
+  inline bool hasWanted();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getWanted();
+  inline void setWanted( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setWanted(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initWanted(unsigned int size);
+  inline void adoptWanted(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownWanted();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3766,9 +3828,9 @@
 };
 
 #if !CAPNP_LITE
-class Loan::Pipeline {
+class Gossip::Pipeline {
 public:
-  typedef Loan Pipelines;
+  typedef Gossip Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3782,9 +3844,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Grant::Reader {
+class RecentVersion::Reader {
 public:
-  typedef Grant Reads;
+  typedef RecentVersion Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3799,11 +3861,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getGranted() const;
+  inline  ::uint64_t getHostHash() const;
 
-  inline  ::uint64_t getRetryAfterMicros() const;
+  inline  ::uint64_t getIncarnation() const;
 
-  inline  ::uint64_t getLifeMicros() const;
+  inline  ::uint32_t getVersion() const;
+
+  inline  ::uint8_t getLiveness() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3817,9 +3881,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Grant::Builder {
+class RecentVersion::Builder {
 public:
-  typedef Grant Builds;
+  typedef RecentVersion Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3833,14 +3897,17 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getGranted();
-  inline void setGranted( ::uint32_t value);
+  inline  ::uint64_t getHostHash();
+  inline void setHostHash( ::uint64_t value);
 
-  inline  ::uint64_t getRetryAfterMicros();
-  inline void setRetryAfterMicros( ::uint64_t value);
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
 
-  inline  ::uint64_t getLifeMicros();
-  inline void setLifeMicros( ::uint64_t value);
+  inline  ::uint32_t getVersion();
+  inline void setVersion( ::uint32_t value);
+
+  inline  ::uint8_t getLiveness();
+  inline void setLiveness( ::uint8_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3852,9 +3919,9 @@
 };
 
 #if !CAPNP_LITE
-class Grant::Pipeline {
+class RecentVersion::Pipeline {
 public:
-  typedef Grant Pipelines;
+  typedef RecentVersion Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3868,9 +3935,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Header::Reader {
+class Version::Reader {
 public:
-  typedef Header Reads;
+  typedef Version Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3885,11 +3952,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasName() const;
-  inline  ::capnp::Text::Reader getName() const;
+  inline bool hasHost() const;
+  inline  ::capnp::Text::Reader getHost() const;
 
-  inline bool hasValue() const;
-  inline  ::capnp::Text::Reader getValue() const;
+  inline  ::uint64_t getIncarnation() const;
+
+  inline  ::uint64_t getVersion() const;
+
+  inline  ::uint8_t getLiveness() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3903,9 +3973,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Header::Builder {
+class Version::Builder {
 public:
-  typedef Header Builds;
+  typedef Version Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3919,19 +3989,21 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasName();
-  inline  ::capnp::Text::Builder getName();
-  inline void setName( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initName(unsigned int size);
-  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownName();
+  inline bool hasHost();
+  inline  ::capnp::Text::Builder getHost();
+  inline void setHost( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHost(unsigned int size);
+  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHost();
 
-  inline bool hasValue();
-  inline  ::capnp::Text::Builder getValue();
-  inline void setValue( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initValue(unsigned int size);
-  inline void adoptValue(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownValue();
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline  ::uint8_t getLiveness();
+  inline void setLiveness( ::uint8_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3943,9 +4015,9 @@
 };
 
 #if !CAPNP_LITE
-class Header::Pipeline {
+class Version::Pipeline {
 public:
-  typedef Header Pipelines;
+  typedef Version Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3959,9 +4031,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Run::Reader {
+class HostUpdate::Reader {
 public:
-  typedef Run Reads;
+  typedef HostUpdate Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3976,37 +4048,28 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequestId() const;
-  inline  ::capnp::Text::Reader getRequestId() const;
+  inline bool hasHost() const;
+  inline  ::capnp::Text::Reader getHost() const;
 
   inline  ::uint64_t getIncarnation() const;
 
-  inline bool hasOrganisation() const;
-  inline  ::capnp::Text::Reader getOrganisation() const;
-
-  inline bool hasUpstream() const;
-  inline  ::capnp::Text::Reader getUpstream() const;
-
-  inline  ::uint64_t getFingerprint() const;
-
-  inline bool getRepeatable() const;
+  inline  ::uint64_t getVersion() const;
 
-  inline  ::uint64_t getTimeLeftMicros() const;
+  inline  ::uint8_t getLiveness() const;
 
-  inline bool hasMethod() const;
-  inline  ::capnp::Text::Reader getMethod() const;
+  inline bool getLeaving() const;
 
-  inline bool hasTarget() const;
-  inline  ::capnp::Text::Reader getTarget() const;
+  inline bool hasZone() const;
+  inline  ::capnp::Text::Reader getZone() const;
 
-  inline bool hasHeaders() const;
-  inline  ::capnp::List< ::kingcupstair::rpc::wire::Header,  ::capnp::Kind::STRUCT>::Reader getHeaders() const;
+  inline bool hasRegion() const;
+  inline  ::capnp::Text::Reader getRegion() const;
 
-  inline bool hasBody() const;
-  inline  ::capnp::Data::Reader getBody() const;
+  inline bool hasAdmin() const;
+  inline  ::capnp::Text::Reader getAdmin() const;
 
-  inline bool hasDedupeKey() const;
-  inline  ::capnp::Text::Reader getDedupeKey() const;
+  inline bool hasUpstreams() const;
+  inline  ::capnp::List< ::kingcupstair::rpc::wire::Upstream,  ::capnp::Kind::STRUCT>::Reader getUpstreams() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4020,9 +4083,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Run::Builder {
+class HostUpdate::Builder {
 public:
-  typedef Run Builds;
+  typedef HostUpdate Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4036,73 +4099,52 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequestId();
-  inline  ::capnp::Text::Builder getRequestId();
-  inline void setRequestId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
-  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
+  inline bool hasHost();
+  inline  ::capnp::Text::Builder getHost();
+  inline void setHost( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHost(unsigned int size);
+  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHost();
 
   inline  ::uint64_t getIncarnation();
   inline void setIncarnation( ::uint64_t value);
 
-  inline bool hasOrganisation();
-  inline  ::capnp::Text::Builder getOrganisation();
-  inline void setOrganisation( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initOrganisation(unsigned int size);
-  inline void adoptOrganisation(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownOrganisation();
-
-  inline bool hasUpstream();
-  inline  ::capnp::Text::Builder getUpstream();
-  inline void setUpstream( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initUpstream(unsigned int size);
-  inline void adoptUpstream(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownUpstream();
-
-  inline  ::uint64_t getFingerprint();
-  inline void setFingerprint( ::uint64_t value);
-
-  inline bool getRepeatable();
-  inline void setRepeatable(bool value);
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
 
-  inline  ::uint64_t getTimeLeftMicros();
-  inline void setTimeLeftMicros( ::uint64_t value);
+  inline  ::uint8_t getLiveness();
+  inline void setLiveness( ::uint8_t value);
 
-  inline bool hasMethod();
-  inline  ::capnp::Text::Builder getMethod();
-  inline void setMethod( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initMethod(unsigned int size);
-  inline void adoptMethod(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownMethod();
+  inline bool getLeaving();
+  inline void setLeaving(bool value);
 
-  inline bool hasTarget();
-  inline  ::capnp::Text::Builder getTarget();
-  inline void setTarget( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTarget(unsigned int size);
-  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
+  inline bool hasZone();
+  inline  ::capnp::Text::Builder getZone();
+  inline void setZone( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initZone(unsigned int size);
+  inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownZone();
 
-  inline bool hasHeaders();
-  inline  ::capnp::List< ::kingcupstair::rpc::wire::Header,  ::capnp::Kind::STRUCT>::Builder getHeaders();
-  inline void setHeaders( ::capnp::List< ::kingcupstair::rpc::wire::Header,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::kingcupstair::rpc::wire::Header,  ::capnp::Kind::STRUCT>::Builder initHeaders(unsigned int size);
-  inline void adoptHeaders(::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::Header,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::Header,  ::capnp::Kind::STRUCT>> disownHeaders();
+  inline bool hasRegion();
+  inline  ::capnp::Text::Builder getRegion();
+  inline void setRegion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRegion(unsigned int size);
+  inline void adoptRegion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRegion();
 
-  inline bool hasBody();
-  inline  ::capnp::Data::Builder getBody();
-  inline void setBody( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initBody(unsigned int size);
-  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+  inline bool hasAdmin();
+  inline  ::capnp::Text::Builder getAdmin();
+  inline void setAdmin( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAdmin(unsigned int size);
+  inline void adoptAdmin(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAdmin();
 
-  inline bool hasDedupeKey();
-  inline  ::capnp::Text::Builder getDedupeKey();
-  inline void setDedupeKey( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDedupeKey(unsigned int size);
-  inline void adoptDedupeKey(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDedupeKey();
+  inline bool hasUpstreams();
+  inline  ::capnp::List< ::kingcupstair::rpc::wire::Upstream,  ::capnp::Kind::STRUCT>::Builder getUpstreams();
+  inline void setUpstreams( ::capnp::List< ::kingcupstair::rpc::wire::Upstream,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::kingcupstair::rpc::wire::Upstream,  ::capnp::Kind::STRUCT>::Builder initUpstreams(unsigned int size);
+  inline void adoptUpstreams(::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::Upstream,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::Upstream,  ::capnp::Kind::STRUCT>> disownUpstreams();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4114,9 +4156,9 @@
 };
 
 #if !CAPNP_LITE
-class Run::Pipeline {
+class HostUpdate::Pipeline {
 public:
-  typedef Run Pipelines;
+  typedef HostUpdate Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4130,75 +4172,38 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class Ticket::Client
-    : public virtual ::capnp::Capability::Client {
+class Upstream::Reader {
 public:
-  typedef Ticket Calls;
-  typedef Ticket Reads;
+  typedef Upstream Reads;
 
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  ::capnp::Request< ::kingcupstair::rpc::wire::Ticket::OutcomeParams,  ::kingcupstair::rpc::wire::Ticket::OutcomeResults> outcomeRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-protected:
-  Client() = default;
-};
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-class Ticket::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef Ticket Serves;
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
 
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::kingcupstair::rpc::wire::Ticket::OutcomeParams OutcomeParams;
-  typedef  ::kingcupstair::rpc::wire::Ticket::OutcomeResults OutcomeResults;
-  typedef ::capnp::CallContext<OutcomeParams, OutcomeResults> OutcomeContext;
-  virtual ::kj::Promise<void> outcome(OutcomeContext context);
-
-  inline  ::kingcupstair::rpc::wire::Ticket::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::kingcupstair::rpc::wire::Ticket>();
-  }
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
+  inline  ::uint16_t getSlots() const;
 
-class Ticket::OutcomeParams::Reader {
-public:
-  typedef OutcomeParams Reads;
+  inline  ::uint16_t getLimit() const;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline  ::uint32_t getLatencyMicros() const;
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline  ::uint16_t getErrorPermille() const;
 
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+  inline  ::uint64_t getFinished() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4212,9 +4217,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Ticket::OutcomeParams::Builder {
+class Upstream::Builder {
 public:
-  typedef OutcomeParams Builds;
+  typedef Upstream Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4228,6 +4233,35 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline  ::uint16_t getSlots();
+  inline void setSlots( ::uint16_t value);
+
+  inline  ::uint16_t getLimit();
+  inline void setLimit( ::uint16_t value);
+
+  inline  ::uint32_t getLatencyMicros();
+  inline void setLatencyMicros( ::uint32_t value);
+
+  inline  ::uint16_t getErrorPermille();
+  inline void setErrorPermille( ::uint16_t value);
+
+  inline  ::uint64_t getFinished();
+  inline void setFinished( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4238,9 +4272,9 @@
 };
 
 #if !CAPNP_LITE
-class Ticket::OutcomeParams::Pipeline {
+class Upstream::Pipeline {
 public:
-  typedef OutcomeParams Pipelines;
+  typedef Upstream Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4254,9 +4288,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Ticket::OutcomeResults::Reader {
+class Crash::Reader {
 public:
-  typedef OutcomeResults Reads;
+  typedef Crash Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4271,14 +4305,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOutcome() const;
-  inline  ::kingcupstair::rpc::wire::Outcome::Reader getOutcome() const;
+  inline  ::uint64_t getFingerprint() const;
 
-  inline bool hasReport() const;
-  inline  ::kingcupstair::rpc::wire::Upstream::Reader getReport() const;
+  inline bool hasUpstream() const;
+  inline  ::capnp::Text::Reader getUpstream() const;
 
-  inline bool hasLoad() const;
-  inline  ::kingcupstair::rpc::wire::Load::Reader getLoad() const;
+  inline  ::uint32_t getAgeMillis() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4292,9 +4324,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Ticket::OutcomeResults::Builder {
+class Crash::Builder {
 public:
-  typedef OutcomeResults Builds;
+  typedef Crash Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4308,26 +4340,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOutcome();
-  inline  ::kingcupstair::rpc::wire::Outcome::Builder getOutcome();
-  inline void setOutcome( ::kingcupstair::rpc::wire::Outcome::Reader value);
-  inline  ::kingcupstair::rpc::wire::Outcome::Builder initOutcome();
-  inline void adoptOutcome(::capnp::Orphan< ::kingcupstair::rpc::wire::Outcome>&& value);
-  inline ::capnp::Orphan< ::kingcupstair::rpc::wire::Outcome> disownOutcome();
+  inline  ::uint64_t getFingerprint();
+  inline void setFingerprint( ::uint64_t value);
 
-  inline bool hasReport();
-  inline  ::kingcupstair::rpc::wire::Upstream::Builder getReport();
-  inline void setReport( ::kingcupstair::rpc::wire::Upstream::Reader value);
-  inline  ::kingcupstair::rpc::wire::Upstream::Builder initReport();
-  inline void adoptReport(::capnp::Orphan< ::kingcupstair::rpc::wire::Upstream>&& value);
-  inline ::capnp::Orphan< ::kingcupstair::rpc::wire::Upstream> disownReport();
+  inline bool hasUpstream();
+  inline  ::capnp::Text::Builder getUpstream();
+  inline void setUpstream( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initUpstream(unsigned int size);
+  inline void adoptUpstream(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownUpstream();
 
-  inline bool hasLoad();
-  inline  ::kingcupstair::rpc::wire::Load::Builder getLoad();
-  inline void setLoad( ::kingcupstair::rpc::wire::Load::Reader value);
-  inline  ::kingcupstair::rpc::wire::Load::Builder initLoad();
-  inline void adoptLoad(::capnp::Orphan< ::kingcupstair::rpc::wire::Load>&& value);
-  inline ::capnp::Orphan< ::kingcupstair::rpc::wire::Load> disownLoad();
+  inline  ::uint32_t getAgeMillis();
+  inline void setAgeMillis( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4339,17 +4363,14 @@
 };
 
 #if !CAPNP_LITE
-class Ticket::OutcomeResults::Pipeline {
+class Crash::Pipeline {
 public:
-  typedef OutcomeResults Pipelines;
+  typedef Crash Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::kingcupstair::rpc::wire::Outcome::Pipeline getOutcome();
-  inline  ::kingcupstair::rpc::wire::Upstream::Pipeline getReport();
-  inline  ::kingcupstair::rpc::wire::Load::Pipeline getLoad();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4358,9 +4379,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Load::Reader {
+class Loan::Reader {
 public:
-  typedef Load Reads;
+  typedef Loan Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4375,9 +4396,9 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getInFlight() const;
+  inline double getFraction() const;
 
-  inline  ::uint32_t getQueued() const;
+  inline  ::uint64_t getLifeMicros() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4391,9 +4412,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Load::Builder {
+class Loan::Builder {
 public:
-  typedef Load Builds;
+  typedef Loan Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4407,11 +4428,11 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getInFlight();
-  inline void setInFlight( ::uint32_t value);
+  inline double getFraction();
+  inline void setFraction(double value);
 
-  inline  ::uint32_t getQueued();
-  inline void setQueued( ::uint32_t value);
+  inline  ::uint64_t getLifeMicros();
+  inline void setLifeMicros( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4423,9 +4444,9 @@
 };
 
 #if !CAPNP_LITE
-class Load::Pipeline {
+class Loan::Pipeline {
 public:
-  typedef Load Pipelines;
+  typedef Loan Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4439,9 +4460,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Outcome::Reader {
+class Grant::Reader {
 public:
-  typedef Outcome Reads;
+  typedef Grant Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4456,18 +4477,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline Which which() const;
-  inline bool isRan() const;
-  inline bool hasRan() const;
-  inline  ::kingcupstair::rpc::wire::Response::Reader getRan() const;
+  inline  ::uint32_t getGranted() const;
 
-  inline bool isNotRun() const;
-  inline bool hasNotRun() const;
-  inline  ::kingcupstair::rpc::wire::Refusal::Reader getNotRun() const;
+  inline  ::uint64_t getRetryAfterMicros() const;
 
-  inline bool isUnknown() const;
-  inline bool hasUnknown() const;
-  inline  ::kingcupstair::rpc::wire::UnknownOutcome::Reader getUnknown() const;
+  inline  ::uint64_t getLifeMicros() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4481,9 +4495,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Outcome::Builder {
+class Grant::Builder {
 public:
-  typedef Outcome Builds;
+  typedef Grant Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4497,30 +4511,14 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline Which which();
-  inline bool isRan();
-  inline bool hasRan();
-  inline  ::kingcupstair::rpc::wire::Response::Builder getRan();
-  inline void setRan( ::kingcupstair::rpc::wire::Response::Reader value);
-  inline  ::kingcupstair::rpc::wire::Response::Builder initRan();
-  inline void adoptRan(::capnp::Orphan< ::kingcupstair::rpc::wire::Response>&& value);
-  inline ::capnp::Orphan< ::kingcupstair::rpc::wire::Response> disownRan();
+  inline  ::uint32_t getGranted();
+  inline void setGranted( ::uint32_t value);
 
-  inline bool isNotRun();
-  inline bool hasNotRun();
-  inline  ::kingcupstair::rpc::wire::Refusal::Builder getNotRun();
-  inline void setNotRun( ::kingcupstair::rpc::wire::Refusal::Reader value);
-  inline  ::kingcupstair::rpc::wire::Refusal::Builder initNotRun();
-  inline void adoptNotRun(::capnp::Orphan< ::kingcupstair::rpc::wire::Refusal>&& value);
-  inline ::capnp::Orphan< ::kingcupstair::rpc::wire::Refusal> disownNotRun();
+  inline  ::uint64_t getRetryAfterMicros();
+  inline void setRetryAfterMicros( ::uint64_t value);
 
-  inline bool isUnknown();
-  inline bool hasUnknown();
-  inline  ::kingcupstair::rpc::wire::UnknownOutcome::Builder getUnknown();
-  inline void setUnknown( ::kingcupstair::rpc::wire::UnknownOutcome::Reader value);
-  inline  ::kingcupstair::rpc::wire::UnknownOutcome::Builder initUnknown();
-  inline void adoptUnknown(::capnp::Orphan< ::kingcupstair::rpc::wire::UnknownOutcome>&& value);
-  inline ::capnp::Orphan< ::kingcupstair::rpc::wire::UnknownOutcome> disownUnknown();
+  inline  ::uint64_t getLifeMicros();
+  inline void setLifeMicros( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4532,9 +4530,9 @@
 };
 
 #if !CAPNP_LITE
-class Outcome::Pipeline {
+class Grant::Pipeline {
 public:
-  typedef Outcome Pipelines;
+  typedef Grant Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4548,9 +4546,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Response::Reader {
+class Header::Reader {
 public:
-  typedef Response Reads;
+  typedef Header Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4565,13 +4563,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint16_t getStatus() const;
-
-  inline bool hasHeaders() const;
-  inline  ::capnp::List< ::kingcupstair::rpc::wire::Header,  ::capnp::Kind::STRUCT>::Reader getHeaders() const;
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
 
-  inline bool hasBody() const;
-  inline  ::capnp::Data::Reader getBody() const;
+  inline bool hasValue() const;
+  inline  ::capnp::Text::Reader getValue() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4585,9 +4581,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Response::Builder {
+class Header::Builder {
 public:
-  typedef Response Builds;
+  typedef Header Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4601,22 +4597,19 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint16_t getStatus();
-  inline void setStatus( ::uint16_t value);
-
-  inline bool hasHeaders();
-  inline  ::capnp::List< ::kingcupstair::rpc::wire::Header,  ::capnp::Kind::STRUCT>::Builder getHeaders();
-  inline void setHeaders( ::capnp::List< ::kingcupstair::rpc::wire::Header,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::kingcupstair::rpc::wire::Header,  ::capnp::Kind::STRUCT>::Builder initHeaders(unsigned int size);
-  inline void adoptHeaders(::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::Header,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::Header,  ::capnp::Kind::STRUCT>> disownHeaders();
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
 
-  inline bool hasBody();
-  inline  ::capnp::Data::Builder getBody();
-  inline void setBody( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initBody(unsigned int size);
-  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+  inline bool hasValue();
+  inline  ::capnp::Text::Builder getValue();
+  inline void setValue( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initValue(unsigned int size);
+  inline void adoptValue(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownValue();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4628,9 +4621,9 @@
 };
 
 #if !CAPNP_LITE
-class Response::Pipeline {
+class Header::Pipeline {
 public:
-  typedef Response Pipelines;
+  typedef Header Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4644,9 +4637,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Refusal::Reader {
+class Run::Reader {
 public:
-  typedef Refusal Reads;
+  typedef Run Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4661,9 +4654,42 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint8_t getReason() const;
+  inline bool hasRequestId() const;
+  inline  ::capnp::Text::Reader getRequestId() const;
 
-  inline  ::uint64_t getRetryAfterMicros() const;
+  inline  ::uint64_t getIncarnation() const;
+
+  inline bool hasOrganisation() const;
+  inline  ::capnp::Text::Reader getOrganisation() const;
+
+  inline bool hasUpstream() const;
+  inline  ::capnp::Text::Reader getUpstream() const;
+
+  inline  ::uint64_t getFingerprint() const;
+
+  inline bool getRepeatable() const;
+
+  inline  ::uint64_t getTimeLeftMicros() const;
+
+  inline bool hasMethod() const;
+  inline  ::capnp::Text::Reader getMethod() const;
+
+  inline bool hasTarget() const;
+  inline  ::capnp::Text::Reader getTarget() const;
+
+  inline bool hasHeaders() const;
+  inline  ::capnp::List< ::kingcupstair::rpc::wire::Header,  ::capnp::Kind::STRUCT>::Reader getHeaders() const;
+
+  inline bool hasBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
+
+  inline bool hasDedupeKey() const;
+  inline  ::capnp::Text::Reader getDedupeKey() const;
+
+  inline  ::uint64_t getObjectiveMicros() const;
+
+  inline bool hasCallerService() const;
+  inline  ::capnp::Text::Reader getCallerService() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4677,9 +4703,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Refusal::Builder {
+class Run::Builder {
 public:
-  typedef Refusal Builds;
+  typedef Run Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4693,11 +4719,83 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint8_t getReason();
-  inline void setReason( ::uint8_t value);
+  inline bool hasRequestId();
+  inline  ::capnp::Text::Builder getRequestId();
+  inline void setRequestId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
+  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
 
-  inline  ::uint64_t getRetryAfterMicros();
-  inline void setRetryAfterMicros( ::uint64_t value);
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline bool hasOrganisation();
+  inline  ::capnp::Text::Builder getOrganisation();
+  inline void setOrganisation( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOrganisation(unsigned int size);
+  inline void adoptOrganisation(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOrganisation();
+
+  inline bool hasUpstream();
+  inline  ::capnp::Text::Builder getUpstream();
+  inline void setUpstream( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initUpstream(unsigned int size);
+  inline void adoptUpstream(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownUpstream();
+
+  inline  ::uint64_t getFingerprint();
+  inline void setFingerprint( ::uint64_t value);
+
+  inline bool getRepeatable();
+  inline void setRepeatable(bool value);
+
+  inline  ::uint64_t getTimeLeftMicros();
+  inline void setTimeLeftMicros( ::uint64_t value);
+
+  inline bool hasMethod();
+  inline  ::capnp::Text::Builder getMethod();
+  inline void setMethod( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initMethod(unsigned int size);
+  inline void adoptMethod(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownMethod();
+
+  inline bool hasTarget();
+  inline  ::capnp::Text::Builder getTarget();
+  inline void setTarget( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
+
+  inline bool hasHeaders();
+  inline  ::capnp::List< ::kingcupstair::rpc::wire::Header,  ::capnp::Kind::STRUCT>::Builder getHeaders();
+  inline void setHeaders( ::capnp::List< ::kingcupstair::rpc::wire::Header,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::kingcupstair::rpc::wire::Header,  ::capnp::Kind::STRUCT>::Builder initHeaders(unsigned int size);
+  inline void adoptHeaders(::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::Header,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::Header,  ::capnp::Kind::STRUCT>> disownHeaders();
+
+  inline bool hasBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+
+  inline bool hasDedupeKey();
+  inline  ::capnp::Text::Builder getDedupeKey();
+  inline void setDedupeKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDedupeKey(unsigned int size);
+  inline void adoptDedupeKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDedupeKey();
+
+  inline  ::uint64_t getObjectiveMicros();
+  inline void setObjectiveMicros( ::uint64_t value);
+
+  inline bool hasCallerService();
+  inline  ::capnp::Text::Builder getCallerService();
+  inline void setCallerService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCallerService(unsigned int size);
+  inline void adoptCallerService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCallerService();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4709,9 +4807,9 @@
 };
 
 #if !CAPNP_LITE
-class Refusal::Pipeline {
+class Run::Pipeline {
 public:
-  typedef Refusal Pipelines;
+  typedef Run Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4725,9 +4823,62 @@
 };
 #endif  // !CAPNP_LITE
 
-class UnknownOutcome::Reader {
+#if !CAPNP_LITE
+class Ticket::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-  typedef UnknownOutcome Reads;
+  typedef Ticket Calls;
+  typedef Ticket Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::kingcupstair::rpc::wire::Ticket::OutcomeParams,  ::kingcupstair::rpc::wire::Ticket::OutcomeResults> outcomeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class Ticket::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef Ticket Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::kingcupstair::rpc::wire::Ticket::OutcomeParams OutcomeParams;
+  typedef  ::kingcupstair::rpc::wire::Ticket::OutcomeResults OutcomeResults;
+  typedef ::capnp::CallContext<OutcomeParams, OutcomeResults> OutcomeContext;
+  virtual ::kj::Promise<void> outcome(OutcomeContext context);
+
+  inline  ::kingcupstair::rpc::wire::Ticket::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::kingcupstair::rpc::wire::Ticket>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class Ticket::OutcomeParams::Reader {
+public:
+  typedef OutcomeParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4742,11 +4893,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasDetail() const;
-  inline  ::capnp::Text::Reader getDetail() const;
-
-  inline bool getUpstreamBroke() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4759,9 +4905,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class UnknownOutcome::Builder {
+class Ticket::OutcomeParams::Builder {
 public:
-  typedef UnknownOutcome Builds;
+  typedef OutcomeParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4775,16 +4921,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasDetail();
-  inline  ::capnp::Text::Builder getDetail();
-  inline void setDetail( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDetail(unsigned int size);
-  inline void adoptDetail(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDetail();
-
-  inline bool getUpstreamBroke();
-  inline void setUpstreamBroke(bool value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4795,9 +4931,9 @@
 };
 
 #if !CAPNP_LITE
-class UnknownOutcome::Pipeline {
+class Ticket::OutcomeParams::Pipeline {
 public:
-  typedef UnknownOutcome Pipelines;
+  typedef OutcomeParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4811,9 +4947,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Resolution::Reader {
+class Ticket::OutcomeResults::Reader {
 public:
-  typedef Resolution Reads;
+  typedef OutcomeResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4828,16 +4964,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline Which which() const;
-  inline bool isOutcome() const;
   inline bool hasOutcome() const;
   inline  ::kingcupstair::rpc::wire::Outcome::Reader getOutcome() const;
 
-  inline bool isRunning() const;
-  inline  ::capnp::Void getRunning() const;
+  inline bool hasReport() const;
+  inline  ::kingcupstair::rpc::wire::Upstream::Reader getReport() const;
 
-  inline bool isOtherIncarnation() const;
-  inline  ::capnp::Void getOtherIncarnation() const;
+  inline bool hasLoad() const;
+  inline  ::kingcupstair::rpc::wire::Load::Reader getLoad() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4851,9 +4985,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Resolution::Builder {
+class Ticket::OutcomeResults::Builder {
 public:
-  typedef Resolution Builds;
+  typedef OutcomeResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4867,8 +5001,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline Which which();
-  inline bool isOutcome();
   inline bool hasOutcome();
   inline  ::kingcupstair::rpc::wire::Outcome::Builder getOutcome();
   inline void setOutcome( ::kingcupstair::rpc::wire::Outcome::Reader value);
@@ -4876,13 +5008,19 @@
   inline void adoptOutcome(::capnp::Orphan< ::kingcupstair::rpc::wire::Outcome>&& value);
   inline ::capnp::Orphan< ::kingcupstair::rpc::wire::Outcome> disownOutcome();
 
-  inline bool isRunning();
-  inline  ::capnp::Void getRunning();
-  inline void setRunning( ::capnp::Void value = ::capnp::VOID);
+  inline bool hasReport();
+  inline  ::kingcupstair::rpc::wire::Upstream::Builder getReport();
+  inline void setReport( ::kingcupstair::rpc::wire::Upstream::Reader value);
+  inline  ::kingcupstair::rpc::wire::Upstream::Builder initReport();
+  inline void adoptReport(::capnp::Orphan< ::kingcupstair::rpc::wire::Upstream>&& value);
+  inline ::capnp::Orphan< ::kingcupstair::rpc::wire::Upstream> disownReport();
 
-  inline bool isOtherIncarnation();
-  inline  ::capnp::Void getOtherIncarnation();
-  inline void setOtherIncarnation( ::capnp::Void value = ::capnp::VOID);
+  inline bool hasLoad();
+  inline  ::kingcupstair::rpc::wire::Load::Builder getLoad();
+  inline void setLoad( ::kingcupstair::rpc::wire::Load::Reader value);
+  inline  ::kingcupstair::rpc::wire::Load::Builder initLoad();
+  inline void adoptLoad(::capnp::Orphan< ::kingcupstair::rpc::wire::Load>&& value);
+  inline ::capnp::Orphan< ::kingcupstair::rpc::wire::Load> disownLoad();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4894,14 +5032,17 @@
 };
 
 #if !CAPNP_LITE
-class Resolution::Pipeline {
+class Ticket::OutcomeResults::Pipeline {
 public:
-  typedef Resolution Pipelines;
+  typedef OutcomeResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::kingcupstair::rpc::wire::Outcome::Pipeline getOutcome();
+  inline  ::kingcupstair::rpc::wire::Upstream::Pipeline getReport();
+  inline  ::kingcupstair::rpc::wire::Load::Pipeline getLoad();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4910,1000 +5051,2014 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class Load::Reader {
+public:
+  typedef Load Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-inline Door::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr) {}
-inline Door::Client::Client(
-    ::kj::Own< ::capnp::ClientHook>&& hook)
-    : ::capnp::Capability::Client(::kj::mv(hook)) {}
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getInFlight() const;
+
+  inline  ::uint32_t getQueued() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Load::Builder {
+public:
+  typedef Load Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getInFlight();
+  inline void setInFlight( ::uint32_t value);
+
+  inline  ::uint32_t getQueued();
+  inline void setQueued( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Load::Pipeline {
+public:
+  typedef Load Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Outcome::Reader {
+public:
+  typedef Outcome Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline Which which() const;
+  inline bool isRan() const;
+  inline bool hasRan() const;
+  inline  ::kingcupstair::rpc::wire::Response::Reader getRan() const;
+
+  inline bool isNotRun() const;
+  inline bool hasNotRun() const;
+  inline  ::kingcupstair::rpc::wire::Refusal::Reader getNotRun() const;
+
+  inline bool isUnknown() const;
+  inline bool hasUnknown() const;
+  inline  ::kingcupstair::rpc::wire::UnknownOutcome::Reader getUnknown() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Outcome::Builder {
+public:
+  typedef Outcome Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline Which which();
+  inline bool isRan();
+  inline bool hasRan();
+  inline  ::kingcupstair::rpc::wire::Response::Builder getRan();
+  inline void setRan( ::kingcupstair::rpc::wire::Response::Reader value);
+  inline  ::kingcupstair::rpc::wire::Response::Builder initRan();
+  inline void adoptRan(::capnp::Orphan< ::kingcupstair::rpc::wire::Response>&& value);
+  inline ::capnp::Orphan< ::kingcupstair::rpc::wire::Response> disownRan();
+
+  inline bool isNotRun();
+  inline bool hasNotRun();
+  inline  ::kingcupstair::rpc::wire::Refusal::Builder getNotRun();
+  inline void setNotRun( ::kingcupstair::rpc::wire::Refusal::Reader value);
+  inline  ::kingcupstair::rpc::wire::Refusal::Builder initNotRun();
+  inline void adoptNotRun(::capnp::Orphan< ::kingcupstair::rpc::wire::Refusal>&& value);
+  inline ::capnp::Orphan< ::kingcupstair::rpc::wire::Refusal> disownNotRun();
+
+  inline bool isUnknown();
+  inline bool hasUnknown();
+  inline  ::kingcupstair::rpc::wire::UnknownOutcome::Builder getUnknown();
+  inline void setUnknown( ::kingcupstair::rpc::wire::UnknownOutcome::Reader value);
+  inline  ::kingcupstair::rpc::wire::UnknownOutcome::Builder initUnknown();
+  inline void adoptUnknown(::capnp::Orphan< ::kingcupstair::rpc::wire::UnknownOutcome>&& value);
+  inline ::capnp::Orphan< ::kingcupstair::rpc::wire::UnknownOutcome> disownUnknown();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Outcome::Pipeline {
+public:
+  typedef Outcome Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Response::Reader {
+public:
+  typedef Response Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint16_t getStatus() const;
+
+  inline bool hasHeaders() const;
+  inline  ::capnp::List< ::kingcupstair::rpc::wire::Header,  ::capnp::Kind::STRUCT>::Reader getHeaders() const;
+
+  inline bool hasBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Response::Builder {
+public:
+  typedef Response Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint16_t getStatus();
+  inline void setStatus( ::uint16_t value);
+
+  inline bool hasHeaders();
+  inline  ::capnp::List< ::kingcupstair::rpc::wire::Header,  ::capnp::Kind::STRUCT>::Builder getHeaders();
+  inline void setHeaders( ::capnp::List< ::kingcupstair::rpc::wire::Header,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::kingcupstair::rpc::wire::Header,  ::capnp::Kind::STRUCT>::Builder initHeaders(unsigned int size);
+  inline void adoptHeaders(::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::Header,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::Header,  ::capnp::Kind::STRUCT>> disownHeaders();
+
+  inline bool hasBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Response::Pipeline {
+public:
+  typedef Response Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Refusal::Reader {
+public:
+  typedef Refusal Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint8_t getReason() const;
+
+  inline  ::uint64_t getRetryAfterMicros() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Refusal::Builder {
+public:
+  typedef Refusal Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint8_t getReason();
+  inline void setReason( ::uint8_t value);
+
+  inline  ::uint64_t getRetryAfterMicros();
+  inline void setRetryAfterMicros( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Refusal::Pipeline {
+public:
+  typedef Refusal Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class UnknownOutcome::Reader {
+public:
+  typedef UnknownOutcome Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDetail() const;
+  inline  ::capnp::Text::Reader getDetail() const;
+
+  inline bool getUpstreamBroke() const;
+
+  inline bool getCancelled() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class UnknownOutcome::Builder {
+public:
+  typedef UnknownOutcome Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDetail();
+  inline  ::capnp::Text::Builder getDetail();
+  inline void setDetail( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDetail(unsigned int size);
+  inline void adoptDetail(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDetail();
+
+  inline bool getUpstreamBroke();
+  inline void setUpstreamBroke(bool value);
+
+  inline bool getCancelled();
+  inline void setCancelled(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class UnknownOutcome::Pipeline {
+public:
+  typedef UnknownOutcome Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Resolution::Reader {
+public:
+  typedef Resolution Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline Which which() const;
+  inline bool isOutcome() const;
+  inline bool hasOutcome() const;
+  inline  ::kingcupstair::rpc::wire::Outcome::Reader getOutcome() const;
+
+  inline bool isRunning() const;
+  inline  ::capnp::Void getRunning() const;
+
+  inline bool isOtherIncarnation() const;
+  inline  ::capnp::Void getOtherIncarnation() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Resolution::Builder {
+public:
+  typedef Resolution Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline Which which();
+  inline bool isOutcome();
+  inline bool hasOutcome();
+  inline  ::kingcupstair::rpc::wire::Outcome::Builder getOutcome();
+  inline void setOutcome( ::kingcupstair::rpc::wire::Outcome::Reader value);
+  inline  ::kingcupstair::rpc::wire::Outcome::Builder initOutcome();
+  inline void adoptOutcome(::capnp::Orphan< ::kingcupstair::rpc::wire::Outcome>&& value);
+  inline ::capnp::Orphan< ::kingcupstair::rpc::wire::Outcome> disownOutcome();
+
+  inline bool isRunning();
+  inline  ::capnp::Void getRunning();
+  inline void setRunning( ::capnp::Void value = ::capnp::VOID);
+
+  inline bool isOtherIncarnation();
+  inline  ::capnp::Void getOtherIncarnation();
+  inline void setOtherIncarnation( ::capnp::Void value = ::capnp::VOID);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Resolution::Pipeline {
+public:
+  typedef Resolution Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+#if !CAPNP_LITE
+inline Door::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline Door::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
+    : ::capnp::Capability::Client(::kj::mv(hook)) {}
+template <typename _t, typename>
+inline Door::Client::Client(::kj::Own<_t>&& server)
+    : ::capnp::Capability::Client(::kj::mv(server)) {}
+template <typename _t, typename>
+inline Door::Client::Client(::kj::Promise<_t>&& promise)
+    : ::capnp::Capability::Client(::kj::mv(promise)) {}
+inline Door::Client::Client(::kj::Exception&& exception)
+    : ::capnp::Capability::Client(::kj::mv(exception)) {}
+inline  ::kingcupstair::rpc::wire::Door::Client& Door::Client::operator=(Client& other) {
+  ::capnp::Capability::Client::operator=(other);
+  return *this;
+}
+inline  ::kingcupstair::rpc::wire::Door::Client& Door::Client::operator=(Client&& other) {
+  ::capnp::Capability::Client::operator=(kj::mv(other));
+  return *this;
+}
+
+#endif  // !CAPNP_LITE
+inline bool Door::ChallengeResults::Reader::hasNonce() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Door::ChallengeResults::Builder::hasNonce() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Door::ChallengeResults::Reader::getNonce() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Door::ChallengeResults::Builder::getNonce() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Door::ChallengeResults::Builder::setNonce( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Door::ChallengeResults::Builder::initNonce(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Door::ChallengeResults::Builder::adoptNonce(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Door::ChallengeResults::Builder::disownNonce() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Door::EnterParams::Reader::hasCaller() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Door::EnterParams::Builder::hasCaller() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::kingcupstair::rpc::wire::Caller::Reader Door::EnterParams::Reader::getCaller() const {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Caller>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::kingcupstair::rpc::wire::Caller::Builder Door::EnterParams::Builder::getCaller() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Caller>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::kingcupstair::rpc::wire::Caller::Pipeline Door::EnterParams::Pipeline::getCaller() {
+  return  ::kingcupstair::rpc::wire::Caller::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Door::EnterParams::Builder::setCaller( ::kingcupstair::rpc::wire::Caller::Reader value) {
+  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Caller>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::kingcupstair::rpc::wire::Caller::Builder Door::EnterParams::Builder::initCaller() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Caller>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Door::EnterParams::Builder::adoptCaller(
+    ::capnp::Orphan< ::kingcupstair::rpc::wire::Caller>&& value) {
+  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Caller>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::kingcupstair::rpc::wire::Caller> Door::EnterParams::Builder::disownCaller() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Caller>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Door::EnterParams::Reader::hasNonce() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Door::EnterParams::Builder::hasNonce() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Door::EnterParams::Reader::getNonce() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Door::EnterParams::Builder::getNonce() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Door::EnterParams::Builder::setNonce( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Door::EnterParams::Builder::initNonce(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Door::EnterParams::Builder::adoptNonce(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Door::EnterParams::Builder::disownNonce() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Door::EnterParams::Reader::hasProof() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Door::EnterParams::Builder::hasProof() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Door::EnterParams::Reader::getProof() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Door::EnterParams::Builder::getProof() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Door::EnterParams::Builder::setProof( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Door::EnterParams::Builder::initProof(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Door::EnterParams::Builder::adoptProof(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Door::EnterParams::Builder::disownProof() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool Door::EnterResults::Reader::hasPeer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Door::EnterResults::Builder::hasPeer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+#if !CAPNP_LITE
+inline  ::kingcupstair::rpc::wire::Peer::Client Door::EnterResults::Reader::getPeer() const {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Peer>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::kingcupstair::rpc::wire::Peer::Client Door::EnterResults::Builder::getPeer() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Peer>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::kingcupstair::rpc::wire::Peer::Client Door::EnterResults::Pipeline::getPeer() {
+  return  ::kingcupstair::rpc::wire::Peer::Client(_typeless.getPointerField(0).asCap());
+}
+inline void Door::EnterResults::Builder::setPeer( ::kingcupstair::rpc::wire::Peer::Client&& cap) {
+  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Peer>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(cap));
+}
+inline void Door::EnterResults::Builder::setPeer( ::kingcupstair::rpc::wire::Peer::Client& cap) {
+  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Peer>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), cap);
+}
+inline void Door::EnterResults::Builder::adoptPeer(
+    ::capnp::Orphan< ::kingcupstair::rpc::wire::Peer>&& value) {
+  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Peer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::kingcupstair::rpc::wire::Peer> Door::EnterResults::Builder::disownPeer() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Peer>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#endif  // !CAPNP_LITE
+
+inline bool Caller::Reader::hasHost() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Caller::Builder::hasHost() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Caller::Reader::getHost() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Caller::Builder::getHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Caller::Builder::setHost( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Caller::Builder::initHost(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Caller::Builder::adoptHost(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Caller::Builder::disownHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Caller::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Caller::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Caller::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Caller::Reader::getLink() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Caller::Builder::getLink() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Caller::Builder::setLink( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+#if !CAPNP_LITE
+inline Peer::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline Peer::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
+    : ::capnp::Capability::Client(::kj::mv(hook)) {}
 template <typename _t, typename>
-inline Door::Client::Client(::kj::Own<_t>&& server)
+inline Peer::Client::Client(::kj::Own<_t>&& server)
     : ::capnp::Capability::Client(::kj::mv(server)) {}
 template <typename _t, typename>
-inline Door::Client::Client(::kj::Promise<_t>&& promise)
+inline Peer::Client::Client(::kj::Promise<_t>&& promise)
     : ::capnp::Capability::Client(::kj::mv(promise)) {}
-inline Door::Client::Client(::kj::Exception&& exception)
+inline Peer::Client::Client(::kj::Exception&& exception)
     : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::kingcupstair::rpc::wire::Door::Client& Door::Client::operator=(Client& other) {
+inline  ::kingcupstair::rpc::wire::Peer::Client& Peer::Client::operator=(Client& other) {
   ::capnp::Capability::Client::operator=(other);
   return *this;
 }
-inline  ::kingcupstair::rpc::wire::Door::Client& Door::Client::operator=(Client&& other) {
+inline  ::kingcupstair::rpc::wire::Peer::Client& Peer::Client::operator=(Client&& other) {
   ::capnp::Capability::Client::operator=(kj::mv(other));
   return *this;
 }
 
 #endif  // !CAPNP_LITE
-inline bool Door::ChallengeResults::Reader::hasNonce() const {
+inline bool Peer::GossipParams::Reader::hasMessage() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Door::ChallengeResults::Builder::hasNonce() {
+inline bool Peer::GossipParams::Builder::hasMessage() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader Door::ChallengeResults::Reader::getNonce() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+inline  ::kingcupstair::rpc::wire::Gossip::Reader Peer::GossipParams::Reader::getMessage() const {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Gossip>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder Door::ChallengeResults::Builder::getNonce() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+inline  ::kingcupstair::rpc::wire::Gossip::Builder Peer::GossipParams::Builder::getMessage() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Gossip>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Door::ChallengeResults::Builder::setNonce( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::kingcupstair::rpc::wire::Gossip::Pipeline Peer::GossipParams::Pipeline::getMessage() {
+  return  ::kingcupstair::rpc::wire::Gossip::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::GossipParams::Builder::setMessage( ::kingcupstair::rpc::wire::Gossip::Reader value) {
+  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Gossip>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder Door::ChallengeResults::Builder::initNonce(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::kingcupstair::rpc::wire::Gossip::Builder Peer::GossipParams::Builder::initMessage() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Gossip>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Door::ChallengeResults::Builder::adoptNonce(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+inline void Peer::GossipParams::Builder::adoptMessage(
+    ::capnp::Orphan< ::kingcupstair::rpc::wire::Gossip>&& value) {
+  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Gossip>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> Door::ChallengeResults::Builder::disownNonce() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::kingcupstair::rpc::wire::Gossip> Peer::GossipParams::Builder::disownMessage() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Gossip>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Door::EnterParams::Reader::hasCaller() const {
+inline bool Peer::GossipResults::Reader::hasMessage() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Door::EnterParams::Builder::hasCaller() {
+inline bool Peer::GossipResults::Builder::hasMessage() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::kingcupstair::rpc::wire::Caller::Reader Door::EnterParams::Reader::getCaller() const {
-  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Caller>::get(_reader.getPointerField(
+inline  ::kingcupstair::rpc::wire::Gossip::Reader Peer::GossipResults::Reader::getMessage() const {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Gossip>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::kingcupstair::rpc::wire::Caller::Builder Door::EnterParams::Builder::getCaller() {
-  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Caller>::get(_builder.getPointerField(
+inline  ::kingcupstair::rpc::wire::Gossip::Builder Peer::GossipResults::Builder::getMessage() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Gossip>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::kingcupstair::rpc::wire::Caller::Pipeline Door::EnterParams::Pipeline::getCaller() {
-  return  ::kingcupstair::rpc::wire::Caller::Pipeline(_typeless.getPointerField(0));
+inline  ::kingcupstair::rpc::wire::Gossip::Pipeline Peer::GossipResults::Pipeline::getMessage() {
+  return  ::kingcupstair::rpc::wire::Gossip::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Door::EnterParams::Builder::setCaller( ::kingcupstair::rpc::wire::Caller::Reader value) {
-  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Caller>::set(_builder.getPointerField(
+inline void Peer::GossipResults::Builder::setMessage( ::kingcupstair::rpc::wire::Gossip::Reader value) {
+  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Gossip>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::kingcupstair::rpc::wire::Caller::Builder Door::EnterParams::Builder::initCaller() {
-  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Caller>::init(_builder.getPointerField(
+inline  ::kingcupstair::rpc::wire::Gossip::Builder Peer::GossipResults::Builder::initMessage() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Gossip>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Door::EnterParams::Builder::adoptCaller(
-    ::capnp::Orphan< ::kingcupstair::rpc::wire::Caller>&& value) {
-  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Caller>::adopt(_builder.getPointerField(
+inline void Peer::GossipResults::Builder::adoptMessage(
+    ::capnp::Orphan< ::kingcupstair::rpc::wire::Gossip>&& value) {
+  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Gossip>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::kingcupstair::rpc::wire::Caller> Door::EnterParams::Builder::disownCaller() {
-  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Caller>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::kingcupstair::rpc::wire::Gossip> Peer::GossipResults::Builder::disownMessage() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Gossip>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::SyncParams::Reader::hasVersions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::SyncParams::Builder::hasVersions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::kingcupstair::rpc::wire::Version,  ::capnp::Kind::STRUCT>::Reader Peer::SyncParams::Reader::getVersions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::Version,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::kingcupstair::rpc::wire::Version,  ::capnp::Kind::STRUCT>::Builder Peer::SyncParams::Builder::getVersions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::Version,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::SyncParams::Builder::setVersions( ::capnp::List< ::kingcupstair::rpc::wire::Version,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::Version,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::kingcupstair::rpc::wire::Version,  ::capnp::Kind::STRUCT>::Builder Peer::SyncParams::Builder::initVersions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::Version,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::SyncParams::Builder::adoptVersions(
+    ::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::Version,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::Version,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::Version,  ::capnp::Kind::STRUCT>> Peer::SyncParams::Builder::disownVersions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::Version,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::SyncResults::Reader::hasUpdates() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::SyncResults::Builder::hasUpdates() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::kingcupstair::rpc::wire::HostUpdate,  ::capnp::Kind::STRUCT>::Reader Peer::SyncResults::Reader::getUpdates() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::HostUpdate,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::kingcupstair::rpc::wire::HostUpdate,  ::capnp::Kind::STRUCT>::Builder Peer::SyncResults::Builder::getUpdates() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::HostUpdate,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::SyncResults::Builder::setUpdates( ::capnp::List< ::kingcupstair::rpc::wire::HostUpdate,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::HostUpdate,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::kingcupstair::rpc::wire::HostUpdate,  ::capnp::Kind::STRUCT>::Builder Peer::SyncResults::Builder::initUpdates(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::HostUpdate,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::SyncResults::Builder::adoptUpdates(
+    ::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::HostUpdate,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::HostUpdate,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::HostUpdate,  ::capnp::Kind::STRUCT>> Peer::SyncResults::Builder::disownUpdates() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::HostUpdate,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Door::EnterParams::Reader::hasNonce() const {
+inline bool Peer::SyncResults::Reader::hasWanted() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::SyncResults::Builder::hasWanted() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Peer::SyncResults::Reader::getWanted() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Peer::SyncResults::Builder::getWanted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Peer::SyncResults::Builder::setWanted( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void Peer::SyncResults::Builder::setWanted(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Peer::SyncResults::Builder::initWanted(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Peer::SyncResults::Builder::adoptWanted(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Peer::SyncResults::Builder::disownWanted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::ProbeParams::Reader::hasHost() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Door::EnterParams::Builder::hasNonce() {
+inline bool Peer::ProbeParams::Builder::hasHost() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader Door::EnterParams::Reader::getNonce() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Peer::ProbeParams::Reader::getHost() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder Door::EnterParams::Builder::getNonce() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Peer::ProbeParams::Builder::getHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Door::EnterParams::Builder::setNonce( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Peer::ProbeParams::Builder::setHost( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder Door::EnterParams::Builder::initNonce(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder Peer::ProbeParams::Builder::initHost(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Door::EnterParams::Builder::adoptNonce(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void Peer::ProbeParams::Builder::adoptHost(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> Door::EnterParams::Builder::disownNonce() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Peer::ProbeParams::Builder::disownHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Door::EnterParams::Reader::hasProof() const {
+inline bool Peer::ProbeResults::Reader::getReached() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Peer::ProbeResults::Builder::getReached() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::ProbeResults::Builder::setReached(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Peer::HeadResults::Reader::hasHead() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Door::EnterParams::Builder::hasProof() {
+inline bool Peer::HeadResults::Builder::hasHead() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader Door::EnterParams::Reader::getProof() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Peer::HeadResults::Reader::getHead() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder Door::EnterParams::Builder::getProof() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Peer::HeadResults::Builder::getHead() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Door::EnterParams::Builder::setProof( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void Peer::HeadResults::Builder::setHead( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder Door::EnterParams::Builder::initProof(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder Peer::HeadResults::Builder::initHead(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Door::EnterParams::Builder::adoptProof(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void Peer::HeadResults::Builder::adoptHead(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> Door::EnterParams::Builder::disownProof() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Peer::HeadResults::Builder::disownHead() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Door::EnterResults::Reader::hasPeer() const {
+inline bool Peer::ChunksParams::Reader::hasIds() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Door::EnterResults::Builder::hasPeer() {
+inline bool Peer::ChunksParams::Builder::hasIds() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-#if !CAPNP_LITE
-inline  ::kingcupstair::rpc::wire::Peer::Client Door::EnterResults::Reader::getPeer() const {
-  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Peer>::get(_reader.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Peer::ChunksParams::Reader::getIds() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::kingcupstair::rpc::wire::Peer::Client Door::EnterResults::Builder::getPeer() {
-  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Peer>::get(_builder.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Peer::ChunksParams::Builder::getIds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::kingcupstair::rpc::wire::Peer::Client Door::EnterResults::Pipeline::getPeer() {
-  return  ::kingcupstair::rpc::wire::Peer::Client(_typeless.getPointerField(0).asCap());
+inline void Peer::ChunksParams::Builder::setIds( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void Door::EnterResults::Builder::setPeer( ::kingcupstair::rpc::wire::Peer::Client&& cap) {
-  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Peer>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(cap));
+inline void Peer::ChunksParams::Builder::setIds(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void Door::EnterResults::Builder::setPeer( ::kingcupstair::rpc::wire::Peer::Client& cap) {
-  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Peer>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), cap);
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Peer::ChunksParams::Builder::initIds(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Door::EnterResults::Builder::adoptPeer(
-    ::capnp::Orphan< ::kingcupstair::rpc::wire::Peer>&& value) {
-  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Peer>::adopt(_builder.getPointerField(
+inline void Peer::ChunksParams::Builder::adoptIds(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::kingcupstair::rpc::wire::Peer> Door::EnterResults::Builder::disownPeer() {
-  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Peer>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Peer::ChunksParams::Builder::disownIds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#endif  // !CAPNP_LITE
 
-inline bool Caller::Reader::hasHost() const {
+inline bool Peer::ChunksResults::Reader::hasTexts() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Caller::Builder::hasHost() {
+inline bool Peer::ChunksResults::Builder::hasTexts() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Caller::Reader::getHost() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Peer::ChunksResults::Reader::getTexts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Caller::Builder::getHost() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Peer::ChunksResults::Builder::getTexts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Caller::Builder::setHost( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void Peer::ChunksResults::Builder::setTexts( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Caller::Builder::initHost(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline void Peer::ChunksResults::Builder::setTexts(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Peer::ChunksResults::Builder::initTexts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Caller::Builder::adoptHost(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void Peer::ChunksResults::Builder::adoptTexts(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Caller::Builder::disownHost() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Peer::ChunksResults::Builder::disownTexts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Caller::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Peer::LendParams::Reader::hasShards() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t Caller::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Peer::LendParams::Builder::hasShards() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void Caller::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader Peer::LendParams::Reader::getShards() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t Caller::Reader::getLink() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder Peer::LendParams::Builder::getShards() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t Caller::Builder::getLink() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline void Peer::LendParams::Builder::setShards( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void Caller::Builder::setLink( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Peer::LendParams::Builder::setShards(::kj::ArrayPtr<const  ::uint16_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-#if !CAPNP_LITE
-inline Peer::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr) {}
-inline Peer::Client::Client(
-    ::kj::Own< ::capnp::ClientHook>&& hook)
-    : ::capnp::Capability::Client(::kj::mv(hook)) {}
-template <typename _t, typename>
-inline Peer::Client::Client(::kj::Own<_t>&& server)
-    : ::capnp::Capability::Client(::kj::mv(server)) {}
-template <typename _t, typename>
-inline Peer::Client::Client(::kj::Promise<_t>&& promise)
-    : ::capnp::Capability::Client(::kj::mv(promise)) {}
-inline Peer::Client::Client(::kj::Exception&& exception)
-    : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::kingcupstair::rpc::wire::Peer::Client& Peer::Client::operator=(Client& other) {
-  ::capnp::Capability::Client::operator=(other);
-  return *this;
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder Peer::LendParams::Builder::initShards(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline  ::kingcupstair::rpc::wire::Peer::Client& Peer::Client::operator=(Client&& other) {
-  ::capnp::Capability::Client::operator=(kj::mv(other));
-  return *this;
+inline void Peer::LendParams::Builder::adoptShards(
+    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> Peer::LendParams::Builder::disownShards() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-#endif  // !CAPNP_LITE
-inline bool Peer::GossipParams::Reader::hasMessage() const {
+inline bool Peer::LendResults::Reader::hasLoans() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::GossipParams::Builder::hasMessage() {
+inline bool Peer::LendResults::Builder::hasLoans() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::kingcupstair::rpc::wire::Gossip::Reader Peer::GossipParams::Reader::getMessage() const {
-  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Gossip>::get(_reader.getPointerField(
+inline  ::capnp::List< ::kingcupstair::rpc::wire::Loan,  ::capnp::Kind::STRUCT>::Reader Peer::LendResults::Reader::getLoans() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::Loan,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::kingcupstair::rpc::wire::Gossip::Builder Peer::GossipParams::Builder::getMessage() {
-  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Gossip>::get(_builder.getPointerField(
+inline  ::capnp::List< ::kingcupstair::rpc::wire::Loan,  ::capnp::Kind::STRUCT>::Builder Peer::LendResults::Builder::getLoans() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::Loan,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::kingcupstair::rpc::wire::Gossip::Pipeline Peer::GossipParams::Pipeline::getMessage() {
-  return  ::kingcupstair::rpc::wire::Gossip::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Peer::GossipParams::Builder::setMessage( ::kingcupstair::rpc::wire::Gossip::Reader value) {
-  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Gossip>::set(_builder.getPointerField(
+inline void Peer::LendResults::Builder::setLoans( ::capnp::List< ::kingcupstair::rpc::wire::Loan,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::Loan,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::kingcupstair::rpc::wire::Gossip::Builder Peer::GossipParams::Builder::initMessage() {
-  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Gossip>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::kingcupstair::rpc::wire::Loan,  ::capnp::Kind::STRUCT>::Builder Peer::LendResults::Builder::initLoans(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::Loan,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Peer::GossipParams::Builder::adoptMessage(
-    ::capnp::Orphan< ::kingcupstair::rpc::wire::Gossip>&& value) {
-  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Gossip>::adopt(_builder.getPointerField(
+inline void Peer::LendResults::Builder::adoptLoans(
+    ::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::Loan,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::Loan,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::kingcupstair::rpc::wire::Gossip> Peer::GossipParams::Builder::disownMessage() {
-  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Gossip>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::Loan,  ::capnp::Kind::STRUCT>> Peer::LendResults::Builder::disownLoans() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::Loan,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::GossipResults::Reader::hasMessage() const {
+inline bool Peer::AcquireParams::Reader::hasOrganisation() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::GossipResults::Builder::hasMessage() {
+inline bool Peer::AcquireParams::Builder::hasOrganisation() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::kingcupstair::rpc::wire::Gossip::Reader Peer::GossipResults::Reader::getMessage() const {
-  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Gossip>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader Peer::AcquireParams::Reader::getOrganisation() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::kingcupstair::rpc::wire::Gossip::Builder Peer::GossipResults::Builder::getMessage() {
-  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Gossip>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder Peer::AcquireParams::Builder::getOrganisation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::kingcupstair::rpc::wire::Gossip::Pipeline Peer::GossipResults::Pipeline::getMessage() {
-  return  ::kingcupstair::rpc::wire::Gossip::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Peer::GossipResults::Builder::setMessage( ::kingcupstair::rpc::wire::Gossip::Reader value) {
-  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Gossip>::set(_builder.getPointerField(
+inline void Peer::AcquireParams::Builder::setOrganisation( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::kingcupstair::rpc::wire::Gossip::Builder Peer::GossipResults::Builder::initMessage() {
-  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Gossip>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Peer::AcquireParams::Builder::initOrganisation(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Peer::GossipResults::Builder::adoptMessage(
-    ::capnp::Orphan< ::kingcupstair::rpc::wire::Gossip>&& value) {
-  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Gossip>::adopt(_builder.getPointerField(
+inline void Peer::AcquireParams::Builder::adoptOrganisation(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::kingcupstair::rpc::wire::Gossip> Peer::GossipResults::Builder::disownMessage() {
-  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Gossip>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> Peer::AcquireParams::Builder::disownOrganisation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::SyncParams::Reader::hasVersions() const {
+inline  ::uint32_t Peer::AcquireParams::Reader::getWanted() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Peer::AcquireParams::Builder::getWanted() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::AcquireParams::Builder::setWanted( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Peer::AcquireResults::Reader::hasGrant() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::SyncParams::Builder::hasVersions() {
+inline bool Peer::AcquireResults::Builder::hasGrant() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::kingcupstair::rpc::wire::Version,  ::capnp::Kind::STRUCT>::Reader Peer::SyncParams::Reader::getVersions() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::Version,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::kingcupstair::rpc::wire::Grant::Reader Peer::AcquireResults::Reader::getGrant() const {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Grant>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::kingcupstair::rpc::wire::Version,  ::capnp::Kind::STRUCT>::Builder Peer::SyncParams::Builder::getVersions() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::Version,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::kingcupstair::rpc::wire::Grant::Builder Peer::AcquireResults::Builder::getGrant() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Grant>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::SyncParams::Builder::setVersions( ::capnp::List< ::kingcupstair::rpc::wire::Version,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::Version,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::kingcupstair::rpc::wire::Grant::Pipeline Peer::AcquireResults::Pipeline::getGrant() {
+  return  ::kingcupstair::rpc::wire::Grant::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::AcquireResults::Builder::setGrant( ::kingcupstair::rpc::wire::Grant::Reader value) {
+  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Grant>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::kingcupstair::rpc::wire::Version,  ::capnp::Kind::STRUCT>::Builder Peer::SyncParams::Builder::initVersions(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::Version,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::kingcupstair::rpc::wire::Grant::Builder Peer::AcquireResults::Builder::initGrant() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Grant>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::SyncParams::Builder::adoptVersions(
-    ::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::Version,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::Version,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void Peer::AcquireResults::Builder::adoptGrant(
+    ::capnp::Orphan< ::kingcupstair::rpc::wire::Grant>&& value) {
+  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Grant>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::Version,  ::capnp::Kind::STRUCT>> Peer::SyncParams::Builder::disownVersions() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::Version,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::kingcupstair::rpc::wire::Grant> Peer::AcquireResults::Builder::disownGrant() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Grant>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::SyncResults::Reader::hasUpdates() const {
+inline bool Peer::GiveBackParams::Reader::hasShards() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::SyncResults::Builder::hasUpdates() {
+inline bool Peer::GiveBackParams::Builder::hasShards() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::kingcupstair::rpc::wire::HostUpdate,  ::capnp::Kind::STRUCT>::Reader Peer::SyncResults::Reader::getUpdates() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::HostUpdate,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader Peer::GiveBackParams::Reader::getShards() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::kingcupstair::rpc::wire::HostUpdate,  ::capnp::Kind::STRUCT>::Builder Peer::SyncResults::Builder::getUpdates() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::HostUpdate,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder Peer::GiveBackParams::Builder::getShards() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::SyncResults::Builder::setUpdates( ::capnp::List< ::kingcupstair::rpc::wire::HostUpdate,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::HostUpdate,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void Peer::GiveBackParams::Builder::setShards( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::kingcupstair::rpc::wire::HostUpdate,  ::capnp::Kind::STRUCT>::Builder Peer::SyncResults::Builder::initUpdates(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::HostUpdate,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline void Peer::GiveBackParams::Builder::setShards(::kj::ArrayPtr<const  ::uint16_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder Peer::GiveBackParams::Builder::initShards(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Peer::SyncResults::Builder::adoptUpdates(
-    ::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::HostUpdate,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::HostUpdate,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void Peer::GiveBackParams::Builder::adoptShards(
+    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::HostUpdate,  ::capnp::Kind::STRUCT>> Peer::SyncResults::Builder::disownUpdates() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::HostUpdate,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> Peer::GiveBackParams::Builder::disownShards() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::SyncResults::Reader::hasWanted() const {
+inline bool Peer::SubmitParams::Reader::hasRun() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::SyncResults::Builder::hasWanted() {
+inline bool Peer::SubmitParams::Builder::hasRun() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Peer::SyncResults::Reader::getWanted() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::kingcupstair::rpc::wire::Run::Reader Peer::SubmitParams::Reader::getRun() const {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Run>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Peer::SyncResults::Builder::getWanted() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::kingcupstair::rpc::wire::Run::Builder Peer::SubmitParams::Builder::getRun() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Run>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::SyncResults::Builder::setWanted( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+#if !CAPNP_LITE
+inline  ::kingcupstair::rpc::wire::Run::Pipeline Peer::SubmitParams::Pipeline::getRun() {
+  return  ::kingcupstair::rpc::wire::Run::Pipeline(_typeless.getPointerField(0));
 }
-inline void Peer::SyncResults::Builder::setWanted(::kj::ArrayPtr<const  ::uint64_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+#endif  // !CAPNP_LITE
+inline void Peer::SubmitParams::Builder::setRun( ::kingcupstair::rpc::wire::Run::Reader value) {
+  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Run>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Peer::SyncResults::Builder::initWanted(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::kingcupstair::rpc::wire::Run::Builder Peer::SubmitParams::Builder::initRun() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Run>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::SyncResults::Builder::adoptWanted(
-    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void Peer::SubmitParams::Builder::adoptRun(
+    ::capnp::Orphan< ::kingcupstair::rpc::wire::Run>&& value) {
+  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Run>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Peer::SyncResults::Builder::disownWanted() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::kingcupstair::rpc::wire::Run> Peer::SubmitParams::Builder::disownRun() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Run>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::ProbeParams::Reader::hasHost() const {
+inline bool Peer::SubmitResults::Reader::hasTicket() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::ProbeParams::Builder::hasHost() {
+inline bool Peer::SubmitResults::Builder::hasTicket() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Peer::ProbeParams::Reader::getHost() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+#if !CAPNP_LITE
+inline  ::kingcupstair::rpc::wire::Ticket::Client Peer::SubmitResults::Reader::getTicket() const {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Ticket>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Peer::ProbeParams::Builder::getHost() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::kingcupstair::rpc::wire::Ticket::Client Peer::SubmitResults::Builder::getTicket() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Ticket>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::ProbeParams::Builder::setHost( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Peer::ProbeParams::Builder::initHost(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Peer::ProbeParams::Builder::adoptHost(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::kingcupstair::rpc::wire::Ticket::Client Peer::SubmitResults::Pipeline::getTicket() {
+  return  ::kingcupstair::rpc::wire::Ticket::Client(_typeless.getPointerField(0).asCap());
 }
-inline ::capnp::Orphan< ::capnp::Text> Peer::ProbeParams::Builder::disownHost() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void Peer::SubmitResults::Builder::setTicket( ::kingcupstair::rpc::wire::Ticket::Client&& cap) {
+  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Ticket>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(cap));
 }
-
-inline bool Peer::ProbeResults::Reader::getReached() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline void Peer::SubmitResults::Builder::setTicket( ::kingcupstair::rpc::wire::Ticket::Client& cap) {
+  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Ticket>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), cap);
 }
-
-inline bool Peer::ProbeResults::Builder::getReached() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline void Peer::SubmitResults::Builder::adoptTicket(
+    ::capnp::Orphan< ::kingcupstair::rpc::wire::Ticket>&& value) {
+  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Ticket>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Peer::ProbeResults::Builder::setReached(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::kingcupstair::rpc::wire::Ticket> Peer::SubmitResults::Builder::disownTicket() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Ticket>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
+#endif  // !CAPNP_LITE
 
-inline bool Peer::HeadResults::Reader::hasHead() const {
+inline bool Peer::ResolveParams::Reader::hasRequestId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::HeadResults::Builder::hasHead() {
+inline bool Peer::ResolveParams::Builder::hasRequestId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Peer::HeadResults::Reader::getHead() const {
+inline  ::capnp::Text::Reader Peer::ResolveParams::Reader::getRequestId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Peer::HeadResults::Builder::getHead() {
+inline  ::capnp::Text::Builder Peer::ResolveParams::Builder::getRequestId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::HeadResults::Builder::setHead( ::capnp::Text::Reader value) {
+inline void Peer::ResolveParams::Builder::setRequestId( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Peer::HeadResults::Builder::initHead(unsigned int size) {
+inline  ::capnp::Text::Builder Peer::ResolveParams::Builder::initRequestId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Peer::HeadResults::Builder::adoptHead(
+inline void Peer::ResolveParams::Builder::adoptRequestId(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Peer::HeadResults::Builder::disownHead() {
+inline ::capnp::Orphan< ::capnp::Text> Peer::ResolveParams::Builder::disownRequestId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::ChunksParams::Reader::hasIds() const {
+inline  ::uint64_t Peer::ResolveParams::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::ResolveParams::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::ResolveParams::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Peer::ResolveResults::Reader::hasResolution() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::ChunksParams::Builder::hasIds() {
+inline bool Peer::ResolveResults::Builder::hasResolution() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Peer::ChunksParams::Reader::getIds() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+inline  ::kingcupstair::rpc::wire::Resolution::Reader Peer::ResolveResults::Reader::getResolution() const {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Resolution>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Peer::ChunksParams::Builder::getIds() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+inline  ::kingcupstair::rpc::wire::Resolution::Builder Peer::ResolveResults::Builder::getResolution() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Resolution>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::ChunksParams::Builder::setIds( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+#if !CAPNP_LITE
+inline  ::kingcupstair::rpc::wire::Resolution::Pipeline Peer::ResolveResults::Pipeline::getResolution() {
+  return  ::kingcupstair::rpc::wire::Resolution::Pipeline(_typeless.getPointerField(0));
 }
-inline void Peer::ChunksParams::Builder::setIds(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+#endif  // !CAPNP_LITE
+inline void Peer::ResolveResults::Builder::setResolution( ::kingcupstair::rpc::wire::Resolution::Reader value) {
+  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Resolution>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Peer::ChunksParams::Builder::initIds(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::kingcupstair::rpc::wire::Resolution::Builder Peer::ResolveResults::Builder::initResolution() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Resolution>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::ChunksParams::Builder::adoptIds(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+inline void Peer::ResolveResults::Builder::adoptResolution(
+    ::capnp::Orphan< ::kingcupstair::rpc::wire::Resolution>&& value) {
+  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Resolution>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Peer::ChunksParams::Builder::disownIds() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::kingcupstair::rpc::wire::Resolution> Peer::ResolveResults::Builder::disownResolution() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Resolution>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::ChunksResults::Reader::hasTexts() const {
+inline bool Peer::ReserveParams::Reader::hasSlot() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::ChunksResults::Builder::hasTexts() {
+inline bool Peer::ReserveParams::Builder::hasSlot() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Peer::ChunksResults::Reader::getTexts() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+inline  ::kingcupstair::rpc::wire::SlotRequest::Reader Peer::ReserveParams::Reader::getSlot() const {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::SlotRequest>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Peer::ChunksResults::Builder::getTexts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+inline  ::kingcupstair::rpc::wire::SlotRequest::Builder Peer::ReserveParams::Builder::getSlot() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::SlotRequest>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::ChunksResults::Builder::setTexts( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+#if !CAPNP_LITE
+inline  ::kingcupstair::rpc::wire::SlotRequest::Pipeline Peer::ReserveParams::Pipeline::getSlot() {
+  return  ::kingcupstair::rpc::wire::SlotRequest::Pipeline(_typeless.getPointerField(0));
 }
-inline void Peer::ChunksResults::Builder::setTexts(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+#endif  // !CAPNP_LITE
+inline void Peer::ReserveParams::Builder::setSlot( ::kingcupstair::rpc::wire::SlotRequest::Reader value) {
+  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::SlotRequest>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Peer::ChunksResults::Builder::initTexts(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::kingcupstair::rpc::wire::SlotRequest::Builder Peer::ReserveParams::Builder::initSlot() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::SlotRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::ChunksResults::Builder::adoptTexts(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+inline void Peer::ReserveParams::Builder::adoptSlot(
+    ::capnp::Orphan< ::kingcupstair::rpc::wire::SlotRequest>&& value) {
+  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::SlotRequest>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Peer::ChunksResults::Builder::disownTexts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::kingcupstair::rpc::wire::SlotRequest> Peer::ReserveParams::Builder::disownSlot() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::SlotRequest>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::LendParams::Reader::hasShards() const {
+inline bool Peer::ReserveResults::Reader::hasAnswer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::LendParams::Builder::hasShards() {
+inline bool Peer::ReserveResults::Builder::hasAnswer() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader Peer::LendParams::Reader::getShards() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+inline  ::kingcupstair::rpc::wire::SlotAnswer::Reader Peer::ReserveResults::Reader::getAnswer() const {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::SlotAnswer>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder Peer::LendParams::Builder::getShards() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+inline  ::kingcupstair::rpc::wire::SlotAnswer::Builder Peer::ReserveResults::Builder::getAnswer() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::SlotAnswer>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::LendParams::Builder::setShards( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+#if !CAPNP_LITE
+inline  ::kingcupstair::rpc::wire::SlotAnswer::Pipeline Peer::ReserveResults::Pipeline::getAnswer() {
+  return  ::kingcupstair::rpc::wire::SlotAnswer::Pipeline(_typeless.getPointerField(0));
 }
-inline void Peer::LendParams::Builder::setShards(::kj::ArrayPtr<const  ::uint16_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+#endif  // !CAPNP_LITE
+inline void Peer::ReserveResults::Builder::setAnswer( ::kingcupstair::rpc::wire::SlotAnswer::Reader value) {
+  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::SlotAnswer>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder Peer::LendParams::Builder::initShards(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::kingcupstair::rpc::wire::SlotAnswer::Builder Peer::ReserveResults::Builder::initAnswer() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::SlotAnswer>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::LendParams::Builder::adoptShards(
-    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+inline void Peer::ReserveResults::Builder::adoptAnswer(
+    ::capnp::Orphan< ::kingcupstair::rpc::wire::SlotAnswer>&& value) {
+  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::SlotAnswer>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> Peer::LendParams::Builder::disownShards() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::kingcupstair::rpc::wire::SlotAnswer> Peer::ReserveResults::Builder::disownAnswer() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::SlotAnswer>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::LendResults::Reader::hasLoans() const {
+inline bool Peer::CancelParams::Reader::hasRequestId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::LendResults::Builder::hasLoans() {
+inline bool Peer::CancelParams::Builder::hasRequestId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::kingcupstair::rpc::wire::Loan,  ::capnp::Kind::STRUCT>::Reader Peer::LendResults::Reader::getLoans() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::Loan,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader Peer::CancelParams::Reader::getRequestId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::kingcupstair::rpc::wire::Loan,  ::capnp::Kind::STRUCT>::Builder Peer::LendResults::Builder::getLoans() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::Loan,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder Peer::CancelParams::Builder::getRequestId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::LendResults::Builder::setLoans( ::capnp::List< ::kingcupstair::rpc::wire::Loan,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::Loan,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void Peer::CancelParams::Builder::setRequestId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::kingcupstair::rpc::wire::Loan,  ::capnp::Kind::STRUCT>::Builder Peer::LendResults::Builder::initLoans(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::Loan,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder Peer::CancelParams::Builder::initRequestId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Peer::LendResults::Builder::adoptLoans(
-    ::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::Loan,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::Loan,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void Peer::CancelParams::Builder::adoptRequestId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::Loan,  ::capnp::Kind::STRUCT>> Peer::LendResults::Builder::disownLoans() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::Loan,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> Peer::CancelParams::Builder::disownRequestId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::AcquireParams::Reader::hasOrganisation() const {
+inline  ::uint64_t Peer::CancelParams::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::CancelParams::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::CancelParams::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SlotRequest::Reader::hasRequestId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::AcquireParams::Builder::hasOrganisation() {
+inline bool SlotRequest::Builder::hasRequestId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Peer::AcquireParams::Reader::getOrganisation() const {
+inline  ::capnp::Text::Reader SlotRequest::Reader::getRequestId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Peer::AcquireParams::Builder::getOrganisation() {
+inline  ::capnp::Text::Builder SlotRequest::Builder::getRequestId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::AcquireParams::Builder::setOrganisation( ::capnp::Text::Reader value) {
+inline void SlotRequest::Builder::setRequestId( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Peer::AcquireParams::Builder::initOrganisation(unsigned int size) {
+inline  ::capnp::Text::Builder SlotRequest::Builder::initRequestId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Peer::AcquireParams::Builder::adoptOrganisation(
+inline void SlotRequest::Builder::adoptRequestId(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Peer::AcquireParams::Builder::disownOrganisation() {
+inline ::capnp::Orphan< ::capnp::Text> SlotRequest::Builder::disownRequestId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Peer::AcquireParams::Reader::getWanted() const {
-  return _reader.getDataField< ::uint32_t>(
+inline  ::uint64_t SlotRequest::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Peer::AcquireParams::Builder::getWanted() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::uint64_t SlotRequest::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Peer::AcquireParams::Builder::setWanted( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void SlotRequest::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Peer::AcquireResults::Reader::hasGrant() const {
+inline bool SlotRequest::Reader::hasOrganisation() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::AcquireResults::Builder::hasGrant() {
+inline bool SlotRequest::Builder::hasOrganisation() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::kingcupstair::rpc::wire::Grant::Reader Peer::AcquireResults::Reader::getGrant() const {
-  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Grant>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::kingcupstair::rpc::wire::Grant::Builder Peer::AcquireResults::Builder::getGrant() {
-  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Grant>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader SlotRequest::Reader::getOrganisation() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::kingcupstair::rpc::wire::Grant::Pipeline Peer::AcquireResults::Pipeline::getGrant() {
-  return  ::kingcupstair::rpc::wire::Grant::Pipeline(_typeless.getPointerField(0));
+inline  ::capnp::Text::Builder SlotRequest::Builder::getOrganisation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-#endif  // !CAPNP_LITE
-inline void Peer::AcquireResults::Builder::setGrant( ::kingcupstair::rpc::wire::Grant::Reader value) {
-  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Grant>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void SlotRequest::Builder::setOrganisation( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::kingcupstair::rpc::wire::Grant::Builder Peer::AcquireResults::Builder::initGrant() {
-  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Grant>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder SlotRequest::Builder::initOrganisation(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Peer::AcquireResults::Builder::adoptGrant(
-    ::capnp::Orphan< ::kingcupstair::rpc::wire::Grant>&& value) {
-  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Grant>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void SlotRequest::Builder::adoptOrganisation(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::kingcupstair::rpc::wire::Grant> Peer::AcquireResults::Builder::disownGrant() {
-  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Grant>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> SlotRequest::Builder::disownOrganisation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::GiveBackParams::Reader::hasShards() const {
+inline bool SlotRequest::Reader::hasUpstream() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::GiveBackParams::Builder::hasShards() {
+inline bool SlotRequest::Builder::hasUpstream() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SlotRequest::Reader::getUpstream() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SlotRequest::Builder::getUpstream() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void SlotRequest::Builder::setUpstream( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SlotRequest::Builder::initUpstream(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void SlotRequest::Builder::adoptUpstream(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SlotRequest::Builder::disownUpstream() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint16_t SlotRequest::Reader::getPriority() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t SlotRequest::Builder::getPriority() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void SlotRequest::Builder::setPriority( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SlotRequest::Reader::getRepeatable() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<80>() * ::capnp::ELEMENTS);
+}
+
+inline bool SlotRequest::Builder::getRepeatable() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<80>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader Peer::GiveBackParams::Reader::getShards() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void SlotRequest::Builder::setRepeatable(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<80>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder Peer::GiveBackParams::Builder::getShards() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline bool SlotRequest::Reader::getLastResort() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<81>() * ::capnp::ELEMENTS);
 }
-inline void Peer::GiveBackParams::Builder::setShards( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
