-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+
+inline bool SlotRequest::Builder::getLastResort() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<81>() * ::capnp::ELEMENTS);
 }
-inline void Peer::GiveBackParams::Builder::setShards(::kj::ArrayPtr<const  ::uint16_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void SlotRequest::Builder::setLastResort(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<81>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder Peer::GiveBackParams::Builder::initShards(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+
+inline  ::uint64_t SlotRequest::Reader::getObjectiveMicros() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Peer::GiveBackParams::Builder::adoptShards(
-    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t SlotRequest::Builder::getObjectiveMicros() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> Peer::GiveBackParams::Builder::disownShards() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void SlotRequest::Builder::setObjectiveMicros( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Peer::SubmitParams::Reader::hasRun() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline  ::uint64_t SlotRequest::Reader::getMaxWaitMicros() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline bool Peer::SubmitParams::Builder::hasRun() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+
+inline  ::uint64_t SlotRequest::Builder::getMaxWaitMicros() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline  ::kingcupstair::rpc::wire::Run::Reader Peer::SubmitParams::Reader::getRun() const {
-  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Run>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void SlotRequest::Builder::setMaxWaitMicros( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
-inline  ::kingcupstair::rpc::wire::Run::Builder Peer::SubmitParams::Builder::getRun() {
-  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Run>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::uint64_t SlotRequest::Reader::getTimeLeftMicros() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-#if !CAPNP_LITE
-inline  ::kingcupstair::rpc::wire::Run::Pipeline Peer::SubmitParams::Pipeline::getRun() {
-  return  ::kingcupstair::rpc::wire::Run::Pipeline(_typeless.getPointerField(0));
+
+inline  ::uint64_t SlotRequest::Builder::getTimeLeftMicros() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-#endif  // !CAPNP_LITE
-inline void Peer::SubmitParams::Builder::setRun( ::kingcupstair::rpc::wire::Run::Reader value) {
-  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Run>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void SlotRequest::Builder::setTimeLeftMicros( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
-inline  ::kingcupstair::rpc::wire::Run::Builder Peer::SubmitParams::Builder::initRun() {
-  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Run>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline bool SlotAnswer::Reader::getGranted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Peer::SubmitParams::Builder::adoptRun(
-    ::capnp::Orphan< ::kingcupstair::rpc::wire::Run>&& value) {
-  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Run>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline bool SlotAnswer::Builder::getGranted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::kingcupstair::rpc::wire::Run> Peer::SubmitParams::Builder::disownRun() {
-  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Run>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void SlotAnswer::Builder::setGranted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Peer::SubmitResults::Reader::hasTicket() const {
+inline bool SlotAnswer::Reader::hasRefusal() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::SubmitResults::Builder::hasTicket() {
+inline bool SlotAnswer::Builder::hasRefusal() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-#if !CAPNP_LITE
-inline  ::kingcupstair::rpc::wire::Ticket::Client Peer::SubmitResults::Reader::getTicket() const {
-  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Ticket>::get(_reader.getPointerField(
+inline  ::kingcupstair::rpc::wire::Refusal::Reader SlotAnswer::Reader::getRefusal() const {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Refusal>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::kingcupstair::rpc::wire::Ticket::Client Peer::SubmitResults::Builder::getTicket() {
-  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Ticket>::get(_builder.getPointerField(
+inline  ::kingcupstair::rpc::wire::Refusal::Builder SlotAnswer::Builder::getRefusal() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Refusal>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::kingcupstair::rpc::wire::Ticket::Client Peer::SubmitResults::Pipeline::getTicket() {
-  return  ::kingcupstair::rpc::wire::Ticket::Client(_typeless.getPointerField(0).asCap());
+#if !CAPNP_LITE
+inline  ::kingcupstair::rpc::wire::Refusal::Pipeline SlotAnswer::Pipeline::getRefusal() {
+  return  ::kingcupstair::rpc::wire::Refusal::Pipeline(_typeless.getPointerField(0));
 }
-inline void Peer::SubmitResults::Builder::setTicket( ::kingcupstair::rpc::wire::Ticket::Client&& cap) {
-  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Ticket>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(cap));
+#endif  // !CAPNP_LITE
+inline void SlotAnswer::Builder::setRefusal( ::kingcupstair::rpc::wire::Refusal::Reader value) {
+  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Refusal>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void Peer::SubmitResults::Builder::setTicket( ::kingcupstair::rpc::wire::Ticket::Client& cap) {
-  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Ticket>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), cap);
+inline  ::kingcupstair::rpc::wire::Refusal::Builder SlotAnswer::Builder::initRefusal() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Refusal>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::SubmitResults::Builder::adoptTicket(
-    ::capnp::Orphan< ::kingcupstair::rpc::wire::Ticket>&& value) {
-  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Ticket>::adopt(_builder.getPointerField(
+inline void SlotAnswer::Builder::adoptRefusal(
+    ::capnp::Orphan< ::kingcupstair::rpc::wire::Refusal>&& value) {
+  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Refusal>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::kingcupstair::rpc::wire::Ticket> Peer::SubmitResults::Builder::disownTicket() {
-  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Ticket>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::kingcupstair::rpc::wire::Refusal> SlotAnswer::Builder::disownRefusal() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Refusal>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#endif  // !CAPNP_LITE
 
-inline bool Peer::ResolveParams::Reader::hasRequestId() const {
+inline bool SlotAnswer::Reader::hasReport() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::ResolveParams::Builder::hasRequestId() {
+inline bool SlotAnswer::Builder::hasReport() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Peer::ResolveParams::Reader::getRequestId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Peer::ResolveParams::Builder::getRequestId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void Peer::ResolveParams::Builder::setRequestId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline  ::kingcupstair::rpc::wire::Upstream::Reader SlotAnswer::Reader::getReport() const {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Upstream>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Peer::ResolveParams::Builder::initRequestId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::kingcupstair::rpc::wire::Upstream::Builder SlotAnswer::Builder::getReport() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Upstream>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Peer::ResolveParams::Builder::adoptRequestId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+#if !CAPNP_LITE
+inline  ::kingcupstair::rpc::wire::Upstream::Pipeline SlotAnswer::Pipeline::getReport() {
+  return  ::kingcupstair::rpc::wire::Upstream::Pipeline(_typeless.getPointerField(1));
 }
-inline ::capnp::Orphan< ::capnp::Text> Peer::ResolveParams::Builder::disownRequestId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+#endif  // !CAPNP_LITE
+inline void SlotAnswer::Builder::setReport( ::kingcupstair::rpc::wire::Upstream::Reader value) {
+  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Upstream>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t Peer::ResolveParams::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::kingcupstair::rpc::wire::Upstream::Builder SlotAnswer::Builder::initReport() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Upstream>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t Peer::ResolveParams::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline void SlotAnswer::Builder::adoptReport(
+    ::capnp::Orphan< ::kingcupstair::rpc::wire::Upstream>&& value) {
+  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Upstream>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Peer::ResolveParams::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::kingcupstair::rpc::wire::Upstream> SlotAnswer::Builder::disownReport() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Upstream>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::ResolveResults::Reader::hasResolution() const {
+inline bool SlotAnswer::Reader::hasLoad() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::ResolveResults::Builder::hasResolution() {
+inline bool SlotAnswer::Builder::hasLoad() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::kingcupstair::rpc::wire::Resolution::Reader Peer::ResolveResults::Reader::getResolution() const {
-  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Resolution>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::kingcupstair::rpc::wire::Load::Reader SlotAnswer::Reader::getLoad() const {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Load>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::kingcupstair::rpc::wire::Resolution::Builder Peer::ResolveResults::Builder::getResolution() {
-  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Resolution>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::kingcupstair::rpc::wire::Load::Builder SlotAnswer::Builder::getLoad() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Load>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::kingcupstair::rpc::wire::Resolution::Pipeline Peer::ResolveResults::Pipeline::getResolution() {
-  return  ::kingcupstair::rpc::wire::Resolution::Pipeline(_typeless.getPointerField(0));
+inline  ::kingcupstair::rpc::wire::Load::Pipeline SlotAnswer::Pipeline::getLoad() {
+  return  ::kingcupstair::rpc::wire::Load::Pipeline(_typeless.getPointerField(2));
 }
 #endif  // !CAPNP_LITE
-inline void Peer::ResolveResults::Builder::setResolution( ::kingcupstair::rpc::wire::Resolution::Reader value) {
-  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Resolution>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void SlotAnswer::Builder::setLoad( ::kingcupstair::rpc::wire::Load::Reader value) {
+  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Load>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::kingcupstair::rpc::wire::Resolution::Builder Peer::ResolveResults::Builder::initResolution() {
-  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Resolution>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::kingcupstair::rpc::wire::Load::Builder SlotAnswer::Builder::initLoad() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Load>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Peer::ResolveResults::Builder::adoptResolution(
-    ::capnp::Orphan< ::kingcupstair::rpc::wire::Resolution>&& value) {
-  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Resolution>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void SlotAnswer::Builder::adoptLoad(
+    ::capnp::Orphan< ::kingcupstair::rpc::wire::Load>&& value) {
+  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Load>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::kingcupstair::rpc::wire::Resolution> Peer::ResolveResults::Builder::disownResolution() {
-  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Resolution>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::kingcupstair::rpc::wire::Load> SlotAnswer::Builder::disownLoad() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Load>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool Gossip::Reader::hasHost() const {
@@ -7132,6 +8287,54 @@
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Run::Reader::getObjectiveMicros() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Run::Builder::getObjectiveMicros() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Run::Builder::setObjectiveMicros( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Run::Reader::hasCallerService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool Run::Builder::hasCallerService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Run::Reader::getCallerService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Run::Builder::getCallerService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void Run::Builder::setCallerService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Run::Builder::initCallerService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void Run::Builder::adoptCallerService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Run::Builder::disownCallerService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Ticket::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -7630,6 +8833,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool UnknownOutcome::Reader::getCancelled() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline bool UnknownOutcome::Builder::getCancelled() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void UnknownOutcome::Builder::setCancelled(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::kingcupstair::rpc::wire::Resolution::Which Resolution::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/components/rpc/peer_clients.cc
+++ b/components/rpc/peer_clients.cc
@@ -295,6 +295,33 @@
       });
 }
 
+absl::StatusOr<SlotAnswer> PeerClients::Reserve(const std::string& host,
+                                                const once::SlotRequest& slot,
+                                                Duration timeout) {
+  return this->Call<SlotAnswer>(
+      host, "reserve", timeout, [slot](wire::Peer::Client& peer) {
+        auto request = peer.reserveRequest();
+        Write(slot, request.initSlot());
+        return request.send().then(
+            [](auto response) { return Read(response.getAnswer()); });
+      });
+}
+
+absl::Status PeerClients::Cancel(const std::string& host,
+                                 const std::string& request_id,
+                                 uint64_t incarnation,
+                                 Duration timeout) {
+  return this
+      ->Call<bool>(host, "cancel", timeout,
+                   [request_id, incarnation](wire::Peer::Client& peer) {
+                     auto request = peer.cancelRequest();
+                     request.setRequestId(request_id);
+                     request.setIncarnation(incarnation);
+                     return request.send().then([](auto) { return true; });
+                   })
+      .status();
+}
+
 // `outcome` is called on the ticket before the ticket has come back, so an
 // upstream's answer costs one round trip and not two.
 SubmitResult PeerClients::Submit(const std::string& host,
--- a/components/rpc/peer_clients.h
+++ b/components/rpc/peer_clients.h
@@ -76,6 +76,18 @@
                                         uint64_t incarnation,
                                         Duration timeout);
 
+  /// Asks for a slot. An error says that none is held for this request, or
+  /// only until the reservation lapses.
+  absl::StatusOr<SlotAnswer> Reserve(const std::string& host,
+                                     const once::SlotRequest& request,
+                                     Duration timeout);
+
+  /// Tells the host that nobody waits for a request any more.
+  absl::Status Cancel(const std::string& host,
+                      const std::string& request_id,
+                      uint64_t incarnation,
+                      Duration timeout);
+
   /// Submits a run. `accept_timeout` bounds the wait for word that it was
   /// accepted, `result_timeout` the wait for the result after that.
   SubmitResult Submit(const std::string& host,
--- a/components/rpc/peer_handlers.h
+++ b/components/rpc/peer_handlers.h
@@ -37,6 +37,12 @@
       acquire;
   /// Accepts the run at once and calls `done` when it has ended.
   std::function<void(const once::RunRequest&, RunDone done)> submit;
+  /// Reserves a slot and calls `done` with the answer, from any thread.
+  std::function<void(const once::SlotRequest&,
+                     std::function<void(SlotAnswer)> done)>
+      reserve;
+  std::function<void(const std::string& request_id, uint64_t incarnation)>
+      cancel;
   std::function<ResolveAnswer(const std::string& request_id,
                               uint64_t incarnation)>
       resolve;
--- a/components/rpc/peer_server.cc
+++ b/components/rpc/peer_server.cc
@@ -146,6 +146,20 @@
     return kj::READY_NOW;
   }
 
+  kj::Promise<void> reserve(ReserveContext context) override {
+    auto [promise, done] = this->MakeReply<SlotAnswer>();
+    this->state.handlers.reserve(Read(context.getParams().getSlot()), done);
+    return promise.then([context](SlotAnswer answer) mutable {
+      Write(answer, context.getResults().initAnswer());
+    });
+  }
+
+  kj::Promise<void> cancel(CancelContext context) override {
+    const auto params = context.getParams();
+    this->state.handlers.cancel(params.getRequestId(), params.getIncarnation());
+    return kj::READY_NOW;
+  }
+
   kj::Promise<void> resolve(ResolveContext context) override {
     const auto params = context.getParams();
     const ResolveAnswer answer = this->state.handlers.resolve(
--- a/components/settings/end_signals.cc
+++ b/components/settings/end_signals.cc
@@ -11,13 +11,19 @@
   sigemptyset(&this->signals);
   sigaddset(&this->signals, SIGTERM);
   sigaddset(&this->signals, SIGINT);
+  sigaddset(&this->signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &this->signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
 }
 
-void EndSignals::Wait() const {
-  int signal = 0;
-  sigwait(&this->signals, &signal);
+void EndSignals::Wait(const std::function<void()>& on_reload) const {
+  int signal = SIGHUP;
+  while (signal == SIGHUP) {
+    sigwait(&this->signals, &signal);
+    if (signal == SIGHUP && on_reload) {
+      on_reload();
+    }
+  }
 }
 
 void EndProcess(int code) {
--- a/components/settings/end_signals.h
+++ b/components/settings/end_signals.h
@@ -2,6 +2,7 @@
 #define COMPONENTS_SETTINGS_END_SIGNALS_H_
 
 #include <csignal>
+#include <functional>
 
 namespace kingcupstair::settings {
 
@@ -11,8 +12,8 @@
  public:
   EndSignals();
 
-  /// Waits for SIGTERM or SIGINT.
-  void Wait() const;
+  /// Waits for SIGTERM or SIGINT; SIGHUP calls `on_reload` meanwhile.
+  void Wait(const std::function<void()>& on_reload = nullptr) const;
 
  private:
   sigset_t signals;
--- a/components/settings/flag_set.cc
+++ b/components/settings/flag_set.cc
@@ -189,6 +189,28 @@
   };
 }
 
+Setter SetFraction(double& target) {
+  return [&target](const std::string& text) -> absl::Status {
+    double value = 0;
+    if (!absl::SimpleAtod(text, &value) || !(value >= 0 && value <= 1)) {
+      return absl::InvalidArgumentError("expected a number from 0 to 1");
+    }
+    target = value;
+    return absl::OkStatus();
+  };
+}
+
+Setter SetNumber(double& target) {
+  return [&target](const std::string& text) -> absl::Status {
+    double value = 0;
+    if (!absl::SimpleAtod(text, &value) || !(value >= 0)) {
+      return absl::InvalidArgumentError("expected a number of at least 0");
+    }
+    target = value;
+    return absl::OkStatus();
+  };
+}
+
 Setter SetMillis(Duration& target, int64_t low, int64_t high) {
   return [&target, low, high](const std::string& text) -> absl::Status {
     int64_t value = 0;
--- a/components/settings/flag_set.h
+++ b/components/settings/flag_set.h
@@ -68,6 +68,8 @@
 Setter SetEndpoint(Endpoint& target);
 Setter SetEndpoints(std::vector<Endpoint>& target);
 Setter SetInteger(int& target, int low, int high);
+Setter SetFraction(double& target);
+Setter SetNumber(double& target);
 Setter SetMillis(Duration& target, int64_t low, int64_t high);
 
 }  // namespace kingcupstair::settings
--- /dev/null
+++ b/components/site/site_interface.cc
@@ -0,0 +1,24 @@
+#include "components/site/site_interface.h"
+
+namespace kingcupstair::site {
+namespace {
+
+std::optional<absl::StatusOr<UpstreamCall>> ReadAnnounce(
+    const http::Request& request) {
+  if (request.method != "POST" || request.target != "/announce") {
+    return std::nullopt;
+  }
+  auto announcement = guard::DecodeAnnouncement(request.body);
+  if (!announcement.ok()) {
+    return announcement.status();
+  }
+  return absl::StatusOr<UpstreamCall>(*std::move(announcement));
+}
+
+}  // namespace
+
+SiteInterface OwnInterface() {
+  return {.read_upstream_call = ReadAnnounce};
+}
+
+}  // namespace kingcupstair::site
--- a/components/store/client.cc
+++ b/components/store/client.cc
@@ -1,115 +1,145 @@
 #include "components/store/client.h"
 
-#include "absl/strings/numbers.h"
-#include "absl/strings/str_cat.h"
+#include <utility>
+
 #include "components/base/error.h"
 #include "components/http/client.h"
 
 namespace kingcupstair::store {
 namespace {
 
-constexpr int kOk = 200;
 constexpr int kNotFound = 404;
-constexpr int kConflictStatus = 409;
-constexpr char kVersionHeader[] = "X-Version";
-constexpr char kExpectHeader[] = "X-Expect-Version";
-
-std::string TargetOf(const std::string& key) {
-  return absl::StrCat("/v1/kv/", key);
-}
-
-absl::Status Unexpected(const Endpoint& server, const char* step, int status) {
-  return ErrorAt(absl::StatusCode::kUnavailable,
-                 {.step = step, .peer = ToText(server)},
-                 absl::StrCat("the store answered ", status));
-}
 
 }  // namespace
 
 Client::Client(Options options) : options(std::move(options)) {}
 
+absl::StatusOr<http::Response> Client::Call(const char* step,
+                                            const http::Request& request,
+                                            Duration timeout) const {
+  http::Result result = http::Exchange({.server = this->options.server,
+                                        .request = request,
+                                        .timeout = timeout,
+                                        .reuse_connection =
+                                            request.method == "GET"});
+  if (!result.ok()) {
+    return ErrorAt(result.failure.status.code(),
+                   {.step = step, .peer = ToText(this->options.server)},
+                   std::string(result.failure.status.message().data(),
+                               result.failure.status.message().size()));
+  }
+  return std::move(result.response);
+}
+
 absl::StatusOr<Entry> Client::Get(const std::string& key) const {
-  return this->Read(TargetOf(key), this->options.timeout);
+  const auto response = this->Call("read", this->options.protocol.get(key),
+                                   this->options.timeout);
+  return response.ok() ? this->options.protocol.read_entry(*response)
+                       : response.status();
 }
 
 absl::StatusOr<Entry> Client::Watch(const std::string& key,
                                     uint64_t after,
                                     Duration wait) const {
-  return this->Read(absl::StrCat(TargetOf(key), "?after=", after,
-                                 "&wait_ms=", ToMillisRoundedUp(wait)),
-                    wait + this->options.timeout);
+  const auto response =
+      this->Call("watch", this->options.protocol.watch_key(key, after, wait),
+                 wait + this->options.timeout);
+  return response.ok() ? this->options.protocol.read_entry(*response)
+                       : response.status();
 }
 
-absl::StatusOr<Entry> Client::Read(const std::string& target,
-                                   Duration timeout) const {
-  const http::Result result =
-      http::Exchange({.server = this->options.server,
-                      .request = {.method = "GET", .target = target},
-                      .timeout = timeout});
-  if (!result.ok()) {
-    return result.failure.status;
-  }
-  if (result.response.status == kNotFound) {
-    return Entry{};
-  }
-  if (result.response.status != kOk) {
-    return Unexpected(this->options.server, "read", result.response.status);
-  }
-  Entry entry{.value = result.response.body};
-  const std::string version(
-      http::Find(result.response.headers, kVersionHeader));
-  if (!absl::SimpleAtoi(version, &entry.version)) {
-    return Unexpected(this->options.server, "read version",
-                      result.response.status);
-  }
-  return entry;
+absl::StatusOr<Listing> Client::List(const std::string& prefix,
+                                     bool may_be_stale) const {
+  Listing all;
+  std::string after;
+  do {
+    const auto response =
+        this->Call("list",
+                   this->options.protocol.list({.prefix = prefix,
+                                                .after = after,
+                                                .may_be_stale = may_be_stale}),
+                   this->options.timeout);
+    if (!response.ok()) {
+      return response.status();
+    }
+    auto page = this->options.protocol.read_listing(*response);
+    if (!page.ok()) {
+      return page.status();
+    }
+    if (after.empty()) {
+      all.revision = page->revision;
+    }
+    all.more = page->more && !page->entries.empty();
+    for (KeyedEntry& entry : page->entries) {
+      after = entry.key;
+      all.entries.push_back(std::move(entry));
+    }
+  } while (all.more);
+  return all;
+}
+
+absl::StatusOr<Changes> Client::WatchPrefix(const WatchCall& call) const {
+  const auto response =
+      this->Call("watch", this->options.protocol.watch(call),
+                 call.wait + this->options.timeout);
+  return response.ok() ? this->options.protocol.read_changes(*response)
+                       : response.status();
+}
+
+absl::StatusOr<PutResult> Client::Write(const PutCall& call) const {
+  const auto response = this->Call("write", this->options.protocol.put(call),
+                                   this->options.timeout);
+  return response.ok() ? this->options.protocol.read_put(*response)
+                       : response.status();
 }
 
 absl::StatusOr<PutResult> Client::Put(const std::string& key,
                                       const std::string& value,
                                       uint64_t expected) const {
-  const http::Result result = http::Exchange(
-      {.server = this->options.server,
-       .request = {.method = "PUT",
-                   .target = TargetOf(key),
-                   .headers = {{.name = kExpectHeader,
-                                .value = absl::StrCat(expected)}},
-                   .body = value},
-       .timeout = this->options.timeout,
-       .reuse_connection = false});
-  if (!result.ok()) {
-    return result.failure.status;
-  }
-  if (result.response.status == kConflictStatus) {
-    return PutResult::kConflict;
-  }
-  if (result.response.status != kOk) {
-    return Unexpected(this->options.server, "write", result.response.status);
-  }
-  return PutResult::kWritten;
+  return this->Write({.key = key, .value = value, .expected = expected});
+}
+
+absl::StatusOr<PutResult> Client::PutLeased(const std::string& key,
+                                            const std::string& value,
+                                            LeaseId lease) const {
+  return this->Write({.key = key, .value = value, .lease = lease});
 }
 
 absl::Status Client::Overwrite(const std::string& key,
                                const std::string& value) const {
-  const http::Result result = http::Exchange(
-      {.server = this->options.server,
-       .request = {.method = "PUT", .target = TargetOf(key), .body = value},
-       .timeout = this->options.timeout});
-  if (!result.ok()) {
-    return result.failure.status;
-  }
-  if (result.response.status != kOk) {
-    return Unexpected(this->options.server, "write", result.response.status);
-  }
-  return absl::OkStatus();
+  return this->Write({.key = key, .value = value}).status();
 }
 
 absl::Status Client::Delete(const std::string& key) const {
-  const http::Result result =
-      http::Exchange({.server = this->options.server,
-                      .request = {.method = "DELETE", .target = TargetOf(key)},
-                      .timeout = this->options.timeout});
-  return result.failure.status;
+  return this
+      ->Call("delete", this->options.protocol.remove(key),
+             this->options.timeout)
+      .status();
+}
+
+absl::StatusOr<LeaseId> Client::GrantLease(Duration life) const {
+  const auto response =
+      this->Call("grant lease", this->options.protocol.grant_lease(life),
+                 this->options.timeout);
+  return response.ok() ? this->options.protocol.read_lease(*response)
+                       : response.status();
+}
+
+absl::StatusOr<bool> Client::RenewLease(LeaseId lease) const {
+  const auto response =
+      this->Call("renew lease", this->options.protocol.renew_lease(lease),
+                 this->options.timeout);
+  if (!response.ok()) {
+    return response.status();
+  }
+  if (response->status == kNotFound) {
+    return false;
+  }
+  constexpr int kFirstError = 300;
+  if (response->status >= kFirstError) {
+    return absl::UnavailableError("the store did not renew the lease");
+  }
+  return true;
 }
 
 }  // namespace kingcupstair::store
--- a/components/store/keys.h
+++ b/components/store/keys.h
@@ -9,6 +9,11 @@
 inline constexpr char kHeadKey[] = "kingcupstair/head";
 inline constexpr char kSharesKey[] = "kingcupstair/shares";
 
+/// The leased key by which a host is found; all of them for an empty name.
+inline std::string HostKey(const std::string& host) {
+  return "kingcupstair/host/" + host;
+}
+
 inline std::string ChunkKey(const std::string& id) {
   return "kingcupstair/chunk/" + id;
 }
--- /dev/null
+++ b/components/store/own_protocol.cc
@@ -0,0 +1,80 @@
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "components/store/protocol.h"
+
+namespace kingcupstair::store {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kConflictStatus = 409;
+constexpr char kVersionHeader[] = "X-Version";
+constexpr char kExpectHeader[] = "X-Expect-Version";
+
+std::string TargetOf(const std::string& key) {
+  return absl::StrCat("/v1/kv/", key);
+}
+
+absl::Status Unexpected(int status) {
+  return absl::UnavailableError(absl::StrCat("the store answered ", status));
+}
+
+http::Request EncodePut(const PutCall& call) {
+  http::Request request{.method = "PUT",
+                        .target = TargetOf(call.key),
+                        .body = call.value};
+  if (call.expected.has_value()) {
+    request.headers.push_back(
+        {.name = kExpectHeader, .value = absl::StrCat(*call.expected)});
+  }
+  return request;
+}
+
+absl::StatusOr<Entry> ReadEntry(const http::Response& response) {
+  if (response.status == kNotFound) {
+    return Entry{};
+  }
+  Entry entry{.value = response.body};
+  const std::string version(http::Find(response.headers, kVersionHeader));
+  if (response.status != kOk ||
+      !absl::SimpleAtoi(version, &entry.version)) {
+    return Unexpected(response.status);
+  }
+  return entry;
+}
+
+absl::StatusOr<PutResult> ReadPut(const http::Response& response) {
+  if (response.status == kConflictStatus) {
+    return PutResult::kConflict;
+  }
+  if (response.status != kOk) {
+    return Unexpected(response.status);
+  }
+  return PutResult::kWritten;
+}
+
+}  // namespace
+
+Protocol OwnProtocol() {
+  return {.get =
+              [](const std::string& key) {
+                return http::Request{.target = TargetOf(key)};
+              },
+          .put = EncodePut,
+          .remove =
+              [](const std::string& key) {
+                return http::Request{.method = "DELETE",
+                                     .target = TargetOf(key)};
+              },
+          .watch_key =
+              [](const std::string& key, uint64_t after, Duration wait) {
+                return http::Request{
+                    .target = absl::StrCat(TargetOf(key), "?after=", after,
+                                           "&wait_ms=",
+                                           ToMillisRoundedUp(wait))};
+              },
+          .read_entry = ReadEntry,
+          .read_put = ReadPut};
+}
+
+}  // namespace kingcupstair::store
