--- a/apps/kingcupstaird/daemon.cc
+++ b/apps/kingcupstaird/daemon.cc
@@ -12,6 +12,9 @@
 
 constexpr Duration kGuardTick{std::chrono::milliseconds(10)};
 constexpr Duration kRefreshInterval{std::chrono::milliseconds(100)};
+/// How well upstreams do is told to everybody no more often than this; whoever
+/// sends to one hears of it with each answer.
+constexpr Duration kQualityInterval{std::chrono::seconds(2)};
 constexpr Duration kPlanInterval{std::chrono::milliseconds(50)};
 constexpr Duration kFollowInterval{std::chrono::milliseconds(20)};
 constexpr Duration kLeavePoll{std::chrono::milliseconds(20)};
@@ -61,7 +64,9 @@
       recorder({.host = ToText(this->settings.peer_address),
                 .revision = [this] { return this->config.Revision(); }}),
       directory({}, RecordOf(PlacesOf(this->settings), this->incarnation)),
-      rates({.host = ToText(this->settings.peer_address)},
+      rates({.host = ToText(this->settings.peer_address),
+             .tolerance = this->settings.rate_tolerance,
+             .slack = this->settings.rate_slack},
             this->config.snapshot()),
       isolation({.start = MonotonicNow()}),
       peers(this->rpc_loop,
@@ -236,7 +241,16 @@
 // that this host was the first to see.
 void Daemon::PublishOwn() {
   const membership::HostRecord record = this->OwnRecord();
+  const Instant now = MonotonicNow();
+  if (now - this->published_at < kQualityInterval &&
+      membership::HasSameUpstreams(record, this->last_published)) {
+    return;
+  }
   const bool changed = this->directory.PublishOwn(record);
+  if (changed) {
+    this->last_published = record;
+    this->published_at = now;
+  }
   const bool upstreams_changed =
       changed && record.upstreams.size() != this->upstreams_published;
   this->upstreams_published = record.upstreams.size();
--- a/apps/kingcupstaird/daemon_settings.cc
+++ b/apps/kingcupstaird/daemon_settings.cc
@@ -84,6 +84,12 @@
   flags.Add({.name = "retry-slack",
              .help = "retries of all hosts together beyond that",
              .set = settings::SetNumber(settings.retries.slack)});
+  flags.Add({.name = "rate-tolerance",
+             .help = "fraction of rates and bursts tolerated on top, 0 to 1",
+             .set = settings::SetFraction(settings.rate_tolerance)});
+  flags.Add({.name = "rate-slack",
+             .help = "requests tolerated on top of each burst",
+             .set = settings::SetNumber(settings.rate_slack)});
   flags.Add({.name = "watchers-per-zone",
              .help = "hosts of each availability zone that watch the store",
              .set = settings::SetInteger(settings.watchers_per_zone, 1, 100)});
--- a/apps/kingcupstaird/daemon_settings.h
+++ b/apps/kingcupstaird/daemon_settings.h
@@ -39,6 +39,10 @@
   /// Bounds of the site on retries of all hosts together.
   retry::RetryBudget::Options retries;
   int watchers_per_zone = 2;
+  /// What the site tolerates beyond rates and bursts: a fraction of both, and
+  /// requests on top of each burst.
+  double rate_tolerance = 0;
+  double rate_slack = 0;
   /// How long a leaving host goes on taking requests for other hosts.
   Duration leave_time{std::chrono::seconds(2)};
 };
--- a/components/control/gossip_loop.cc
+++ b/components/control/gossip_loop.cc
@@ -17,6 +17,8 @@
 constexpr size_t kCrashesPerMessage = 16;
 constexpr size_t kHelpers = 2;
 constexpr size_t kSpreadTargets = 3;
+/// One probe in so many goes to any zone, the others stay in the own one.
+constexpr int kRoundsPerFarProbe = 3;
 /// Probes in a row that found a peer knowing something else for no reason told,
 /// after which all versions are compared.
 constexpr int kUnexplainedRoundsBeforeSync = 3;
@@ -24,7 +26,7 @@
 }  // namespace
 
 GossipLoop::GossipLoop(Fleet& fleet, uint64_t seed)
-    : fleet(fleet), prober(seed) {}
+    : fleet(fleet), near_prober(seed), prober(seed) {}
 
 void GossipLoop::Step() {
   const Instant start = MonotonicNow();
@@ -35,11 +37,7 @@
   if (!died.empty()) {
     this->SpreadNow();
   }
-  std::optional<std::string> target;
-  {
-    const std::lock_guard lock(this->mutex);
-    target = this->prober.Next(this->Targets());
-  }
+  const std::optional<std::string> target = this->NextTarget();
   if (target.has_value() && !this->Exchange(*target)) {
     this->AskHelpers(*target);
   }
@@ -60,6 +58,28 @@
   return {targets.begin(), targets.end()};
 }
 
+// Bytes between zones cost more than those within one, and news crosses with
+// any of a zone's hosts.
+std::optional<std::string> GossipLoop::NextTarget() {
+  const std::lock_guard lock(this->mutex);
+  const auto near = this->TargetsOfOwnZone();
+  if (++this->rounds % kRoundsPerFarProbe != 0 && !near.empty()) {
+    return this->near_prober.Next(near);
+  }
+  return this->prober.Next(this->Targets());
+}
+
+std::vector<std::string> GossipLoop::TargetsOfOwnZone() const {
+  std::vector<std::string> targets;
+  for (const auto& record : this->fleet.directory.Present()) {
+    if (record.zone == this->fleet.places.zone &&
+        record.host != this->fleet.places.host) {
+      targets.push_back(record.host);
+    }
+  }
+  return targets;
+}
+
 bool GossipLoop::Exchange(const std::string& host) {
   const auto reply =
       this->fleet.peers.Gossip(host, this->MakeMessage(), kProbeTimeout);
@@ -129,7 +149,14 @@
 }
 
 void GossipLoop::Meet(const std::string& host) {
-  if (this->Exchange(host)) {
+  if (!this->Exchange(host)) {
+    return;
+  }
+  const auto present = this->fleet.directory.Present();
+  const bool known =
+      std::any_of(present.begin(), present.end(),
+                  [&](const auto& record) { return record.host == host; });
+  if (!known) {
     this->SyncWith(host);
   }
 }
--- a/components/control/gossip_loop.h
+++ b/components/control/gossip_loop.h
@@ -2,6 +2,7 @@
 #define COMPONENTS_CONTROL_GOSSIP_LOOP_H_
 
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -45,10 +46,15 @@
   void Tell(const std::string& host, const std::vector<uint64_t>& wanted);
   void SyncWith(const std::string& host);
   std::vector<std::string> Targets() const;
+  std::vector<std::string> TargetsOfOwnZone() const;
+  std::optional<std::string> NextTarget();
 
   Fleet& fleet;
   std::mutex mutex;
+  /// Of the own availability zone, and of all.
+  membership::Prober near_prober;
   membership::Prober prober;
+  int rounds = 0;
   std::string peer_ahead;
   int rounds_unexplained = 0;
 };
--- a/components/control/loan_loop.cc
+++ b/components/control/loan_loop.cc
@@ -9,7 +9,7 @@
 
 constexpr Duration kRound{std::chrono::milliseconds(200)};
 constexpr Duration kShortestLoan{std::chrono::seconds(1)};
-constexpr Duration kLoanPerHost{std::chrono::milliseconds(100)};
+constexpr Duration kLoanPerHost{std::chrono::milliseconds(200)};
 constexpr Duration kAskTimeout{std::chrono::milliseconds(300)};
 constexpr Duration kPauseAfterFailure{std::chrono::milliseconds(500)};
 /// A loan is renewed when this part of its life has passed.
--- a/components/control/rate_keeper.cc
+++ b/components/control/rate_keeper.cc
@@ -93,9 +93,12 @@
   if (rule == nullptr) {
     return {};
   }
-  return this->pool.Acquire(organisation, wanted,
-                            {.rate = rule->rate, .depth = rule->burst},
-                            MonotonicNow());
+  const double factor = 1 + this->options.tolerance;
+  return this->pool.Acquire(
+      organisation, wanted,
+      {.rate = rule->rate * factor,
+       .depth = rule->burst * factor + this->options.slack},
+      MonotonicNow());
 }
 
 void RateKeeper::ForgetIdle() {
--- a/components/control/rate_keeper.h
+++ b/components/control/rate_keeper.h
@@ -17,6 +17,10 @@
  public:
   struct Options {
     std::string host;
+    /// What the site tolerates beyond an organisation's rate and burst: a
+    /// fraction of both, and requests on top of the burst.
+    double tolerance = 0;
+    double slack = 0;
     limits::ShareLender::Options lender;
   };
 
--- a/components/control/share_loop.cc
+++ b/components/control/share_loop.cc
@@ -16,7 +16,7 @@
 constexpr Duration kLeastJoinPause{std::chrono::milliseconds(300)};
 /// Between the hosts that may create the table, one after the other.
 constexpr Duration kCreationStagger{std::chrono::milliseconds(150)};
-constexpr Duration kPausePerHost{std::chrono::milliseconds(500)};
+constexpr Duration kPausePerHost{std::chrono::milliseconds(1000)};
 constexpr Duration kPollWhileLent{std::chrono::milliseconds(50)};
 
 }  // namespace
@@ -26,6 +26,11 @@
 // All hosts together make a fixed number of calls a second, however many they
 // are.
 void ShareLoop::Step() {
+  if (this->saw_no_table && !this->joined &&
+      MonotonicNow() - this->start < this->CreationDelay()) {
+    fibers::SleepFor(kCreationStagger);
+    return;
+  }
   if (!this->joined) {
     this->Join();
   } else {
--- a/components/events/recorder.cc
+++ b/components/events/recorder.cc
@@ -1,8 +1,30 @@
 #include "components/events/recorder.h"
 
+#include "absl/strings/str_cat.h"
 #include "components/base/time.h"
+#include "components/logging/log.h"
 
 namespace kingcupstair::events {
+namespace {
+
+// What befell a single request has log lines of its own.
+bool IsOfOneRequest(const Event& event) {
+  return event.kind == "refused" || event.kind == "not_run" ||
+         event.kind == "outcome_unknown";
+}
+
+void LogEvent(const Event& event) {
+  if (IsOfOneRequest(event)) {
+    return;
+  }
+  logging::Write(logging::Level::kInfo, event.kind,
+                 {{.name = "upstream", .value = event.upstream},
+                  {.name = "zone", .value = event.zone},
+                  {.name = "revision", .value = absl::StrCat(event.revision)},
+                  {.name = "detail", .value = event.detail}});
+}
+
+}  // namespace
 
 Recorder::Recorder(Options options)
     : options(std::move(options)), events({.host = this->options.host}) {}
@@ -12,6 +34,7 @@
   event.revision = this->options.revision();
   this->counts.Add("kingcupstair_events_total",
                    {{.name = "kind", .value = event.kind}});
+  LogEvent(event);
   this->events.Add(std::move(event));
 }
 
--- a/components/guard/guard.cc
+++ b/components/guard/guard.cc
@@ -164,8 +164,9 @@
   return this->SlotAnswerFor(request.upstream, {}, true);
 }
 
-// One request at a time goes to an upstream that looks unwell, to see whether
-// it still is, and only one that may be repeated elsewhere.
+// Requests that may not be repeated keep away from an upstream that may be
+// hanging. Those that may be are its trial, and once it looks unwell they go
+// there one at a time.
 once::RefusalReason Guard::ReasonToRefuseSlot(const once::SlotRequest& request,
                                               Instant now) const {
   const auto reason =
@@ -174,11 +175,20 @@
     return reason;
   }
   const GuardedUpstream& upstream = this->upstreams.at(request.upstream);
-  const bool trial = request.idempotent && upstream.gate->in_flight() == 0;
-  const bool unwell = upstream.announcement.tells_warm_up && !trial &&
-                      upstream.judge.LooksUnwell(now);
-  return unwell ? once::RefusalReason::kLooksUnwell
-                : once::RefusalReason::kNone;
+  if (!upstream.announcement.tells_warm_up) {
+    return once::RefusalReason::kNone;
+  }
+  const bool looks_unwell = upstream.judge.LooksUnwell(now);
+  const bool keep_away =
+      request.idempotent
+          ? looks_unwell && upstream.judge.HasUndecided(now)
+          : looks_unwell || upstream.judge.IsInDoubt(now);
+  if (keep_away) {
+    return once::RefusalReason::kLooksUnwell;
+  }
+  return upstream.gate->in_flight() > request.most_in_flight
+             ? once::RefusalReason::kBusierThanOthers
+             : once::RefusalReason::kNone;
 }
 
 admission::GateDecision Guard::WaitForSlot(const once::SlotRequest& request,
--- a/components/guard/guarded_upstream.cc
+++ b/components/guard/guarded_upstream.cc
@@ -9,6 +9,8 @@
 
 }  // namespace
 
+// A guard that judges its upstream itself refuses work for it at once, so no
+// ingress needs to eject it for errors that it has told of some time ago.
 membership::UpstreamRecord RecordOf(const GuardedUpstream& upstream,
                                     Instant now) {
   const auto report = upstream.gate->Report(now);
@@ -18,7 +20,7 @@
           .limit = report.limit,
           .latency = report.latency,
           .error_share = upstream.announcement.tells_warm_up
-                             ? upstream.judge.BadShare(now)
+                             ? 0
                              : report.error_share,
           .finished = report.finished};
 }
--- a/components/guard/upstream_call.cc
+++ b/components/guard/upstream_call.cc
@@ -14,6 +14,9 @@
 constexpr Duration kListenTimeout{std::chrono::milliseconds(100)};
 constexpr Duration kListenPause{std::chrono::milliseconds(20)};
 constexpr char kHealthTarget[] = "/health";
+constexpr Duration kLongestIdle{std::chrono::seconds(4)};
+/// Far below any idle timeout that a server is known to have.
+constexpr Duration kLongestIdleForOnce{std::chrono::seconds(1)};
 constexpr int kMisdirected = 421;
 
 void AddHeader(http::Headers& headers,
@@ -24,8 +27,9 @@
   }
 }
 
-// A request that may not be repeated gets a connection of its own: on a kept
-// one the upstream may just be closing, and then nobody knows whether it ran.
+// On a kept connection the upstream may just be closing, and then nobody knows
+// whether a request that may not be repeated ran. So such a one takes only a
+// connection that was in use a moment ago.
 http::Call CallFor(const UpstreamTarget& target,
                    const once::RunRequest& request,
                    Duration left,
@@ -34,7 +38,8 @@
   http::Call call{.server = target.endpoint,
                   .request = request.request,
                   .timeout = std::max(left, Duration(1)),
-                  .reuse_connection = request.idempotent,
+                  .longest_idle = request.idempotent ? kLongestIdle
+                                                     : kLongestIdleForOnce,
                   .cancellation = cancellation};
   http::Headers& headers = call.request.headers;
   if (http::Find(headers, dialect.request_id).empty()) {
--- a/components/health/upstream_judge.cc
+++ b/components/health/upstream_judge.cc
@@ -15,20 +15,29 @@
 /// A request out for longer than this part of its objective counts as hanging.
 /// Objectives are about three times what a sound upstream takes.
 constexpr double kOverduePart = 0.7;
+/// A request out for longer than this part of its objective, with nothing good
+/// from the upstream since it was sent, is reason for doubt: about what a
+/// sound upstream takes on average.
+constexpr double kDoubtPart = 0.35;
 /// What is known fades: the spells last for seconds.
 constexpr Duration kMemory{std::chrono::seconds(6)};
 constexpr size_t kMostKept = 256;
 
+Duration PartOf(Duration whole, double part) {
+  return Duration(
+      static_cast<int64_t>(static_cast<double>(whole.count()) * part));
+}
+
 }  // namespace
 
 void UpstreamJudge::OnStart(uint64_t request, Duration objective, Instant now) {
-  const Duration allowed(
-      static_cast<int64_t>(static_cast<double>(objective.count()) *
-                           kOverduePart));
-  this->requests.push_back({.request = request,
-                            .started = now,
-                            .overdue = objective > Duration{} ? now + allowed
-                                                              : Instant::max()});
+  const bool timed = objective > Duration{};
+  this->requests.push_back(
+      {.request = request,
+       .started = now,
+       .doubtful = timed ? now + PartOf(objective, kDoubtPart) : Instant::max(),
+       .overdue = timed ? now + PartOf(objective, kOverduePart)
+                        : Instant::max()});
   while (this->requests.size() > kMostKept) {
     this->requests.pop_front();
   }
@@ -44,6 +53,9 @@
   found->ended = true;
   found->verdict = verdict;
   found->ended_at = now;
+  if (verdict == Verdict::kGood) {
+    this->last_good = now;
+  }
   std::erase_if(this->requests, [&](const Observed& each) {
     return each.ended && now - each.ended_at > kMemory;
   });
@@ -72,6 +84,20 @@
   return this->Count(now).bad >= kBadToLookUnwell;
 }
 
+bool UpstreamJudge::IsInDoubt(Instant now) const {
+  return std::any_of(this->requests.begin(), this->requests.end(),
+                     [&](const Observed& each) {
+                       return !each.ended && now >= each.doubtful &&
+                              this->last_good <= each.started;
+                     });
+}
+
+bool UpstreamJudge::HasUndecided(Instant now) const {
+  return std::any_of(
+      this->requests.begin(), this->requests.end(),
+      [&](const Observed& each) { return !each.ended && now < each.overdue; });
+}
+
 double UpstreamJudge::BadShare(Instant now) const {
   const Tally tally = this->Count(now);
   return tally.judged == 0 ? 0 : static_cast<double>(tally.bad) / kJudged;
--- a/components/health/upstream_judge.h
+++ b/components/health/upstream_judge.h
@@ -30,6 +30,14 @@
   /// are out for longer than a sound upstream takes.
   bool LooksUnwell(Instant now) const;
 
+  /// Whether there is no sign that the upstream is well: some request is out for
+  /// a while and nothing sent has come back well since. Much weaker than
+  /// LooksUnwell, and known much sooner.
+  bool IsInDoubt(Instant now) const;
+
+  /// Whether a request is out that may still tell more.
+  bool HasUndecided(Instant now) const;
+
   /// Share of the latest requests that failed or hang, 0 to 1.
   double BadShare(Instant now) const;
 
@@ -40,7 +48,8 @@
   struct Observed {
     uint64_t request = 0;
     Instant started;
-    /// When it counts as hanging.
+    /// When it is reason for doubt, and when it counts as hanging.
+    Instant doubtful;
     Instant overdue;
     bool ended = false;
     Verdict verdict = Verdict::kNone;
@@ -54,6 +63,7 @@
 
   Tally Count(Instant now) const;
 
+  Instant last_good;
   /// In the order in which they were sent.
   std::deque<Observed> requests;
 };
--- a/components/http/client.cc
+++ b/components/http/client.cc
@@ -40,6 +40,7 @@
 
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
+  Instant idle_since;
   Instant usable_until;
 };
 
@@ -52,10 +53,12 @@
 }
 
 // A server that closed an idle connection has made it readable.
-bool LooksOpen(Connection& connection) {
+bool LooksOpen(Connection& connection, Duration longest_idle) {
   beast::error_code ec;
   auto& socket = connection.stream.socket();
-  if (MonotonicNow() > connection.usable_until) {
+  const Instant now = MonotonicNow();
+  if (now > connection.usable_until ||
+      now - connection.idle_since > longest_idle) {
     return false;
   }
   char byte = 0;
@@ -65,12 +68,13 @@
   return peeked == 0 && ec == boost::asio::error::would_block;
 }
 
-std::shared_ptr<Connection> TakeIdle(const Endpoint& server) {
+std::shared_ptr<Connection> TakeIdle(const Endpoint& server,
+                                     Duration longest_idle) {
   auto& kept = Idle()[server];
   while (!kept.empty()) {
     auto connection = std::move(kept.back());
     kept.pop_back();
-    if (LooksOpen(*connection)) {
+    if (LooksOpen(*connection, longest_idle)) {
       return connection;
     }
   }
@@ -103,7 +107,8 @@
   if (kept.size() >= kMaxIdlePerServer) {
     return;
   }
-  connection->usable_until = MonotonicNow() + idle_time;
+  connection->idle_since = MonotonicNow();
+  connection->usable_until = connection->idle_since + idle_time;
   kept.push_back(std::move(connection));
 }
 
@@ -200,7 +205,8 @@
 }
 
 std::shared_ptr<Connection> Open(const Call& call, beast::error_code& ec) {
-  auto connection = call.reuse_connection ? TakeIdle(call.server) : nullptr;
+  auto connection = call.reuse_connection ? TakeIdle(call.server, call.longest_idle)
+                                         : nullptr;
   if (connection == nullptr) {
     connection = std::make_shared<Connection>(*fibers::CurrentIo());
     ec = Connect(call, *connection);
--- a/components/http/client.h
+++ b/components/http/client.h
@@ -45,6 +45,9 @@
   /// A kept connection may be used. Leave it off where a second run would do
   /// harm: a kept connection can die unseen between two requests.
   bool reuse_connection = true;
+  /// A kept connection may have been idle for this long, if not for longer by
+  /// the server's own word.
+  Duration longest_idle{std::chrono::seconds(4)};
   /// Ends the exchange early and closes its connection; may be empty.
   CancellationPtr cancellation;
   /// A header that the answer to this request bears with this value, if it
--- a/components/ingress/fleet_board.cc
+++ b/components/ingress/fleet_board.cc
@@ -9,6 +9,9 @@
 
 /// What came with an answer outweighs gossip for this long.
 constexpr Duration kAnswerOutweighsGossip{std::chrono::seconds(1)};
+/// How long what was told of requests out at an upstream says something about
+/// the usual: several times as long as requests take.
+constexpr Duration kStandingLife{std::chrono::seconds(5)};
 
 health::UpstreamView ViewOf(const membership::HostRecord& host,
                             const membership::UpstreamRecord& upstream) {
@@ -141,6 +144,23 @@
   return changes;
 }
 
+int FleetBoard::UsualInFlight(const std::string& name, Instant now) const {
+  const std::lock_guard lock(this->mutex);
+  const auto service = this->services.find(name);
+  if (service == this->services.end()) {
+    return 0;
+  }
+  int sum = 0;
+  int known = 0;
+  for (const auto& [id, upstream] : service->second.upstreams) {
+    if (now - upstream.answered_at < kStandingLife) {
+      sum += upstream.view.in_flight;
+      ++known;
+    }
+  }
+  return known == 0 ? 0 : sum / known;
+}
+
 std::vector<balancing::Candidate> FleetBoard::Candidates(const Service& service,
                                                          Instant now) const {
   std::vector<balancing::Candidate> candidates;
--- a/components/ingress/fleet_board.h
+++ b/components/ingress/fleet_board.h
@@ -46,6 +46,10 @@
   /// time, and those with a case open; gives what has changed.
   std::vector<health::EjectionChange> Plan(Instant now);
 
+  /// Requests that are out at an upstream of `service` on average, as far as
+  /// this ingress was told lately.
+  int UsualInFlight(const std::string& service, Instant now) const;
+
   /// Chooses an upstream of `service` that is not among `tried`.
   std::optional<Choice> Choose(const std::string& service,
                                const std::set<std::string>& tried,
--- a/components/ingress/ingress.cc
+++ b/components/ingress/ingress.cc
@@ -27,8 +27,8 @@
 
 /// Logs a step of a request that brought no answer; names and ids only, no key.
 void LogStep(const AdmittedRequest& admitted,
-             const std::string& message,
-             const std::string& host,
+             const char* message,
+             const Choice& choice,
              const once::Outcome& outcome) {
   if (std::holds_alternative<once::Ran>(outcome)) {
     return;
@@ -41,7 +41,8 @@
        {.name = "service", .value = admitted.service},
        {.name = "organisation", .value = admitted.organisation},
        {.name = "step", .value = "attempt"},
-       {.name = "peer", .value = host},
+       {.name = "peer", .value = choice.host},
+       {.name = "upstream", .value = choice.upstream},
        {.name = "age_ms", .value = absl::StrCat(ToMillisRoundedUp(age))},
        {.name = "outcome", .value = refusal != nullptr ? "not-run" : "unknown"},
        {.name = "reason",
@@ -257,9 +258,9 @@
              return this->MayRetry(service);
            },
        .note =
-           [&admitted](const std::string& message, const std::string& host,
+           [&admitted](const char* message, const Choice& choice,
                        const once::Outcome& outcome) {
-             LogStep(admitted, message, host, outcome);
+             LogStep(admitted, message, choice, outcome);
            },
        .caller_service = this->options.caller_service},
       admitted);
@@ -280,7 +281,7 @@
   if (std::holds_alternative<once::Ran>(outcome)) {
     return;
   }
-  LogStep(admitted, "a request was not served", "", outcome);
+  LogStep(admitted, "a request was not served", {}, outcome);
   const auto* refusal = std::get_if<once::NotRun>(&outcome);
   this->recorder.Record(
       {.kind = refusal != nullptr ? "not_run" : "outcome_unknown",
--- a/components/ingress/request_run.cc
+++ b/components/ingress/request_run.cc
@@ -71,13 +71,12 @@
   while (!this->must_answer) {
     const Instant now = MonotonicNow();
     if (this->admitted.caller->IsCancelled()) {
+      this->GiveUpAttempts("the caller went away");
       this->CancelAttempts();
       return std::nullopt;
     }
     if (now >= this->admitted.deadline) {
-      if (!this->running.empty()) {
-        this->last = once::Unknown{.detail = "no answer before the deadline"};
-      }
+      this->GiveUpAttempts("no answer before the deadline");
       break;
     }
     if (this->IsHedgeDue(now)) {
@@ -108,7 +107,7 @@
   if (attempt == this->running.end()) {
     return false;
   }
-  this->context.note("attempt ended", attempt->second.choice.host,
+  this->context.note("an attempt ended", attempt->second.choice,
                      ended.outcome);
   this->running.erase(attempt);
   if (IsServed(ended.outcome)) {
@@ -220,29 +219,36 @@
        .idempotent = this->admitted.IsIdempotent(),
        .last_resort = step.kind == SlotStep::Kind::kLastResort,
        .objective = this->admitted.route.objective,
+       .most_in_flight =
+           step.kind == SlotStep::Kind::kAskIdle
+               ? this->context.board.UsualInFlight(this->admitted.service,
+                                                   MonotonicNow())
+               : once::kAnyInFlight,
        .max_wait = waits ? this->LongestWait() : Duration{},
        .time_left = this->TimeLeft()});
   if (answer.granted) {
     return choice;
   }
-  search.OnRefused(*choice, answer);
+  search.OnRefused(step, *choice, answer);
   return std::nullopt;
 }
 
 std::optional<Choice> RequestRun::ChooseNext(const SlotStep& step,
                                              const SlotSearch& search) {
-  if (step.kind != SlotStep::Kind::kAskFree) {
+  if (step.kind != SlotStep::Kind::kAskFree &&
+      step.kind != SlotStep::Kind::kAskIdle) {
     return step.choice;
   }
   const Instant now = MonotonicNow();
   if (!this->admitted.dedupe_key.empty()) {
-    return search.asked().empty()
+    return search.asked_upstreams().empty()
                ? this->context.board.ChooseHome(this->admitted.service,
                                                 this->admitted.dedupe_key, now)
                : std::nullopt;
   }
   std::set<std::string> tried = this->used;
-  tried.insert(search.asked().begin(), search.asked().end());
+  tried.insert(search.asked_upstreams().begin(),
+               search.asked_upstreams().end());
   return this->context.board.Choose(this->admitted.service, tried,
                                     step.any_zone
                                         ? balancing::Reach::kAnyZone
@@ -257,6 +263,13 @@
   return std::max(latest - MonotonicNow(), kLeastWait);
 }
 
+void RequestRun::GiveUpAttempts(const char* reason) {
+  for (const auto& [id, attempt] : this->running) {
+    this->last = once::Unknown{.detail = reason};
+    this->context.note("an attempt was given up", attempt.choice, this->last);
+  }
+}
+
 void RequestRun::CancelAttempts() {
   for (const auto& [id, attempt] : this->running) {
     boost::fibers::fiber([&runner = this->context.runner,
--- a/components/ingress/request_run.h
+++ b/components/ingress/request_run.h
@@ -26,8 +26,9 @@
     FleetBoard& board;
     AttemptRunner& runner;
     std::function<bool(const std::string& service)> may_retry;
-    std::function<void(const std::string& message,
-                       const std::string& host,
+    /// Logs what became of an attempt at `choice`.
+    std::function<void(const char* message,
+                       const Choice& choice,
                        const once::Outcome& outcome)>
         note;
     std::string caller_service;
@@ -57,6 +58,7 @@
   bool IsHedgeDue(Instant now) const;
   Instant NextWake(Instant now) const;
   void CancelAttempts();
+  void GiveUpAttempts(const char* reason);
   once::RunRequest MakeRun(const Choice& choice) const;
   Duration TimeLeft() const;
 
--- a/components/ingress/slot_search.h
+++ b/components/ingress/slot_search.h
@@ -16,7 +16,9 @@
 /// The next thing to do to find a slot.
 struct SlotStep {
   enum class Kind {
-    kAskFree,     ///< Choose an upstream and ask for a slot that is free now.
+    kAskIdle,     ///< Choose one, and ask only if it is no busier than usual.
+    kTakeLeast,   ///< Ask `choice`, the least busy of those.
+    kAskFree,     ///< Choose one and ask for a slot that is free now.
     kWait,        ///< Wait at `choice`, the least loaded of those asked.
     kLastResort,  ///< Ask `choice` although it looks unwell.
     kGiveUp,
@@ -28,15 +30,19 @@
   bool any_zone = false;
 };
 
-/// Decides how one request looks for a slot: free ones at a few upstreams first,
-/// the own availability zone's before others, then a place in the shortest
-/// queue seen, then upstreams that look unwell. Answers the load pattern of
-/// many ingresses with few requests each: none of them knows how loaded
-/// upstreams are now, but each guard knows it exactly and costs one round trip.
+/// Decides how one request looks for a slot: at upstreams no busier than usual
+/// first, then at the least busy of those, then at any with a free slot, the own
+/// availability zone's before others, then in the shortest queue seen, then at
+/// upstreams that look unwell. Answers the load pattern of many ingresses with
+/// few requests each: none of them knows how busy upstreams are now, but each
+/// guard knows it exactly and costs one round trip; and an upstream that hangs
+/// shows first by being busier than others.
 class SlotSearch {
  public:
   struct Options {
-    /// Upstreams asked for a free slot in all, and first in the own zone.
+    /// Upstreams asked whether they are idle, asked for a slot in all, and
+    /// asked in the own zone first.
+    int max_asked_idle = 3;
     int max_asked = 6;
     int max_asked_own_zone = 3;
     /// The search may end in a queue.
@@ -53,9 +59,13 @@
   void OnNoChoice() { this->exhausted = true; }
 
   /// An upstream gave no slot.
-  void OnRefused(const Choice& choice, const rpc::SlotAnswer& answer);
+  void OnRefused(const SlotStep& step,
+                 const Choice& choice,
+                 const rpc::SlotAnswer& answer);
 
-  const std::set<std::string>& asked() const { return this->upstreams; }
+  const std::set<std::string>& asked_upstreams() const {
+    return this->upstreams;
+  }
 
   /// Why the last one gave none.
   const once::NotRun& last_refusal() const { return this->refusal; }
@@ -66,12 +76,15 @@
     double load = 0;
   };
 
+  static Choice LeastOf(const std::vector<Busy>& all);
+
   Options options;
   std::set<std::string> upstreams;
+  std::vector<Busy> busier;
   std::vector<Busy> busy;
   std::vector<Choice> unwell;
-  int asked_free = 0;
-  bool waited = false;
+  int asked = 0;
+  bool ended = false;
   bool exhausted = false;
   once::NotRun refusal{.reason = once::RefusalReason::kUpstreamGone};
 };
--- a/components/membership/host_record.cc
+++ b/components/membership/host_record.cc
@@ -46,6 +46,16 @@
   return false;
 }
 
+bool HasSameUpstreams(const HostRecord& left, const HostRecord& right) {
+  const auto same = [](const UpstreamRecord& one, const UpstreamRecord& other) {
+    return one.id == other.id && one.service == other.service &&
+           one.slots == other.slots;
+  };
+  return left.host == right.host && left.leaving == right.leaving &&
+         std::equal(left.upstreams.begin(), left.upstreams.end(),
+                    right.upstreams.begin(), right.upstreams.end(), same);
+}
+
 const char* ToText(Liveness liveness) {
   switch (liveness) {
     case Liveness::kAlive:
--- a/components/membership/host_record.h
+++ b/components/membership/host_record.h
@@ -45,6 +45,10 @@
 /// latency, errors or limit by a large step.
 bool WorthPublishing(const HostRecord& before, const HostRecord& after);
 
+/// Whether both tell of the same upstreams in the same place, however well
+/// these do.
+bool HasSameUpstreams(const HostRecord& left, const HostRecord& right);
+
 /// Whether a host is thought to run; a later one outweighs an earlier one at
 /// the same version.
 enum class Liveness { kAlive, kSuspect, kDead };
--- a/components/once/outcome.cc
+++ b/components/once/outcome.cc
@@ -32,6 +32,8 @@
       return "misdirected";
     case RefusalReason::kShed:
       return "shed";
+    case RefusalReason::kBusierThanOthers:
+      return "busier_than_others";
   }
   return "none";
 }
--- a/components/once/outcome.h
+++ b/components/once/outcome.h
@@ -25,6 +25,7 @@
   kSlotLapsed,
   kMisdirected,
   kShed,
+  kBusierThanOthers,
 };
 
 /// The reason in the form used in answers, logs and counters.
--- a/components/once/run_request.h
+++ b/components/once/run_request.h
@@ -13,6 +13,9 @@
 /// Stands for the organisation of a request that needs no key.
 inline constexpr char kNoOrganisation[] = "-";
 
+/// No bound on what is out at an upstream.
+inline constexpr int kAnyInFlight = 65'535;
+
 /// Asks for a slot of an upstream, which is held for the request that follows.
 struct SlotRequest {
   /// That of the attempt that will use the slot.
@@ -26,6 +29,8 @@
   /// No upstream that looks well had a slot, so one that does not will do.
   bool last_resort = false;
   Duration objective{};
+  /// Only if no more than this many requests are out at the upstream.
+  int most_in_flight = kAnyInFlight;
   /// Longest wait for a slot; zero asks for one that is free now.
   Duration max_wait{};
   Duration time_left{};
--- a/components/rpc/convert_run.cc
+++ b/components/rpc/convert_run.cc
@@ -109,6 +109,7 @@
   out.setRepeatable(request.idempotent);
   out.setLastResort(request.last_resort);
   out.setObjectiveMicros(ToMicros(request.objective));
+  out.setMostInFlight(static_cast<uint16_t>(request.most_in_flight));
   out.setMaxWaitMicros(ToMicros(request.max_wait));
   out.setTimeLeftMicros(ToMicros(request.time_left));
 }
@@ -122,6 +123,7 @@
           .idempotent = in.getRepeatable(),
           .last_resort = in.getLastResort(),
           .objective = FromMicros(in.getObjectiveMicros()),
+          .most_in_flight = in.getMostInFlight(),
           .max_wait = FromMicros(in.getMaxWaitMicros()),
           .time_left = FromMicros(in.getTimeLeftMicros())};
 }
--- a/components/rpc/peer.capnp
+++ b/components/rpc/peer.capnp
@@ -61,6 +61,7 @@
   objectiveMicros @7 :UInt64;
   maxWaitMicros @8 :UInt64;
   timeLeftMicros @9 :UInt64;
+  mostInFlight @10 :UInt16;
 }
 
 struct SlotAnswer {
--- a/components/rpc/peer.capnp.h
+++ b/components/rpc/peer.capnp.h
@@ -3507,6 +3507,8 @@
 
   inline  ::uint64_t getTimeLeftMicros() const;
 
+  inline  ::uint16_t getMostInFlight() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3577,6 +3579,9 @@
   inline  ::uint64_t getTimeLeftMicros();
   inline void setTimeLeftMicros( ::uint64_t value);
 
+  inline  ::uint16_t getMostInFlight();
+  inline void setMostInFlight( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6930,6 +6935,20 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint16_t SlotRequest::Reader::getMostInFlight() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t SlotRequest::Builder::getMostInFlight() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void SlotRequest::Builder::setMostInFlight( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool SlotAnswer::Reader::getGranted() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/components/rpc/peer_clients.cc
+++ b/components/rpc/peer_clients.cc
@@ -42,7 +42,8 @@
 
 }  // namespace
 
-/// One connection to a host; dropped as a whole.
+/// One connection to a host; dropped as a whole. Calls that wait for it to open
+/// may outlive it.
 struct PeerClients::Link {
   uint64_t number = 0;
   kj::Own<kj::NetworkAddress> address;
@@ -52,7 +53,7 @@
 };
 
 struct PeerClients::State {
-  std::map<std::string, kj::Own<Link>> links;
+  std::map<std::string, std::shared_ptr<Link>> links;
   uint64_t last_number = 0;
 };
 
@@ -69,17 +70,23 @@
 
 PeerClients::Link& PeerClients::Connect(const std::string& host) {
   auto& slot = this->state->links[host];
-  if (slot.get() != nullptr) {
+  if (slot != nullptr) {
     return *slot;
   }
-  slot = kj::heap<Link>();
+  slot = std::make_shared<Link>();
   Link* link = slot.get();
   link->number = ++this->state->last_number;
   const CallerId caller{.host = this->options.own_host,
                         .incarnation = this->options.incarnation,
                         .link = link->number};
-  auto enter = [link, caller, key = this->options.fleet_key](
-                   kj::Own<kj::AsyncIoStream> stream) {
+  auto enter = [weak = std::weak_ptr(slot), caller,
+                key = this->options.fleet_key](
+                   kj::Own<kj::AsyncIoStream> stream)
+      -> kj::Promise<wire::Peer::Client> {
+    const auto link = weak.lock();
+    if (link == nullptr) {
+      return KJ_EXCEPTION(DISCONNECTED, "given up before it was open");
+    }
     link->stream = kj::mv(stream);
     link->client = kj::heap<capnp::TwoPartyClient>(*link->stream);
     auto door = link->client->bootstrap().castAs<wire::Door>();
@@ -124,10 +131,9 @@
   if (found == this->state->links.end() || found->second->number != number) {
     return;
   }
-  kj::Own<Link> dropped = kj::mv(found->second);
+  std::shared_ptr<Link> dropped = std::move(found->second);
   this->state->links.erase(found);
-  this->loop.Post([held = std::make_shared<kj::Own<Link>>(
-                       kj::mv(dropped))]() mutable { *held = nullptr; });
+  this->loop.Post([held = std::move(dropped)]() mutable { held.reset(); });
 }
 
 template <typename T, typename Start>
