--- a/components/balancing/chooser.cc
+++ b/components/balancing/chooser.cc
@@ -43,12 +43,15 @@
   }
   if (reach == Reach::kOwnZone) {
     this->KeepOwnZone(usable);
+    return pick(usable)->id;
   }
   const health::UpstreamView* first = pick(usable);
   const health::UpstreamView* second = pick(usable);
   return this->Cost(*second) < this->Cost(*first) ? second->id : first->id;
 }
 
+// What ingresses know of in-flight requests is old, and all of them together
+// would run to the upstream that last looked best.
 void Chooser::KeepOwnZone(
     std::vector<const health::UpstreamView*>& usable) const {
   const auto elsewhere = [this](const health::UpstreamView* view) {
--- a/components/balancing/chooser.h
+++ b/components/balancing/chooser.h
@@ -22,7 +22,7 @@
 
 /// Which upstreams a request goes to first.
 enum class Reach {
-  kOwnZone,  ///< Those of the own availability zone, if there are any left.
+  kOwnZone,  ///< Any of the own availability zone, if there are any left.
   kAnyZone,
 };
 
--- a/components/guard/guard.cc
+++ b/components/guard/guard.cc
@@ -164,9 +164,8 @@
   return this->SlotAnswerFor(request.upstream, {}, true);
 }
 
-// Requests that may not be repeated keep away from an upstream that may be
-// hanging. Those that may be are its trial, and once it looks unwell they go
-// there one at a time.
+// Requests that can still go elsewhere later are the trial of an upstream that
+// may be hanging, and once it looks unwell they go there one at a time.
 once::RefusalReason Guard::ReasonToRefuseSlot(const once::SlotRequest& request,
                                               Instant now) const {
   const auto reason =
@@ -180,9 +179,9 @@
   }
   const bool looks_unwell = upstream.judge.LooksUnwell(now);
   const bool keep_away =
-      request.idempotent
-          ? looks_unwell && upstream.judge.HasUndecided(now)
-          : looks_unwell || upstream.judge.IsInDoubt(now);
+      request.careful
+          ? looks_unwell || upstream.judge.IsInDoubt(now)
+          : looks_unwell && upstream.judge.HasUndecided(now);
   if (keep_away) {
     return once::RefusalReason::kLooksUnwell;
   }
--- a/components/health/upstream_judge.cc
+++ b/components/health/upstream_judge.cc
@@ -15,10 +15,10 @@
 /// A request out for longer than this part of its objective counts as hanging.
 /// Objectives are about three times what a sound upstream takes.
 constexpr double kOverduePart = 0.7;
-/// A request out for longer than this part of its objective, with nothing good
-/// from the upstream since it was sent, is reason for doubt: about what a
-/// sound upstream takes on average.
-constexpr double kDoubtPart = 0.35;
+/// Requests that are out for this many objectives together give reason for
+/// doubt: sound upstreams answer within a third of the objective on average,
+/// and keep all of them waiting for three times that in one of twenty cases.
+constexpr double kDoubtSum = 0.9;
 /// What is known fades: the spells last for seconds.
 constexpr Duration kMemory{std::chrono::seconds(6)};
 constexpr size_t kMostKept = 256;
@@ -35,7 +35,7 @@
   this->requests.push_back(
       {.request = request,
        .started = now,
-       .doubtful = timed ? now + PartOf(objective, kDoubtPart) : Instant::max(),
+       .objective = objective,
        .overdue = timed ? now + PartOf(objective, kOverduePart)
                         : Instant::max()});
   while (this->requests.size() > kMostKept) {
@@ -85,11 +85,14 @@
 }
 
 bool UpstreamJudge::IsInDoubt(Instant now) const {
-  return std::any_of(this->requests.begin(), this->requests.end(),
-                     [&](const Observed& each) {
-                       return !each.ended && now >= each.doubtful &&
-                              this->last_good <= each.started;
-                     });
+  double silence = 0;
+  for (const Observed& each : this->requests) {
+    if (!each.ended && each.objective > Duration{} &&
+        this->last_good <= each.started) {
+      silence += ToSeconds(now - each.started) / ToSeconds(each.objective);
+    }
+  }
+  return silence >= kDoubtSum;
 }
 
 bool UpstreamJudge::HasUndecided(Instant now) const {
--- a/components/health/upstream_judge.h
+++ b/components/health/upstream_judge.h
@@ -30,9 +30,9 @@
   /// are out for longer than a sound upstream takes.
   bool LooksUnwell(Instant now) const;
 
-  /// Whether there is no sign that the upstream is well: some request is out for
-  /// a while and nothing sent has come back well since. Much weaker than
-  /// LooksUnwell, and known much sooner.
+  /// Whether requests have together been out for longer than a sound upstream
+  /// would often take, and nothing good has come back since they were sent.
+  /// Weaker than LooksUnwell, and known sooner.
   bool IsInDoubt(Instant now) const;
 
   /// Whether a request is out that may still tell more.
@@ -48,8 +48,8 @@
   struct Observed {
     uint64_t request = 0;
     Instant started;
-    /// When it is reason for doubt, and when it counts as hanging.
-    Instant doubtful;
+    Duration objective;
+    /// When it counts as hanging.
     Instant overdue;
     bool ended = false;
     Verdict verdict = Verdict::kNone;
--- a/components/ingress/fleet_board.cc
+++ b/components/ingress/fleet_board.cc
@@ -144,7 +144,7 @@
   return changes;
 }
 
-int FleetBoard::UsualInFlight(const std::string& name, Instant now) const {
+int FleetBoard::FewInFlight(const std::string& name, Instant now) const {
   const std::lock_guard lock(this->mutex);
   const auto service = this->services.find(name);
   if (service == this->services.end()) {
@@ -158,7 +158,7 @@
       ++known;
     }
   }
-  return known == 0 ? 0 : sum / known;
+  return known == 0 ? 0 : sum / known / 2;
 }
 
 std::vector<balancing::Candidate> FleetBoard::Candidates(const Service& service,
--- a/components/ingress/fleet_board.h
+++ b/components/ingress/fleet_board.h
@@ -46,9 +46,9 @@
   /// time, and those with a case open; gives what has changed.
   std::vector<health::EjectionChange> Plan(Instant now);
 
-  /// Requests that are out at an upstream of `service` on average, as far as
-  /// this ingress was told lately.
-  int UsualInFlight(const std::string& service, Instant now) const;
+  /// Half of what is out at an upstream of `service` on average, as far as this
+  /// ingress was told lately: one with no more is worth taking at once.
+  int FewInFlight(const std::string& service, Instant now) const;
 
   /// Chooses an upstream of `service` that is not among `tried`.
   std::optional<Choice> Choose(const std::string& service,
--- a/components/ingress/request_run.cc
+++ b/components/ingress/request_run.cc
@@ -216,12 +216,13 @@
        .organisation = this->admitted.organisation,
        .upstream = choice->upstream,
        .priority = this->admitted.priority,
-       .idempotent = this->admitted.IsIdempotent(),
+       .careful = !this->admitted.IsIdempotent() || this->attempts > 0 ||
+                  this->admitted.route.attempts == 1,
        .last_resort = step.kind == SlotStep::Kind::kLastResort,
        .objective = this->admitted.route.objective,
        .most_in_flight =
            step.kind == SlotStep::Kind::kAskIdle
-               ? this->context.board.UsualInFlight(this->admitted.service,
+               ? this->context.board.FewInFlight(this->admitted.service,
                                                    MonotonicNow())
                : once::kAnyInFlight,
        .max_wait = waits ? this->LongestWait() : Duration{},
--- a/components/once/run_request.h
+++ b/components/once/run_request.h
@@ -25,7 +25,9 @@
   std::string upstream;
   /// 0 is the most urgent.
   int priority = 1;
-  bool idempotent = false;
+  /// It can't be sent elsewhere later, so it keeps away from an upstream that
+  /// may be hanging; others are the trial of such an upstream.
+  bool careful = true;
   /// No upstream that looks well had a slot, so one that does not will do.
   bool last_resort = false;
   Duration objective{};
--- a/components/rpc/convert_run.cc
+++ b/components/rpc/convert_run.cc
@@ -106,7 +106,7 @@
   out.setOrganisation(request.organisation);
   out.setUpstream(request.upstream);
   out.setPriority(static_cast<uint16_t>(request.priority));
-  out.setRepeatable(request.idempotent);
+  out.setCareful(request.careful);
   out.setLastResort(request.last_resort);
   out.setObjectiveMicros(ToMicros(request.objective));
   out.setMostInFlight(static_cast<uint16_t>(request.most_in_flight));
@@ -120,7 +120,7 @@
           .organisation = ToString(in.getOrganisation()),
           .upstream = ToString(in.getUpstream()),
           .priority = in.getPriority(),
-          .idempotent = in.getRepeatable(),
+          .careful = in.getCareful(),
           .last_resort = in.getLastResort(),
           .objective = FromMicros(in.getObjectiveMicros()),
           .most_in_flight = in.getMostInFlight(),
--- a/components/rpc/peer.capnp
+++ b/components/rpc/peer.capnp
@@ -56,7 +56,7 @@
   organisation @2 :Text;
   upstream @3 :Text;
   priority @4 :UInt16;
-  repeatable @5 :Bool;
+  careful @5 :Bool;
   lastResort @6 :Bool;
   objectiveMicros @7 :UInt64;
   maxWaitMicros @8 :UInt64;
--- a/components/rpc/peer.capnp.h
+++ b/components/rpc/peer.capnp.h
@@ -3497,7 +3497,7 @@
 
   inline  ::uint16_t getPriority() const;
 
-  inline bool getRepeatable() const;
+  inline bool getCareful() const;
 
   inline bool getLastResort() const;
 
@@ -3564,8 +3564,8 @@
   inline  ::uint16_t getPriority();
   inline void setPriority( ::uint16_t value);
 
-  inline bool getRepeatable();
-  inline void setRepeatable(bool value);
+  inline bool getCareful();
+  inline void setCareful(bool value);
 
   inline bool getLastResort();
   inline void setLastResort(bool value);
@@ -6865,16 +6865,16 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool SlotRequest::Reader::getRepeatable() const {
+inline bool SlotRequest::Reader::getCareful() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<80>() * ::capnp::ELEMENTS);
 }
 
-inline bool SlotRequest::Builder::getRepeatable() {
+inline bool SlotRequest::Builder::getCareful() {
   return _builder.getDataField<bool>(
       ::capnp::bounded<80>() * ::capnp::ELEMENTS);
 }
-inline void SlotRequest::Builder::setRepeatable(bool value) {
+inline void SlotRequest::Builder::setCareful(bool value) {
   _builder.setDataField<bool>(
       ::capnp::bounded<80>() * ::capnp::ELEMENTS, value);
 }
