Rates recover within seconds: short loans, few pools in small fleets, permits through others

Cause: after a restart of many hosts all requests were refused for over ten seconds, since lenders wait out loans of 5.4 s and pools were asked one after the other.

--- a/apps/kingcupstaird/daemon.cc
+++ b/apps/kingcupstaird/daemon.cc
@@ -326,8 +326,16 @@
             this->rates.GiveBack(shard, asker);
           },
       .acquire =
-          [this](const std::string& organisation, int wanted) {
-            return this->rates.Acquire(organisation, wanted);
+          [this](const std::string& organisation, int wanted, bool relay,
+                 std::function<void(limits::PermitGrant)> done) {
+            if (!relay) {
+              done(this->rates.Acquire(organisation, wanted));
+              return;
+            }
+            this->workers.Spawn([this, organisation, done = std::move(done)] {
+              done(this->permits.AcquireFromPool(organisation)
+                       .value_or(limits::PermitGrant{}));
+            });
           },
       .submit =
           [this](const once::RunRequest& request, rpc::RunDone done) {
--- a/components/admission/upstream_gate.cc
+++ b/components/admission/upstream_gate.cc
@@ -12,7 +12,7 @@
 constexpr double kErrorWeight = 0.2;
 /// A request that had this many times the usual latency had enough time.
 constexpr int kEnoughTimes = 3;
-constexpr Duration kRetryWhenFull{std::chrono::seconds(1)};
+constexpr Duration kRetryWhenFull{std::chrono::milliseconds(500)};
 
 /// Bounds on new requests hold for each span of this length.
 constexpr Duration kRateWindow{std::chrono::seconds(1)};
--- a/components/control/loan_loop.cc
+++ b/components/control/loan_loop.cc
@@ -7,9 +7,11 @@
 namespace kingcupstair::control {
 namespace {
 
-constexpr Duration kRound{std::chrono::milliseconds(200)};
+constexpr Duration kRound{std::chrono::milliseconds(100)};
 constexpr Duration kShortestLoan{std::chrono::seconds(1)};
-constexpr Duration kLoanPerHost{std::chrono::milliseconds(200)};
+/// Loans of a region last this long for each pair of its hosts: the asks that
+/// a pool makes a second then fall as the region grows, to 10 at 203 hosts.
+constexpr Duration kLoanPerPair{std::chrono::milliseconds(1)};
 constexpr Duration kAskTimeout{std::chrono::milliseconds(300)};
 constexpr Duration kPauseAfterFailure{std::chrono::milliseconds(500)};
 /// A loan is renewed when this part of its life has passed.
@@ -18,7 +20,8 @@
 }  // namespace
 
 Duration LoanLife(size_t hosts) {
-  return std::max(kShortestLoan, kLoanPerHost * static_cast<int64_t>(hosts));
+  const auto count = static_cast<int64_t>(hosts);
+  return std::max(kShortestLoan, kLoanPerPair * count * count);
 }
 
 LoanLoop::LoanLoop(Fleet& fleet) : fleet(fleet) {}
--- a/components/control/permit_source.h
+++ b/components/control/permit_source.h
@@ -2,8 +2,12 @@
 #define COMPONENTS_CONTROL_PERMIT_SOURCE_H_
 
 #include <array>
+#include <map>
+#include <mutex>
+#include <random>
 #include <string>
 
+#include "absl/status/statusor.h"
 #include "components/base/snapshot.h"
 #include "components/control/fleet.h"
 
@@ -22,14 +26,31 @@
   /// takes its permits from: a share lent to any other would be out of reach.
   limits::LoanGrant Lend(limits::ShardId shard, const std::string& asker);
 
-  /// Takes one permit; suspends the calling fiber.
+  /// Takes one permit: from the pool, through another host if the pool does
+  /// not answer here, and else from this host's own share. Suspends the calling
+  /// fiber.
   limits::PermitGrant Acquire(const std::string& organisation);
 
+  /// Takes one permit from the pool; an error says that it does not answer.
+  absl::StatusOr<limits::PermitGrant> AcquireFromPool(
+      const std::string& organisation);
+
  private:
+  const std::string PoolOf(const std::string& organisation) const;
+  bool IsLostNow(const std::string& pool);
+  void NoteLost(const std::string& pool);
+  absl::StatusOr<limits::PermitGrant> AcquireThroughOther(
+      const std::string& organisation,
+      const std::string& pool);
+
   using PoolHosts = std::array<std::string, limits::kShardCount>;
 
   Fleet& fleet;
   Snapshot<PoolHosts> pool_hosts;
+  std::mutex mutex;
+  /// Pools that did not answer here, and until when they are not asked.
+  std::map<std::string, Instant> lost;
+  std::mt19937_64 random{std::random_device{}()};
 };
 
 }  // namespace kingcupstair::control
--- a/components/control/share_loop.cc
+++ b/components/control/share_loop.cc
@@ -12,8 +12,10 @@
 namespace {
 
 constexpr Duration kShortestPause{std::chrono::milliseconds(1000)};
-/// Hosts that start together meet conflicts, so they come back at random.
-constexpr Duration kLeastJoinPause{std::chrono::milliseconds(300)};
+/// Hosts that start together meet conflicts, so they come back at random; a
+/// round takes two calls of some milliseconds.
+constexpr Duration kLeastJoinPause{std::chrono::milliseconds(10)};
+constexpr Duration kConflictPause{std::chrono::milliseconds(150)};
 /// Between the hosts that may create the table, one after the other.
 constexpr Duration kCreationStagger{std::chrono::milliseconds(150)};
 constexpr Duration kPausePerHost{std::chrono::milliseconds(1000)};
@@ -37,11 +39,15 @@
     this->Follow();
   }
   const auto hosts = static_cast<int64_t>(this->fleet.directory.size());
+  if (this->joined) {
+    fibers::SleepFor(std::max(kShortestPause, kPausePerHost * hosts));
+    return;
+  }
+  const Duration longest =
+      this->met_conflict ? kConflictPause : kShortestPause;
   std::uniform_int_distribution<int64_t> jitter(kLeastJoinPause.count(),
-                                                kShortestPause.count());
-  fibers::SleepFor(this->joined
-                       ? std::max(kShortestPause, kPausePerHost * hosts)
-                       : Duration(jitter(this->random)));
+                                                longest.count());
+  fibers::SleepFor(Duration(jitter(this->random)));
 }
 
 absl::StatusOr<ShareLoop::StoredTable> ShareLoop::Read() const {
@@ -69,6 +75,7 @@
 // life of this process that is still on its way then meets another version and
 // fails.
 void ShareLoop::Join() {
+  this->met_conflict = false;
   auto stored = this->Read();
   if (!stored.ok()) {
     return;
@@ -90,6 +97,7 @@
       places.host,
       {.zone = places.zone, .region = places.region, .admin = places.admin});
   if (!this->Write(stored->table, stored->version)) {
+    this->met_conflict = true;
     return;
   }
   this->joined = true;
--- a/components/control/share_loop.h
+++ b/components/control/share_loop.h
@@ -43,6 +43,7 @@
   /// Set while a hand-over may be on its way to the store: until the table has
   /// been written anew, the share stays lowered.
   bool unsettled = false;
+  bool met_conflict = false;
   std::mt19937_64 random{std::random_device{}()};
 };
 
--- a/components/ingress/caller_answer.cc
+++ b/components/ingress/caller_answer.cc
@@ -15,6 +15,19 @@
 /// is such that coming sooner would not help.
 constexpr Duration kDefaultRetryAfter{std::chrono::milliseconds(500)};
 
+/// An upstream or a path gave way, and load is no reason to stay away.
+constexpr Duration kRetryElsewhereAfter{std::chrono::milliseconds(60)};
+
+Duration RetryAfterFor(const once::NotRun& refusal) {
+  if (refusal.retry_after > Duration{}) {
+    return refusal.retry_after;
+  }
+  const bool busy = refusal.reason == once::RefusalReason::kQueueFull ||
+                    refusal.reason == once::RefusalReason::kQueueTimeout ||
+                    refusal.reason == once::RefusalReason::kLooksUnwell;
+  return busy ? kDefaultRetryAfter : kRetryElsewhereAfter;
+}
+
 /// Seconds with a fraction of milliseconds.
 std::string SecondsText(Duration duration) {
   return absl::StrCat(static_cast<double>(ToMillisRoundedUp(duration)) / 1000);
@@ -41,7 +54,7 @@
         .reason = once::ToText(refusal.reason),
         .request_id = this->name.request_id,
         .request_id_header = this->name.request_id_header,
-        .retry_after = std::max(refusal.retry_after, kDefaultRetryAfter)});
+        .retry_after = RetryAfterFor(refusal)});
   }
 
   http::Response operator()(const once::Unknown& unknown) const {
--- a/components/ingress/request_run.cc
+++ b/components/ingress/request_run.cc
@@ -230,6 +230,9 @@
   if (answer.granted) {
     return choice;
   }
+  if (answer.refusal.reason == once::RefusalReason::kConnectFailed) {
+    this->context.note("a host could not be reached", *choice, answer.refusal);
+  }
   search.OnRefused(step, *choice, answer);
   return std::nullopt;
 }
--- a/components/limits/shard.cc
+++ b/components/limits/shard.cc
@@ -1,5 +1,7 @@
 #include "components/limits/shard.h"
 
+#include <algorithm>
+
 #include "components/base/hash.h"
 
 namespace kingcupstair::limits {
@@ -8,12 +10,26 @@
   return static_cast<ShardId>(StableHash(organisation) % kShardCount);
 }
 
+namespace {
+
+/// Lenders for which one pool can renew loans every half second.
+constexpr size_t kHostsPerPool = 32;
+
+uint64_t PoolSeed(ShardId shard, size_t hosts) {
+  const size_t pools = std::clamp<size_t>(
+      (hosts + kHostsPerPool - 1) / kHostsPerPool, 1, kShardCount);
+  return static_cast<uint64_t>(shard) % pools + 1;
+}
+
+}  // namespace
+
 std::optional<std::string> PoolHostOf(ShardId shard,
                                       const std::vector<std::string>& hosts) {
   std::optional<std::string> best;
   uint64_t best_hash = 0;
+  const uint64_t seed = PoolSeed(shard, hosts.size());
   for (const std::string& host : hosts) {
-    const uint64_t hash = StableHash(host, static_cast<uint64_t>(shard) + 1);
+    const uint64_t hash = StableHash(host, seed);
     const bool higher =
         hash > best_hash || (hash == best_hash && best && host < *best);
     if (!best.has_value() || higher) {
--- a/components/limits/shard.h
+++ b/components/limits/shard.h
@@ -19,7 +19,8 @@
 
 /// The host among `hosts` that pools the rates of `shard`: the one with the
 /// highest hash, so that a host that comes or goes moves only its own shards.
-/// Nothing when `hosts` is empty.
+/// Few hosts have fewer pools than there are shards, so that each pool can ask
+/// its lenders often. Nothing when `hosts` is empty.
 std::optional<std::string> PoolHostOf(ShardId shard,
                                       const std::vector<std::string>& hosts);
 
--- a/components/rpc/peer.capnp
+++ b/components/rpc/peer.capnp
@@ -35,8 +35,8 @@
 
   lend @5 (shards :List(UInt16)) -> (loans :List(Loan));
   # Asks for this host's share of the limits of some shards.
-  acquire @6 (organisation :Text, wanted :UInt32) -> (grant :Grant);
-  # Asks the pool for permits.
+  acquire @6 (organisation :Text, wanted :UInt32, relay :Bool) -> (grant :Grant);
+  # Asks the pool for permits, or any host to ask the pool.
   giveBack @7 (shards :List(UInt16)) -> ();
   # The pool returns loans early.
 
--- a/components/rpc/peer.capnp.h
+++ b/components/rpc/peer.capnp.h
@@ -2511,6 +2511,8 @@
 
   inline  ::uint32_t getWanted() const;
 
+  inline bool getRelay() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2549,6 +2551,9 @@
   inline  ::uint32_t getWanted();
   inline void setWanted( ::uint32_t value);
 
+  inline bool getRelay();
+  inline void setRelay(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6367,6 +6372,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Peer::AcquireParams::Reader::getRelay() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool Peer::AcquireParams::Builder::getRelay() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void Peer::AcquireParams::Builder::setRelay(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Peer::AcquireResults::Reader::hasGrant() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/components/rpc/peer_clients.cc
+++ b/components/rpc/peer_clients.cc
@@ -273,11 +273,13 @@
     const std::string& host,
     const std::string& organisation,
     int wanted,
-    Duration timeout) {
+    bool relay,
+                                                       Duration timeout) {
   return this->Call<limits::PermitGrant>(
       host, "acquire", timeout,
-      [organisation, wanted](wire::Peer::Client& peer) {
+      [organisation, wanted, relay](wire::Peer::Client& peer) {
         auto request = peer.acquireRequest();
+        request.setRelay(relay);
         request.setOrganisation(organisation);
         request.setWanted(static_cast<uint32_t>(wanted));
         return request.send().then(
--- a/components/rpc/peer_clients.h
+++ b/components/rpc/peer_clients.h
@@ -70,6 +70,7 @@
   absl::StatusOr<limits::PermitGrant> Acquire(const std::string& host,
                                               const std::string& organisation,
                                               int wanted,
+                                              bool relay,
                                               Duration timeout);
   absl::StatusOr<ResolveAnswer> Resolve(const std::string& host,
                                         const std::string& request_id,
--- a/components/rpc/peer_handlers.h
+++ b/components/rpc/peer_handlers.h
@@ -32,8 +32,12 @@
   std::function<limits::LoanGrant(limits::ShardId, const std::string& asker)>
       lend;
   std::function<void(limits::ShardId, const std::string& asker)> give_back;
-  std::function<limits::PermitGrant(const std::string& organisation,
-                                    int wanted)>
+  /// Takes permits from the pool of this host, or for `relay` from whichever
+  /// host pools them; calls `done` from any thread.
+  std::function<void(const std::string& organisation,
+                     int wanted,
+                     bool relay,
+                     std::function<void(limits::PermitGrant)> done)>
       acquire;
   /// Accepts the run at once and calls `done` when it has ended.
   std::function<void(const once::RunRequest&, RunDone done)> submit;
--- a/components/rpc/peer_server.cc
+++ b/components/rpc/peer_server.cc
@@ -125,10 +125,13 @@
 
   kj::Promise<void> acquire(AcquireContext context) override {
     const auto params = context.getParams();
-    const auto grant = this->state.handlers.acquire(
-        params.getOrganisation(), static_cast<int>(params.getWanted()));
-    Write(grant, context.getResults().initGrant());
-    return kj::READY_NOW;
+    auto [promise, done] = this->MakeReply<limits::PermitGrant>();
+    this->state.handlers.acquire(params.getOrganisation(),
+                                 static_cast<int>(params.getWanted()),
+                                 params.getRelay(), done);
+    return promise.then([context](limits::PermitGrant grant) mutable {
+      Write(grant, context.getResults().initGrant());
+    });
   }
 
   // A request that comes over a connection which its sender has since replaced
--- a/tests/http/raw_server.cc
+++ b/tests/http/raw_server.cc
@@ -8,6 +8,11 @@
 #include <stdexcept>
 
 namespace kingcupstair {
+namespace {
+
+constexpr useconds_t kResetDelayMicros = 20'000;
+
+}  // namespace
 
 RawServer::RawServer(std::vector<Reply> replies) : replies(std::move(replies)) {
   this->listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -42,6 +47,11 @@
     if (asked) {
       send(connection, reply.text.data(), reply.text.size(), MSG_NOSIGNAL);
     }
+    if (reply.reset) {
+      usleep(kResetDelayMicros);
+      const linger at_once{.l_onoff = 1, .l_linger = 0};
+      setsockopt(connection, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+    }
     if (reply.hold_open) {
       held.push_back(connection);
     } else {
--- a/tests/http/raw_server.h
+++ b/tests/http/raw_server.h
@@ -17,6 +17,9 @@
   struct Reply {
     std::string text;
     bool hold_open = false;
+    /// Ends the connection with a reset, after a moment for the text to be
+    /// read.
+    bool reset = false;
   };
 
   explicit RawServer(std::vector<Reply> replies);
