Loans asked for side by side; short waits for permits; idle connections end

Cause: a pool asked its lenders one after the other, so a few that did not answer held up the others until their loans of 1 s had run out; an idle connection was read on after its end and swallowed what came.

--- a/apps/kingcupstaird/daemon.cc
+++ b/apps/kingcupstaird/daemon.cc
@@ -73,8 +73,8 @@
             {.own_host = ToText(this->settings.peer_address),
              .incarnation = this->incarnation,
              .fleet_key = this->settings.fleet_key}),
-      store({.server = this->settings.store,
-             .protocol = this->interface.store}),
+      store(
+          {.server = this->settings.store, .protocol = this->interface.store}),
       fleet{.places = PlacesOf(this->settings),
             .config = this->config,
             .directory = this->directory,
@@ -87,9 +87,9 @@
             .configuration_source = this->interface.configuration,
             .watchers_per_zone =
                 static_cast<size_t>(this->settings.watchers_per_zone),
-            .share_gathering_time =
-                this->interface.hosts_in_store ? kShareGatheringTime
-                                               : Duration{},
+            .share_gathering_time = this->interface.hosts_in_store
+                                        ? kShareGatheringTime
+                                        : Duration{},
             .on_reached =
                 [this](const std::string& host) {
                   this->board.OnPathReached(host);
@@ -131,14 +131,14 @@
                   {.listen = this->settings.peer_listen,
                    .fleet_key = this->settings.fleet_key},
                   this->MakeHandlers()),
-      caller_server(this->workers,
-                    {.listen = this->settings.listen,
-                     .limits = [this] { return this->CallerLimits(); }},
-                    http::CancellableHandler(
-                        [this](const http::Request& request,
-                               const CancellationPtr& caller) {
-                          return this->ingress.Handle(request, caller);
-                        })),
+      caller_server(
+          this->workers,
+          {.listen = this->settings.listen,
+           .limits = [this] { return this->CallerLimits(); }},
+          http::CancellableHandler([this](const http::Request& request,
+                                          const CancellationPtr& caller) {
+            return this->ingress.Handle(request, caller);
+          })),
       admin_pages(this->fleet, this->guard, this->interface, this->leaving),
       admin_server(this->workers,
                    {.listen = this->settings.admin_listen},
--- a/apps/kingcupstaird/main.cc
+++ b/apps/kingcupstaird/main.cc
@@ -13,8 +13,8 @@
   if (name == "platform") {
     return platform::Interface();
   }
-  return absl::InvalidArgumentError("--site-interface is own or platform, not '" +
-                                    name + "'");
+  return absl::InvalidArgumentError(
+      "--site-interface is own or platform, not '" + name + "'");
 }
 
 int Main(int argc, char** argv) {
--- a/components/admission/upstream_gate.cc
+++ b/components/admission/upstream_gate.cc
@@ -55,9 +55,8 @@
         Refuse(request.ticket, once::RefusalReason::kQueueFull));
     return decisions;
   }
-  const Instant expires =
-      std::min(request.deadline - this->UsualLatency(),
-               now + std::max(max_wait, kLeastWait));
+  const Instant expires = std::min(request.deadline - this->UsualLatency(),
+                                   now + std::max(max_wait, kLeastWait));
   if (expires <= now) {
     decisions.push_back(
         Refuse(request.ticket, once::RefusalReason::kQueueTimeout));
@@ -174,8 +173,7 @@
 }
 
 Duration UpstreamGate::ExpectedWait(const GateRequest& request) const {
-  const double ahead =
-      this->queue.Ahead(FlowOf(request), WeightOf(request));
+  const double ahead = this->queue.Ahead(FlowOf(request), WeightOf(request));
   const double waves = ahead / this->Limit();
   return Duration(static_cast<int64_t>(waves * this->latency_micros));
 }
--- a/components/admission/upstream_gate.h
+++ b/components/admission/upstream_gate.h
@@ -4,7 +4,6 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
--- a/components/config/parse.cc
+++ b/components/config/parse.cc
@@ -152,8 +152,7 @@
     } else if (word->text == "key") {
       rule.key_digests.push_back(TakeDigest(reader));
     } else {
-      reader.Fail(
-          "expected 'rate', 'burst', 'unlimited', 'priority' or 'key'");
+      reader.Fail("expected 'rate', 'burst', 'unlimited', 'priority' or 'key'");
       break;
     }
   }
--- a/components/control/config_loop.cc
+++ b/components/control/config_loop.cc
@@ -61,8 +61,8 @@
     this->store_answered = status.ok();
     this->fleet.recorder.Record(
         {.kind = status.ok() ? "store_back" : "store_lost",
-         .detail = std::string(status.message().data(),
-                               status.message().size())});
+         .detail =
+             std::string(status.message().data(), status.message().size())});
   }
   if (status.ok()) {
     this->fleet.isolation.OnHeard(MonotonicNow());
--- a/components/control/host_loop.cc
+++ b/components/control/host_loop.cc
@@ -1,5 +1,7 @@
 #include "components/control/host_loop.h"
 
+#include <boost/fiber/fiber.hpp>
+
 #include <algorithm>
 #include <random>
 #include <set>
@@ -19,13 +21,13 @@
 constexpr Duration kRetryPause{std::chrono::milliseconds(700)};
 constexpr Duration kStep{std::chrono::milliseconds(100)};
 /// While a fleet starts, its hosts come one after the other.
-constexpr Duration kStartTime{std::chrono::seconds(6)};
-constexpr Duration kDiscoverAtStart{std::chrono::milliseconds(1000)};
+constexpr Duration kStartTime{std::chrono::seconds(4)};
+constexpr Duration kDiscoverAtStart{std::chrono::milliseconds(400)};
 constexpr Duration kDiscoverLater{std::chrono::seconds(10)};
 /// Keeps reads of all hosts together at ten a second, however many they are.
 constexpr Duration kDiscoverPerHost{std::chrono::milliseconds(100)};
 /// Hosts met in one round; they tell of the others.
-constexpr size_t kMeetAtOnce = 3;
+constexpr size_t kMeetAtOnce = 4;
 
 }  // namespace
 
@@ -65,9 +67,9 @@
   if (!granted.ok()) {
     return false;
   }
-  const auto put = this->fleet.store.PutLeased(
-      store::HostKey(this->fleet.places.host), this->fleet.places.zone,
-      *granted);
+  const auto put =
+      this->fleet.store.PutLeased(store::HostKey(this->fleet.places.host),
+                                  this->fleet.places.zone, *granted);
   if (!put.ok() || *put != store::PutResult::kWritten) {
     return false;
   }
@@ -107,7 +109,7 @@
                std::mt19937_64{std::random_device{}()});
   strangers.resize(std::min(strangers.size(), kMeetAtOnce));
   for (const std::string& host : strangers) {
-    this->gossip.Meet(host);
+    boost::fibers::fiber([this, host] { this->gossip.Meet(host); }).detach();
   }
 }
 
--- a/components/control/loan_loop.cc
+++ b/components/control/loan_loop.cc
@@ -1,5 +1,7 @@
 #include "components/control/loan_loop.h"
 
+#include <boost/fiber/fiber.hpp>
+
 #include <algorithm>
 
 #include "components/fibers/worker_pool.h"
@@ -34,7 +36,10 @@
   if (!pooled.empty()) {
     for (const std::string& lender : hosts) {
       if (this->ask_again[lender] <= MonotonicNow()) {
-        this->AskFor(lender, pooled);
+        this->ask_again[lender] = Instant::max();
+        boost::fibers::fiber([this, lender, pooled] {
+          this->AskFor(lender, pooled);
+        }).detach();
       }
     }
   }
@@ -53,6 +58,9 @@
   return pooled;
 }
 
+// Lenders are asked side by side: a few that do not answer must not hold up the
+// others until their loans have run out.
+//
 // The time of a loan runs from before the ask, so whatever happens to the
 // message only makes it shorter.
 void LoanLoop::AskFor(const std::string& lender, const ShardList& shards) {
--- a/components/control/permit_source.cc
+++ b/components/control/permit_source.cc
@@ -33,8 +33,8 @@
 }
 
 const std::string PermitSource::PoolOf(const std::string& organisation) const {
-  return (*this->pool_hosts.Read())[static_cast<size_t>(
-      limits::ShardOf(organisation))];
+  return (*this->pool_hosts
+               .Read())[static_cast<size_t>(limits::ShardOf(organisation))];
 }
 
 limits::PermitGrant PermitSource::Acquire(const std::string& organisation) {
@@ -78,8 +78,8 @@
   size_t index = 0;
   {
     const std::lock_guard lock(this->mutex);
-    index = std::uniform_int_distribution<size_t>(0, hosts.size() -
-                                                         1)(this->random);
+    index = std::uniform_int_distribution<size_t>(
+        0, hosts.size() - 1)(this->random);
   }
   return this->fleet.peers.Acquire(hosts[index], organisation, 1,
                                    /*relay=*/true, kRelayTimeout);
--- a/components/control/share_loop.cc
+++ b/components/control/share_loop.cc
@@ -43,8 +43,7 @@
     fibers::SleepFor(std::max(kShortestPause, kPausePerHost * hosts));
     return;
   }
-  const Duration longest =
-      this->met_conflict ? kConflictPause : kShortestPause;
+  const Duration longest = this->met_conflict ? kConflictPause : kShortestPause;
   std::uniform_int_distribution<int64_t> jitter(kLeastJoinPause.count(),
                                                 longest.count());
   fibers::SleepFor(Duration(jitter(this->random)));
@@ -80,8 +79,7 @@
   if (!stored.ok()) {
     return;
   }
-  if (stored->version == 0 &&
-      this->fleet.share_gathering_time > Duration{}) {
+  if (stored->version == 0 && this->fleet.share_gathering_time > Duration{}) {
     this->saw_no_table = true;
     this->CreateTable();
     return;
@@ -117,9 +115,8 @@
   }
   std::map<std::string, limits::ShareEntry> hosts;
   for (const auto& record : this->fleet.directory.Present()) {
-    hosts[record.host] = {.zone = record.zone,
-                          .region = record.region,
-                          .admin = record.admin};
+    hosts[record.host] = {
+        .zone = record.zone, .region = record.region, .admin = record.admin};
   }
   const auto table = limits::ShareTable::EqualShares(hosts);
   if (this->Write(table, 0)) {
@@ -133,8 +130,8 @@
 
 Duration ShareLoop::CreationDelay() const {
   const auto present = this->fleet.directory.Present();
-  const auto before = std::count_if(
-      present.begin(), present.end(), [this](const auto& record) {
+  const auto before =
+      std::count_if(present.begin(), present.end(), [this](const auto& record) {
         return record.host < this->fleet.places.host;
       });
   return this->fleet.share_gathering_time + kCreationStagger * before;
--- a/components/guard/guard.cc
+++ b/components/guard/guard.cc
@@ -76,8 +76,8 @@
     if (known.started_at > announcement.started_at) {
       return true;
     }
-    const bool same_start = id == announcement.id &&
-                            known.incarnation == announcement.incarnation;
+    const bool same_start =
+        id == announcement.id && known.incarnation == announcement.incarnation;
     if (same_start && announcement.sequence > 0 &&
         announcement.sequence <= known.sequence) {
       return true;
@@ -125,9 +125,8 @@
   const auto* service = current->FindService(announcement.service);
   const int configured = service == nullptr ? kDefaultSlots : service->slots;
   const bool bounded = service != nullptr && !announcement.tells_warm_up;
-  const int slots =
-      announcement.slots <= 0 ? configured
-      : bounded               ? std::min(announcement.slots, configured)
+  const int slots = announcement.slots <= 0 ? configured
+                    : bounded ? std::min(announcement.slots, configured)
                               : announcement.slots;
   GuardedUpstream& upstream = this->upstreams[announcement.id];
   upstream.announcement = announcement;
@@ -178,10 +177,9 @@
     return once::RefusalReason::kNone;
   }
   const bool looks_unwell = upstream.judge.LooksUnwell(now);
-  const bool keep_away =
-      request.careful
-          ? looks_unwell || upstream.judge.IsInDoubt(now)
-          : looks_unwell && upstream.judge.HasUndecided(now);
+  const bool keep_away = request.careful
+                             ? looks_unwell || upstream.judge.IsInDoubt(now)
+                             : looks_unwell && upstream.judge.HasUndecided(now);
   if (keep_away) {
     return once::RefusalReason::kLooksUnwell;
   }
@@ -235,11 +233,10 @@
   }
   const auto upstream = this->upstreams.find(found->second.upstream);
   if (upstream != this->upstreams.end()) {
-    this->waiters.Dispatch(
-        upstream->second.gate->Finish(found->second.ticket,
-                                      admission::RunEnd::kCancelled,
-                                      MonotonicNow()),
-        wakes);
+    this->waiters.Dispatch(upstream->second.gate->Finish(
+                               found->second.ticket,
+                               admission::RunEnd::kCancelled, MonotonicNow()),
+                           wakes);
   }
   this->reservations.erase(found);
 }
--- a/components/guard/guarded_upstream.cc
+++ b/components/guard/guarded_upstream.cc
@@ -19,9 +19,8 @@
           .slots = std::max(1, upstream.announcement.slots),
           .limit = report.limit,
           .latency = report.latency,
-          .error_share = upstream.announcement.tells_warm_up
-                             ? 0
-                             : report.error_share,
+          .error_share =
+              upstream.announcement.tells_warm_up ? 0 : report.error_share,
           .finished = report.finished};
 }
 
--- a/components/guard/upstream_call.cc
+++ b/components/guard/upstream_call.cc
@@ -35,12 +35,12 @@
                    Duration left,
                    const CancellationPtr& cancellation) {
   const Dialect& dialect = *target.dialect;
-  http::Call call{.server = target.endpoint,
-                  .request = request.request,
-                  .timeout = std::max(left, Duration(1)),
-                  .longest_idle = request.idempotent ? kLongestIdle
-                                                     : kLongestIdleForOnce,
-                  .cancellation = cancellation};
+  http::Call call{
+      .server = target.endpoint,
+      .request = request.request,
+      .timeout = std::max(left, Duration(1)),
+      .longest_idle = request.idempotent ? kLongestIdle : kLongestIdleForOnce,
+      .cancellation = cancellation};
   http::Headers& headers = call.request.headers;
   if (http::Find(headers, dialect.request_id).empty()) {
     AddHeader(headers, dialect.request_id, request.request_id);
@@ -69,8 +69,9 @@
     return once::NotRun{.reason = once::RefusalReason::kMisdirected};
   }
   if (HasHeader(response, "Content-Encoding")) {
-    return once::Unknown{.detail = "the answer came in an encoding that "
-                                   "nobody asked for"};
+    return once::Unknown{.detail =
+                             "the answer came in an encoding that "
+                             "nobody asked for"};
   }
   return once::Ran{.response = std::move(response)};
 }
--- a/components/health/upstream_judge.cc
+++ b/components/health/upstream_judge.cc
@@ -36,8 +36,8 @@
       {.request = request,
        .started = now,
        .objective = objective,
-       .overdue = timed ? now + PartOf(objective, kOverduePart)
-                        : Instant::max()});
+       .overdue =
+           timed ? now + PartOf(objective, kOverduePart) : Instant::max()});
   while (this->requests.size() > kMostKept) {
     this->requests.pop_front();
   }
--- a/components/http/client.cc
+++ b/components/http/client.cc
@@ -92,8 +92,8 @@
     return kMaxIdleTime;
   }
   const std::string number = told.substr(start + kTimeout.size());
-  if (!absl::SimpleAtoi(number.substr(0, number.find_first_not_of("0123456789")),
-                        &seconds)) {
+  if (!absl::SimpleAtoi(
+          number.substr(0, number.find_first_not_of("0123456789")), &seconds)) {
     return kMaxIdleTime;
   }
   return std::clamp<Duration>(std::chrono::seconds(seconds) - kIdleMargin,
@@ -194,19 +194,20 @@
   if (call.cancellation == nullptr) {
     return;
   }
-  call.cancellation->OnCancel([io = fibers::CurrentIo(),
-                               weak = std::weak_ptr(connection)] {
-    boost::asio::post(*io, [weak] {
-      if (const auto open = weak.lock()) {
-        open->stream.close();
-      }
-    });
-  });
+  call.cancellation->OnCancel(
+      [io = fibers::CurrentIo(), weak = std::weak_ptr(connection)] {
+        boost::asio::post(*io, [weak] {
+          if (const auto open = weak.lock()) {
+            open->stream.close();
+          }
+        });
+      });
 }
 
 std::shared_ptr<Connection> Open(const Call& call, beast::error_code& ec) {
-  auto connection = call.reuse_connection ? TakeIdle(call.server, call.longest_idle)
-                                         : nullptr;
+  auto connection = call.reuse_connection
+                        ? TakeIdle(call.server, call.longest_idle)
+                        : nullptr;
   if (connection == nullptr) {
     connection = std::make_shared<Connection>(*fibers::CurrentIo());
     ec = Connect(call, *connection);
--- a/components/http/request_check.cc
+++ b/components/http/request_check.cc
@@ -27,8 +27,8 @@
   }
   if (encodings == 1) {
     const auto value = fields[field::transfer_encoding];
-    if (!absl::EqualsIgnoreCase(
-            absl::string_view(value.data(), value.size()), "chunked")) {
+    if (!absl::EqualsIgnoreCase(absl::string_view(value.data(), value.size()),
+                                "chunked")) {
       return false;
     }
   }
--- a/components/http/server.cc
+++ b/components/http/server.cc
@@ -86,15 +86,26 @@
 
   /// Reads requests until the connection ends.
   void Read() {
-    while (!this->ending && this->ReadOne()) {
+    After after = After::kReadOn;
+    while (after == After::kReadOn) {
+      after = this->ReadOne();
+    }
+    if (after == After::kWatch) {
+      this->Drain();
     }
-    this->Drain();
     for (const auto& pending : this->queue) {
       pending->cancellation->Cancel();
     }
   }
 
  private:
+  /// What follows when a read has ended.
+  enum class After {
+    kReadOn,
+    kWatch,  ///< Take no further request, but see when the client goes away.
+    kStop,
+  };
+
   struct Pending {
     CancellationPtr cancellation = std::make_shared<Cancellation>();
     Response response;
@@ -104,7 +115,10 @@
     bool ready = false;
   };
 
-  bool ReadOne() {
+  After ReadOne() {
+    if (this->ending) {
+      return After::kWatch;
+    }
     const ServerLimits limits = this->server->Limits();
     Parser parser;
     parser.header_limit(static_cast<uint32_t>(limits.header_bytes));
@@ -113,33 +127,34 @@
     const auto read = fibers::Await([&](auto handler) {
       beast::http::async_read(this->stream, this->buffer, parser, handler);
     });
-    if (this->ending) {
-      return false;
-    }
     if (read.error) {
       return this->EndReading(parser, read.error);
     }
+    if (this->ending) {
+      return After::kWatch;
+    }
     if (!IsUnambiguous(parser.get(), parser.get().version())) {
       this->Reject(kBadRequest);
-      return false;
+      return After::kWatch;
     }
     this->WaitForTurn(parser.get().method());
     if (this->ending) {
-      return false;
+      return After::kWatch;
     }
-    return this->Begin(parser);
+    return this->Begin(parser) ? After::kReadOn : After::kWatch;
   }
 
-  bool EndReading(const Parser& parser, const beast::error_code& error) {
+  After EndReading(const Parser& parser, const beast::error_code& error) {
     const bool gone = error == beast::http::error::end_of_stream ||
                       error == asio::error::operation_aborted ||
                       error.category() == asio::error::get_system_category() ||
                       error == asio::error::eof ||
                       error == beast::http::error::partial_message;
-    if (!gone && parser.got_some()) {
-      this->Reject(StatusFor(error));
+    if (gone || !parser.got_some()) {
+      return After::kStop;
     }
-    return false;
+    this->Reject(StatusFor(error));
+    return After::kWatch;
   }
 
   // Only requests that change nothing run beside others of their connection:
@@ -165,8 +180,7 @@
                     .body = std::move(message.body())};
     boost::fibers::fiber([self = this->shared_from_this(), pending,
                           request = std::move(request)] {
-      pending->response =
-          self->server->handler(request, pending->cancellation);
+      pending->response = self->server->handler(request, pending->cancellation);
       pending->ready = true;
       self->Flush();
     }).detach();
@@ -192,9 +206,8 @@
       const auto next = this->queue.front();
       const bool last = !next->keep_alive ||
                         (this->server->stopping && this->queue.size() == 1);
-      const bool written =
-          next->response.status != kCloseWithoutAnswer &&
-          !this->broken && this->Write(*next, !last);
+      const bool written = next->response.status != kCloseWithoutAnswer &&
+                           !this->broken && this->Write(*next, !last);
       this->queue.pop_front();
       --this->server->in_flight;
       if (!written) {
@@ -252,7 +265,7 @@
     }
   }
 
-  // Reads on to learn when the client goes away.
+  // What is read here is thrown away: it stands behind the last answer.
   void Drain() {
     while (!this->broken) {
       this->buffer.consume(this->buffer.size());
@@ -337,9 +350,10 @@
     : Server(workers,
              std::move(options),
              CancellableHandler(
-                 [handler = std::move(handler)](
-                     const Request& request,
-                     const CancellationPtr&) { return handler(request); })) {}
+                 [handler = std::move(handler)](const Request& request,
+                                                const CancellationPtr&) {
+                   return handler(request);
+                 })) {}
 
 Server::Server(fibers::WorkerPool& workers,
                Options options,
--- a/components/ingress/caller_answer.cc
+++ b/components/ingress/caller_answer.cc
@@ -49,23 +49,21 @@
   }
 
   http::Response operator()(const once::NotRun& refusal) const {
-    return AnswerFor(Problem{
-        .status = kUnavailable,
-        .reason = once::ToText(refusal.reason),
-        .request_id = this->name.request_id,
-        .request_id_header = this->name.request_id_header,
-        .retry_after = RetryAfterFor(refusal)});
+    return AnswerFor(Problem{.status = kUnavailable,
+                             .reason = once::ToText(refusal.reason),
+                             .request_id = this->name.request_id,
+                             .request_id_header = this->name.request_id_header,
+                             .retry_after = RetryAfterFor(refusal)});
   }
 
   http::Response operator()(const once::Unknown& unknown) const {
-    return AnswerFor(
-        Problem{.status = unknown.upstream_broke ? kBadGateway
-                                                 : kGatewayTimeout,
-                .outcome = "unknown",
-                .reason = unknown.detail,
-                .request_id = this->name.request_id,
-                .request_id_header = this->name.request_id_header,
-                .retry_after = kDefaultRetryAfter});
+    return AnswerFor(Problem{
+        .status = unknown.upstream_broke ? kBadGateway : kGatewayTimeout,
+        .outcome = "unknown",
+        .reason = unknown.detail,
+        .request_id = this->name.request_id,
+        .request_id_header = this->name.request_id_header,
+        .retry_after = kDefaultRetryAfter});
   }
 
  private:
@@ -91,14 +89,12 @@
       {.name = problem.request_id_header, .value = problem.request_id});
   if (problem.retry_after > Duration{}) {
     response.headers.push_back(
-        {.name = "Retry-After",
-         .value = SecondsText(problem.retry_after)});
+        {.name = "Retry-After", .value = SecondsText(problem.retry_after)});
   }
   return response;
 }
 
-http::Response AnswerFor(const once::Outcome& outcome,
-                         const AnswerName& name) {
+http::Response AnswerFor(const once::Outcome& outcome, const AnswerName& name) {
   return std::visit(OutcomeAnswer(name), outcome);
 }
 
--- a/components/ingress/fleet_board.cc
+++ b/components/ingress/fleet_board.cc
@@ -193,8 +193,8 @@
   if (service == this->services.end()) {
     return std::nullopt;
   }
-  const auto chosen =
-      this->chooser.Choose(this->Candidates(service->second, now), tried, reach);
+  const auto chosen = this->chooser.Choose(
+      this->Candidates(service->second, now), tried, reach);
   if (!chosen.has_value()) {
     return std::nullopt;
   }
@@ -225,7 +225,8 @@
   for (balancing::Candidate& candidate : candidates) {
     candidate.view.path_open = true;
   }
-  const auto chosen = this->chooser.Choose(candidates, {}, balancing::Reach::kAnyZone);
+  const auto chosen =
+      this->chooser.Choose(candidates, {}, balancing::Reach::kAnyZone);
   if (!chosen.has_value()) {
     return std::nullopt;
   }
--- a/components/ingress/ingress.cc
+++ b/components/ingress/ingress.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "components/base/hash.h"
+#include "components/fibers/worker_pool.h"
 #include "components/ingress/request_run.h"
 #include "components/logging/log.h"
 
@@ -23,6 +24,10 @@
 constexpr Duration kSoon{std::chrono::seconds(1)};
 /// The shortest time after which a caller over its rate should come back.
 constexpr Duration kLeastOverRate{std::chrono::milliseconds(200)};
+/// An organisation inside its rate may find its bucket empty for a moment after
+/// a burst; waiting that out costs less than coming back.
+constexpr int kPermitTries = 2;
+constexpr Duration kLongestPermitWait{std::chrono::milliseconds(120)};
 constexpr int64_t kMaxDeadlineMillis = 600'000;
 
 /// Logs a step of a request that brought no answer; names and ids only, no key.
@@ -160,12 +165,12 @@
 
 Duration Ingress::TimeFor(const AdmittedRequest& admitted) const {
   int64_t millis = 0;
-  const std::string asked(http::Find(admitted.request.headers,
-                                     this->options.dialect->deadline));
+  const std::string asked(
+      http::Find(admitted.request.headers, this->options.dialect->deadline));
   if (absl::SimpleAtoi(asked, &millis) && millis > 0) {
-    return std::min<Duration>(admitted.route.deadline,
-                              std::chrono::milliseconds(
-                                  std::min(millis, kMaxDeadlineMillis)));
+    return std::min<Duration>(
+        admitted.route.deadline,
+        std::chrono::milliseconds(std::min(millis, kMaxDeadlineMillis)));
   }
   return admitted.route.deadline;
 }
@@ -175,10 +180,9 @@
 http::Headers Ingress::HeadersForUpstream(const http::Headers& headers) const {
   const Dialect& dialect = *this->options.dialect;
   http::Headers kept = http::Without(
-      headers,
-      {"Authorization", "Proxy-Authorization", "X-Api-Key", dialect.deadline,
-       dialect.organisation, dialect.expected_upstream,
-       dialect.caller_service});
+      headers, {"Authorization", "Proxy-Authorization", "X-Api-Key",
+                dialect.deadline, dialect.organisation,
+                dialect.expected_upstream, dialect.caller_service});
   std::erase_if(kept, [](const http::Header& header) {
     return absl::StartsWithIgnoreCase(header.name, "Kingcupstair-");
   });
@@ -208,9 +212,9 @@
   admitted.priority = organisation->priority.value_or(admitted.route.priority);
   const std::string_view repeat_key = http::Find(headers, "Idempotency-Key");
   if (!admitted.IsIdempotent() && !repeat_key.empty()) {
-    admitted.dedupe_key = Sha256Hex(absl::StrCat(admitted.organisation, "\n",
-                                                 admitted.service, "\n",
-                                                 std::string(repeat_key)));
+    admitted.dedupe_key =
+        Sha256Hex(absl::StrCat(admitted.organisation, "\n", admitted.service,
+                               "\n", std::string(repeat_key)));
   }
   return std::nullopt;
 }
@@ -234,11 +238,18 @@
   if (rule == nullptr || rule->unlimited) {
     return std::nullopt;
   }
-  const Instant asked = MonotonicNow();
-  const auto grant = this->options.acquire(admitted.organisation);
-  const bool in_time = MonotonicNow() - asked < grant.life;
-  if (grant.granted > 0 && in_time) {
-    return std::nullopt;
+  limits::PermitGrant grant;
+  for (int tries = 0; tries < kPermitTries; ++tries) {
+    const Instant asked = MonotonicNow();
+    grant = this->options.acquire(admitted.organisation);
+    const bool in_time = MonotonicNow() - asked < grant.life;
+    if (grant.granted > 0 && in_time) {
+      return std::nullopt;
+    }
+    if (grant.retry_after > kLongestPermitWait) {
+      break;
+    }
+    fibers::SleepFor(grant.retry_after);
   }
   return Problem{.status = kTooManyRequests,
                  .reason = "over_rate",
@@ -250,29 +261,28 @@
     const std::lock_guard lock(this->mutex);
     this->budget.OnRequest(admitted.service, this->options.hosts());
   }
-  RequestRun run(
-      {.board = this->board,
-       .runner = this->runner,
-       .may_retry =
-           [this](const std::string& service) {
-             return this->MayRetry(service);
-           },
-       .note =
-           [&admitted](const char* message, const Choice& choice,
-                       const once::Outcome& outcome) {
-             LogStep(admitted, message, choice, outcome);
-           },
-       .caller_service = this->options.caller_service},
-      admitted);
+  RequestRun run({.board = this->board,
+                  .runner = this->runner,
+                  .may_retry =
+                      [this](const std::string& service) {
+                        return this->MayRetry(service);
+                      },
+                  .note =
+                      [&admitted](const char* message, const Choice& choice,
+                                  const once::Outcome& outcome) {
+                        LogStep(admitted, message, choice, outcome);
+                      },
+                  .caller_service = this->options.caller_service},
+                 admitted);
   const auto outcome = run.Execute();
   if (!outcome.has_value()) {
     this->Count(admitted, "caller_gone");
     return {.status = http::kCloseWithoutAnswer};
   }
   this->NoteOutcome(admitted, *outcome);
-  return AnswerFor(*outcome, {.request_id = admitted.request_id,
-                              .request_id_header =
-                                  this->options.dialect->request_id});
+  return AnswerFor(*outcome,
+                   {.request_id = admitted.request_id,
+                    .request_id_header = this->options.dialect->request_id});
 }
 
 void Ingress::NoteOutcome(const AdmittedRequest& admitted,
@@ -286,9 +296,8 @@
   this->recorder.Record(
       {.kind = refusal != nullptr ? "not_run" : "outcome_unknown",
        .organisation = admitted.organisation,
-       .detail = refusal != nullptr
-                     ? once::ToText(refusal->reason)
-                     : std::get<once::Unknown>(outcome).detail});
+       .detail = refusal != nullptr ? once::ToText(refusal->reason)
+                                    : std::get<once::Unknown>(outcome).detail});
 }
 
 bool Ingress::MayRetry(const std::string& service) {
--- a/components/ingress/request_run.cc
+++ b/components/ingress/request_run.cc
@@ -41,8 +41,7 @@
 /// the sense of the budget.
 bool Arrived(const once::Outcome& outcome) {
   const auto* refusal = std::get_if<once::NotRun>(&outcome);
-  return refusal == nullptr ||
-         refusal->reason == once::RefusalReason::kShed ||
+  return refusal == nullptr || refusal->reason == once::RefusalReason::kShed ||
          refusal->reason == once::RefusalReason::kMisdirected;
 }
 
@@ -107,8 +106,7 @@
   if (attempt == this->running.end()) {
     return false;
   }
-  this->context.note("an attempt ended", attempt->second.choice,
-                     ended.outcome);
+  this->context.note("an attempt ended", attempt->second.choice, ended.outcome);
   this->running.erase(attempt);
   if (IsServed(ended.outcome)) {
     this->last = std::move(ended.outcome);
@@ -202,7 +200,8 @@
   return std::nullopt;
 }
 
-std::optional<Choice> RequestRun::AskFor(const SlotStep& step, SlotSearch& search) {
+std::optional<Choice> RequestRun::AskFor(const SlotStep& step,
+                                         SlotSearch& search) {
   const auto choice = this->ChooseNext(step, search);
   if (!choice.has_value()) {
     search.OnNoChoice();
@@ -220,11 +219,10 @@
                   this->admitted.route.attempts == 1,
        .last_resort = step.kind == SlotStep::Kind::kLastResort,
        .objective = this->admitted.route.objective,
-       .most_in_flight =
-           step.kind == SlotStep::Kind::kAskIdle
-               ? this->context.board.FewInFlight(this->admitted.service,
-                                                   MonotonicNow())
-               : once::kAnyInFlight,
+       .most_in_flight = step.kind == SlotStep::Kind::kAskIdle
+                             ? this->context.board.FewInFlight(
+                                   this->admitted.service, MonotonicNow())
+                             : once::kAnyInFlight,
        .max_wait = waits ? this->LongestWait() : Duration{},
        .time_left = this->TimeLeft()});
   if (answer.granted) {
@@ -253,17 +251,15 @@
   std::set<std::string> tried = this->used;
   tried.insert(search.asked_upstreams().begin(),
                search.asked_upstreams().end());
-  return this->context.board.Choose(this->admitted.service, tried,
-                                    step.any_zone
-                                        ? balancing::Reach::kAnyZone
-                                        : balancing::Reach::kOwnZone,
-                                    now);
+  return this->context.board.Choose(
+      this->admitted.service, tried,
+      step.any_zone ? balancing::Reach::kAnyZone : balancing::Reach::kOwnZone,
+      now);
 }
 
 Duration RequestRun::LongestWait() const {
-  const Instant latest =
-      this->admitted.arrived +
-      PartOf(this->admitted.route.objective, kWaitPart);
+  const Instant latest = this->admitted.arrived +
+                         PartOf(this->admitted.route.objective, kWaitPart);
   return std::max(latest - MonotonicNow(), kLeastWait);
 }
 
@@ -277,9 +273,9 @@
 void RequestRun::CancelAttempts() {
   for (const auto& [id, attempt] : this->running) {
     boost::fibers::fiber([&runner = this->context.runner,
-                          choice = attempt.choice,
-                          id = id] { runner.Cancel(choice, id); })
-        .detach();
+                          choice = attempt.choice, id = id] {
+      runner.Cancel(choice, id);
+    }).detach();
   }
   this->running.clear();
 }
--- a/components/ingress/slot_search.cc
+++ b/components/ingress/slot_search.cc
@@ -30,10 +30,9 @@
     return {};
   }
   if (!this->busy.empty()) {
-    return this->options.may_wait
-               ? SlotStep{.kind = SlotStep::Kind::kWait,
-                          .choice = LeastOf(this->busy)}
-               : SlotStep{};
+    return this->options.may_wait ? SlotStep{.kind = SlotStep::Kind::kWait,
+                                             .choice = LeastOf(this->busy)}
+                                  : SlotStep{};
   }
   // While sound upstreams are merely busy, the unwell ones are left alone.
   if (!this->unwell.empty() && this->options.may_use_unwell) {
--- a/components/ingress/slot_search.h
+++ b/components/ingress/slot_search.h
@@ -31,12 +31,12 @@
 };
 
 /// Decides how one request looks for a slot: at upstreams no busier than usual
-/// first, then at the least busy of those, then at any with a free slot, the own
-/// availability zone's before others, then in the shortest queue seen, then at
-/// upstreams that look unwell. Answers the load pattern of many ingresses with
-/// few requests each: none of them knows how busy upstreams are now, but each
-/// guard knows it exactly and costs one round trip; and an upstream that hangs
-/// shows first by being busier than others.
+/// first, then at the least busy of those, then at any with a free slot, the
+/// own availability zone's before others, then in the shortest queue seen, then
+/// at upstreams that look unwell. Answers the load pattern of many ingresses
+/// with few requests each: none of them knows how busy upstreams are now, but
+/// each guard knows it exactly and costs one round trip; and an upstream that
+/// hangs shows first by being busier than others.
 class SlotSearch {
  public:
   struct Options {
--- a/components/limits/rate_pool.cc
+++ b/components/limits/rate_pool.cc
@@ -9,7 +9,7 @@
 /// A permit holds for at most this part of the time in which a full bucket
 /// fills, so that permits in flight never take up most of a small burst.
 constexpr double kPermitPartOfFillTime = 0.25;
-constexpr Duration kRetryWithoutLoan{std::chrono::seconds(1)};
+constexpr Duration kRetryWithoutLoan{std::chrono::milliseconds(250)};
 
 Duration PermitLife(const RateLimit& limit) {
   if (limit.rate <= 0) {
--- a/components/rpc/peer_clients.cc
+++ b/components/rpc/peer_clients.cc
@@ -80,8 +80,8 @@
                         .incarnation = this->options.incarnation,
                         .link = link->number};
   auto enter = [weak = std::weak_ptr(slot), caller,
-                key = this->options.fleet_key](
-                   kj::Own<kj::AsyncIoStream> stream)
+                key =
+                    this->options.fleet_key](kj::Own<kj::AsyncIoStream> stream)
       -> kj::Promise<wire::Peer::Client> {
     const auto link = weak.lock();
     if (link == nullptr) {
@@ -274,7 +274,7 @@
     const std::string& organisation,
     int wanted,
     bool relay,
-                                                       Duration timeout) {
+    Duration timeout) {
   return this->Call<limits::PermitGrant>(
       host, "acquire", timeout,
       [organisation, wanted, relay](wire::Peer::Client& peer) {
--- a/components/store/client.cc
+++ b/components/store/client.cc
@@ -17,11 +17,11 @@
 absl::StatusOr<http::Response> Client::Call(const char* step,
                                             const http::Request& request,
                                             Duration timeout) const {
-  http::Result result = http::Exchange({.server = this->options.server,
-                                        .request = request,
-                                        .timeout = timeout,
-                                        .reuse_connection =
-                                            request.method == "GET"});
+  http::Result result =
+      http::Exchange({.server = this->options.server,
+                      .request = request,
+                      .timeout = timeout,
+                      .reuse_connection = request.method == "GET"});
   if (!result.ok()) {
     return ErrorAt(result.failure.status.code(),
                    {.step = step, .peer = ToText(this->options.server)},
@@ -53,12 +53,11 @@
   Listing all;
   std::string after;
   do {
-    const auto response =
-        this->Call("list",
-                   this->options.protocol.list({.prefix = prefix,
-                                                .after = after,
-                                                .may_be_stale = may_be_stale}),
-                   this->options.timeout);
+    const auto response = this->Call(
+        "list",
+        this->options.protocol.list(
+            {.prefix = prefix, .after = after, .may_be_stale = may_be_stale}),
+        this->options.timeout);
     if (!response.ok()) {
       return response.status();
     }
@@ -79,9 +78,8 @@
 }
 
 absl::StatusOr<Changes> Client::WatchPrefix(const WatchCall& call) const {
-  const auto response =
-      this->Call("watch", this->options.protocol.watch(call),
-                 call.wait + this->options.timeout);
+  const auto response = this->Call("watch", this->options.protocol.watch(call),
+                                   call.wait + this->options.timeout);
   return response.ok() ? this->options.protocol.read_changes(*response)
                        : response.status();
 }
--- a/components/store/own_protocol.cc
+++ b/components/store/own_protocol.cc
@@ -20,9 +20,8 @@
 }
 
 http::Request EncodePut(const PutCall& call) {
-  http::Request request{.method = "PUT",
-                        .target = TargetOf(call.key),
-                        .body = call.value};
+  http::Request request{
+      .method = "PUT", .target = TargetOf(call.key), .body = call.value};
   if (call.expected.has_value()) {
     request.headers.push_back(
         {.name = kExpectHeader, .value = absl::StrCat(*call.expected)});
@@ -36,8 +35,7 @@
   }
   Entry entry{.value = response.body};
   const std::string version(http::Find(response.headers, kVersionHeader));
-  if (response.status != kOk ||
-      !absl::SimpleAtoi(version, &entry.version)) {
+  if (response.status != kOk || !absl::SimpleAtoi(version, &entry.version)) {
     return Unexpected(response.status);
   }
   return entry;
@@ -56,25 +54,24 @@
 }  // namespace
 
 Protocol OwnProtocol() {
-  return {.get =
-              [](const std::string& key) {
-                return http::Request{.target = TargetOf(key)};
-              },
-          .put = EncodePut,
-          .remove =
-              [](const std::string& key) {
-                return http::Request{.method = "DELETE",
-                                     .target = TargetOf(key)};
-              },
-          .watch_key =
-              [](const std::string& key, uint64_t after, Duration wait) {
-                return http::Request{
-                    .target = absl::StrCat(TargetOf(key), "?after=", after,
-                                           "&wait_ms=",
-                                           ToMillisRoundedUp(wait))};
-              },
-          .read_entry = ReadEntry,
-          .read_put = ReadPut};
+  return {
+      .get =
+          [](const std::string& key) {
+            return http::Request{.target = TargetOf(key)};
+          },
+      .put = EncodePut,
+      .remove =
+          [](const std::string& key) {
+            return http::Request{.method = "DELETE", .target = TargetOf(key)};
+          },
+      .watch_key =
+          [](const std::string& key, uint64_t after, Duration wait) {
+            return http::Request{
+                .target = absl::StrCat(TargetOf(key), "?after=", after,
+                                       "&wait_ms=", ToMillisRoundedUp(wait))};
+          },
+      .read_entry = ReadEntry,
+      .read_put = ReadPut};
 }
 
 }  // namespace kingcupstair::store
--- a/components/store/protocol.h
+++ b/components/store/protocol.h
@@ -92,9 +92,8 @@
   std::function<http::Request(const PutCall& call)> put;
   std::function<http::Request(const std::string& key)> remove;
   /// Waits for a key to rise above a version.
-  std::function<http::Request(const std::string& key,
-                              uint64_t after,
-                              Duration wait)>
+  std::function<
+      http::Request(const std::string& key, uint64_t after, Duration wait)>
       watch_key;
   std::function<http::Request(const ListCall& call)> list;
   std::function<http::Request(const WatchCall& call)> watch;
--- a/tests/config/configuration_test.cc
+++ b/tests/config/configuration_test.cc
@@ -38,8 +38,10 @@
 
 TEST(Configuration, FindsRoutesByTheLongestPrefixOfWholeSegments) {
   const Configuration config = Sound(Rules());
-  CHECK(config.FindRoute("any.example", "GET", "/lote/7?x=1")->access == Access::kKeyed);
-  CHECK(config.FindRoute("any.example", "GET", "/lote/open/7")->access == Access::kOpen);
+  CHECK(config.FindRoute("any.example", "GET", "/lote/7?x=1")->access ==
+        Access::kKeyed);
+  CHECK(config.FindRoute("any.example", "GET", "/lote/open/7")->access ==
+        Access::kOpen);
   CHECK(config.FindRoute("any.example", "GET", "/lotes") == nullptr);
   CHECK(config.FindRoute("any.example", "POST", "/lote") == nullptr);
 }
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -59,8 +59,7 @@
 }
 
 TEST(HttpClient, AnAnswerWithoutItsLengthThatIsResetIsNoAnswer) {
-  RawServer server(
-      {{.text = "HTTP/1.1 200 OK\r\n\r\nhello", .reset = true}});
+  RawServer server({{.text = "HTTP/1.1 200 OK\r\n\r\nhello", .reset = true}});
   CHECK_FALSE(Ask(server.Address()).ok());
 }
 
--- a/tests/scenario/stage.cc
+++ b/tests/scenario/stage.cc
@@ -115,8 +115,8 @@
               .ingress = pick(this->random),
               .deadline = this->clock.Now() + this->options.deadline});
   ++this->tallies[organisation.name].in_rate;
-  this->ingresses[static_cast<size_t>(request->ingress)]
-      .budget.OnRequest("", 1);
+  this->ingresses[static_cast<size_t>(request->ingress)].budget.OnRequest("",
+                                                                          1);
   this->Attempt(request);
 }
 
@@ -126,9 +126,8 @@
   if (this->options.baseline_judgement) {
     return ingress.baseline->Choose(request.tried, now);
   }
-  const auto choice =
-      ingress.board->Choose(request.service, request.tried,
-                            balancing::Reach::kAnyZone, now);
+  const auto choice = ingress.board->Choose(request.service, request.tried,
+                                            balancing::Reach::kAnyZone, now);
   return choice.has_value() ? std::optional(choice->upstream) : std::nullopt;
 }
 
@@ -217,15 +216,15 @@
   Guarded& guarded = *this->upstreams.at(id);
   const auto report = guarded.gate.Report(now);
   ingress.board->OnStanding({.outcome = outcome,
-                           .report = {.id = id,
-                                      .service = request->service,
-                                      .limit = report.limit,
-                                      .latency = report.latency,
-                                      .error_share = report.error_share,
-                                      .finished = report.finished},
-                           .in_flight = report.in_flight,
-                           .queued = report.queued},
-                          now);
+                             .report = {.id = id,
+                                        .service = request->service,
+                                        .limit = report.limit,
+                                        .latency = report.latency,
+                                        .error_share = report.error_share,
+                                        .finished = report.finished},
+                             .in_flight = report.in_flight,
+                             .queued = report.queued},
+                            now);
   const auto* ran = std::get_if<once::Ran>(&outcome);
   const bool well = ran != nullptr && ran->response.status == 200;
   if (!std::holds_alternative<once::NotRun>(outcome) &&
