--- a/tests/config/configuration_test.cc
+++ b/tests/config/configuration_test.cc
@@ -46,6 +46,44 @@
   CHECK(config.FindRoute("any.example", "POST", "/lote") == nullptr);
 }
 
+// A path without a slash once kept the search from ending.
+TEST(Configuration, APathThatIsNoPathHasNoRoute) {
+  const Configuration config = Sound(Rules());
+  for (const char* path : {"", "a:80", "http:", "*", "?x", "lote"}) {
+    CHECK(config.FindRoute("any.example", "GET", path) == nullptr);
+  }
+}
+
+TEST(Configuration, RoutesOfAHostGoBeforeThoseOfAnyHost) {
+  const Configuration config = Sound(
+      "service a # asked by: R\nservice b # asked by: R\n"
+      "route ANY /x service a # asked by: R\n"
+      "route ANY / host b.example service b # asked by: R\n");
+  const auto service_at = [&](const char* host) {
+    return config.FindRoute(host, "GET", "/x/1")->parts[0].service;
+  };
+  STRCMP_EQUAL("a", service_at("other.example").c_str());
+  STRCMP_EQUAL("b", service_at("b.example").c_str());
+}
+
+TEST(Configuration, APrefixWithALastSlashCoversOnlyWhatLiesBelow) {
+  const Configuration config = Sound(
+      "service a # asked by: R\n"
+      "route GET /x/ service a # asked by: R\n");
+  CHECK(config.FindRoute("h", "GET", "/x/1") != nullptr);
+  CHECK(config.FindRoute("h", "GET", "/x/") != nullptr);
+  CHECK(config.FindRoute("h", "GET", "/x") == nullptr);
+}
+
+TEST(Configuration, ARouteMayBeSplitByWeight) {
+  const Configuration config = Sound(
+      "service a # asked by: R\nservice b # asked by: R\n"
+      "route GET /x split a 90 split b 10 # asked by: R\n");
+  LONGS_EQUAL(2, config.FindRoute("h", "GET", "/x")->parts.size());
+  STRCMP_EQUAL("line 1, column 1: no service 'a'",
+               FirstFault("route GET /x split a 1 # asked by: R\n").c_str());
+}
+
 TEST(Configuration, FindsTheOrganisationByTheDigestOfItsKey) {
   const Configuration config = Sound(Rules());
   STRCMP_EQUAL("growers",
--- /dev/null
+++ b/tests/http/server_test.cc
@@ -0,0 +1,196 @@
+#include "components/http/server.h"
+
+#include <CppUTest/TestHarness.h>
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <string>
+
+#include "components/fibers/worker_pool.h"
+#include "tests/support/times.h"
+
+namespace kingcupstair::http {
+namespace {
+
+fibers::WorkerPool& Workers() {
+  static auto* workers = new fibers::WorkerPool(1);
+  return *workers;
+}
+
+/// A client that sends bytes as they are.
+class RawClient {
+ public:
+  explicit RawClient(const Endpoint& server)
+      : connection(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(server.port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const timeval timeout{.tv_sec = 2};
+    setsockopt(this->connection, SOL_SOCKET, SO_RCVTIMEO, &timeout,
+               sizeof(timeout));
+    CHECK(connect(this->connection, reinterpret_cast<sockaddr*>(&address),
+                  sizeof(address)) == 0);
+  }
+  ~RawClient() { close(this->connection); }
+
+  void Send(const std::string& bytes) const {
+    send(this->connection, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+  }
+
+  /// Reads until `end` has come or the server closes or is silent.
+  std::string ReadUntil(const std::string& end) const {
+    std::string text;
+    char buffer[4096];
+    while (text.find(end) == std::string::npos) {
+      const auto got = recv(this->connection, buffer, sizeof(buffer), 0);
+      if (got <= 0) {
+        break;
+      }
+      text.append(buffer, static_cast<size_t>(got));
+    }
+    return text;
+  }
+
+ private:
+  int connection;
+};
+
+/// A server whose requests for /slow take a while and whose answers are the
+/// paths asked for.
+struct TestServer {
+  TestServer()
+      : address{.address = "127.0.0.1", .port = FreePort()},
+        server(Workers(),
+               {.listen = this->address,
+                .limits =
+                    [] {
+                      return ServerLimits{.header_bytes = 1000,
+                                          .body_bytes = 100,
+                                          .idle_timeout = Millis(300)};
+                    }},
+               CancellableHandler([this](const Request& request,
+                                         const CancellationPtr& caller) {
+                 return this->Handle(request, caller);
+               })) {
+    CHECK(this->server.Start().ok());
+  }
+
+  static uint16_t FreePort() {
+    static uint16_t next = static_cast<uint16_t>(20'000 + getpid() % 10'000);
+    return next++;
+  }
+
+  Response Handle(const Request& request, const CancellationPtr& caller) {
+    ++this->handled;
+    if (request.target.rfind("/slow", 0) == 0) {
+      for (int i = 0; i < 20 && !caller->IsCancelled(); ++i) {
+        fibers::SleepFor(Millis(10));
+      }
+      this->cancelled += caller->IsCancelled() ? 1 : 0;
+    }
+    return {.body = "<" + request.target + ">"};
+  }
+
+  Endpoint address;
+  std::atomic<int> handled{0};
+  std::atomic<int> cancelled{0};
+  Server server;
+};
+
+std::string Get(const std::string& target) {
+  return "GET " + target + " HTTP/1.1\r\nHost: a\r\n\r\n";
+}
+
+TEST_GROUP(HttpServer) {
+  /// The server's port stays open to the end of the process.
+  TestServer& server = *new TestServer;
+};
+
+TEST(HttpServer, PipelinedAnswersComeInTheOrderOfTheRequests) {
+  const RawClient client(this->server.address);
+  client.Send(Get("/slow") + Get("/fast"));
+  const std::string text = client.ReadUntil("</fast>");
+  CHECK(text.find("</slow>") < text.find("</fast>"));
+}
+
+// Two readings of where a body ends let one program take as body what another
+// takes as the next request.
+TEST(HttpServer, ABodyWhoseEndIsInDoubtIsRefused) {
+  const char* headers[] = {
+      "Transfer-Encoding: chunked, identity\r\n",
+      "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n",
+      "Transfer-Encoding: identity\r\n",
+      "Content-Length: 5\r\nContent-Length: 6\r\n",
+  };
+  for (const char* header : headers) {
+    const RawClient client(this->server.address);
+    client.Send(std::string("POST /a HTTP/1.1\r\nHost: a\r\n") + header +
+                "\r\n0\r\n\r\n" + Get("/smuggled"));
+    const std::string text = client.ReadUntil("</smuggled>");
+    CHECK(text.rfind("HTTP/1.1 400", 0) == 0);
+    CHECK(text.find("smuggled") == std::string::npos);
+  }
+  LONGS_EQUAL(0, this->server.handled);
+}
+
+TEST(HttpServer, ARequestNamesOneHostAndOneCredential) {
+  for (const char* headers :
+       {"", "Host: a\r\nHost: b\r\n",
+        "Host: a\r\nAuthorization: Token x\r\nAuthorization: Token y\r\n"}) {
+    const RawClient client(this->server.address);
+    client.Send(std::string("GET / HTTP/1.1\r\n") + headers + "\r\n");
+    CHECK(client.ReadUntil("{}").rfind("HTTP/1.1 400", 0) == 0);
+  }
+}
+
+TEST(HttpServer, WhatIsOverTheLimitsIsRefusedWithItsStatus) {
+  const RawClient large_header(this->server.address);
+  large_header.Send(
+      "GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(2000, 'x') + "\r\n\r\n");
+  CHECK(large_header.ReadUntil("{}").rfind("HTTP/1.1 431", 0) == 0);
+  const RawClient large_body(this->server.address);
+  large_body.Send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 200\r\n\r\n" +
+                  std::string(200, 'x'));
+  CHECK(large_body.ReadUntil("{}").rfind("HTTP/1.1 413", 0) == 0);
+}
+
+TEST(HttpServer, AHandlerHearsThatItsClientWentAway) {
+  {
+    const RawClient client(this->server.address);
+    client.Send(Get("/slow"));
+    usleep(50'000);
+  }
+  for (int i = 0; i < 50 && this->server.cancelled == 0; ++i) {
+    usleep(10'000);
+  }
+  LONGS_EQUAL(1, this->server.cancelled);
+}
+
+TEST(HttpServer, AClientThatClosesAfterTheNextAnswerIsHeardToo) {
+  {
+    const RawClient client(this->server.address);
+    client.Send("GET /slow HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    usleep(50'000);
+  }
+  for (int i = 0; i < 50 && this->server.cancelled == 0; ++i) {
+    usleep(10'000);
+  }
+  LONGS_EQUAL(1, this->server.cancelled);
+}
+
+TEST(HttpServer, AnIdleConnectionIsClosedAndSwallowsNothing) {
+  const RawClient client(this->server.address);
+  client.Send(Get("/a"));
+  client.ReadUntil("</a>");
+  usleep(600'000);
+  client.Send(Get("/b"));
+  STRCMP_EQUAL("", client.ReadUntil("</b>").c_str());
+  LONGS_EQUAL(1, this->server.handled);
+}
+
+}  // namespace
+}  // namespace kingcupstair::http
--- /dev/null
+++ b/tests/platform/operator_records_test.cc
@@ -0,0 +1,90 @@
+#include "platform/operator_records.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "components/base/hash.h"
+#include "components/config/configuration.h"
+
+namespace kingcupstair::platform {
+namespace {
+
+constexpr char kRecord[] = R"({"version":7,"resources":[
+  {"resourceType":"routes","metadata":{"name":"r-1"},"spec":{
+    "host":"Site.example","prefix":"/orders/","routeType":"non_idempotent",
+    "timeout":"2500ms","targetLatency":"1.2s","priority":1,"service":"lote",
+    "maxAttempts":2,"anonymous":false}},
+  {"resourceType":"routes","metadata":{"name":"r-2"},"spec":{
+    "host":"site.example","prefix":"/status/","routeType":"idempotent",
+    "timeout":"2s","targetLatency":"1200ms","priority":2,"maxAttempts":2,
+    "trafficSplit":[{"service":"lote","weight":90},
+                    {"service":"humedad","weight":10}],"anonymous":true}},
+  {"resourceType":"services","metadata":{"name":"lote"},"spec":{
+    "healthPath":"/health","maxConnections":390,"warmup":"3s",
+    "warmupPerS":27.0}},
+  {"resourceType":"services","metadata":{"name":"humedad"},"spec":{}},
+  {"resourceType":"tenants","metadata":{"name":"growers"},"spec":{
+    "apiKeys":["key"],"priority":0,"ratePerS":45,"burst":30}},
+  {"resourceType":"tenants","metadata":{"name":"staff"},"spec":{
+    "apiKeys":[],"ratePerS":0}},
+  {"resourceType":"limits","metadata":{},"spec":{"maxHeaderBytes":16384,
+    "maxBodyBytes":1000,"headerTimeout":"3000ms","idleTimeout":"15000ms"}}]})";
+
+store::KeyedEntry Record(const std::string& key, const std::string& value) {
+  return {.key = key, .entry = {.value = value, .version = 1}};
+}
+
+config::Configuration Built(const std::vector<store::KeyedEntry>& records) {
+  const auto rules = RulesOf(records);
+  CHECK(rules.ok());
+  auto built = config::Configuration::Build(1, *rules);
+  CHECK(std::holds_alternative<config::Configuration>(built));
+  return std::get<config::Configuration>(std::move(built));
+}
+
+TEST_GROUP(OperatorRecords){};
+
+TEST(OperatorRecords, RoutesKeepWhatTheOperatorSaid) {
+  const auto config = Built({Record("op/config", kRecord)});
+  const auto* order = config.FindRoute("site.example", "POST", "/orders/7");
+  CHECK(order != nullptr);
+  CHECK(order->repeat == config::Repeat::kOnce);
+  CHECK(order->access == config::Access::kKeyed);
+  CHECK(order->deadline == std::chrono::milliseconds(2500));
+  CHECK(order->objective == std::chrono::milliseconds(1200));
+  LONGS_EQUAL(2, order->attempts);
+  const auto* status = config.FindRoute("site.example", "GET", "/status/7");
+  CHECK(status->access == config::Access::kOpen);
+  LONGS_EQUAL(2, status->parts.size());
+  DOUBLES_EQUAL(90, status->parts[0].weight, 0.01);
+}
+
+TEST(OperatorRecords, APathWithoutTheLastSlashOfAPrefixIsNotCovered) {
+  const auto config = Built({Record("op/config", kRecord)});
+  CHECK(config.FindRoute("site.example", "GET", "/status") == nullptr);
+  CHECK(config.FindRoute("other.example", "GET", "/status/7") == nullptr);
+}
+
+TEST(OperatorRecords, ARateOfZeroIsNoLimit) {
+  const auto config = Built({Record("op/config", kRecord)});
+  CHECK(config.FindOrganisation("staff")->unlimited);
+  const auto* growers = config.FindByKeyDigest(Sha256Hex("key"));
+  CHECK_FALSE(growers->unlimited);
+  DOUBLES_EQUAL(45, growers->rate, 0.01);
+  LONGS_EQUAL(0, *growers->priority);
+}
+
+TEST(OperatorRecords, AnEvacuatedZoneIsOut) {
+  const auto config =
+      Built({Record("op/config", kRecord), Record("op/evacuate/aqp-2", "{}")});
+  CHECK(config.IsZoneOut("aqp-2"));
+  CHECK_FALSE(config.IsZoneOut("aqp-1"));
+}
+
+TEST(OperatorRecords, WithoutAConfigurationThatCanBeReadThereAreNoRules) {
+  CHECK_FALSE(RulesOf({}).ok());
+  CHECK_FALSE(RulesOf({Record("op/config", "not JSON")}).ok());
+  CHECK_FALSE(RulesOf({Record("op/config", "{\"version\":1}")}).ok());
+}
+
+}  // namespace
+}  // namespace kingcupstair::platform
--- /dev/null
+++ b/tests/platform/upstream_calls_test.cc
@@ -0,0 +1,55 @@
+#include "platform/upstream_calls.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace kingcupstair::platform {
+namespace {
+
+http::Request Heartbeat(const std::string& body) {
+  return {.method = "PUT", .target = "/v1/instances/i-1", .body = body};
+}
+
+constexpr char kBody[] =
+    R"({"service":"lote","address":"10.1.0.5:8403","zone":"aqp-1",)"
+    R"("version":"v1","slots":7,"state":"in_service","warmupLeft":"0ms",)"
+    R"("sequence":4,"born":1790000000000})";
+
+TEST_GROUP(UpstreamCalls){};
+
+TEST(UpstreamCalls, AHeartbeatAnnouncesTheUpstream) {
+  const auto call = ReadUpstreamCall(Heartbeat(kBody));
+  const auto& announcement = std::get<guard::Announcement>(**call);
+  STRCMP_EQUAL("i-1", announcement.id.c_str());
+  STRCMP_EQUAL("lote", announcement.service.c_str());
+  LONGS_EQUAL(7, announcement.slots);
+  LONGS_EQUAL(4, announcement.sequence);
+  CHECK(announcement.started_at == 1790000000000);
+  CHECK(announcement.tells_warm_up);
+  CHECK_FALSE(announcement.draining);
+}
+
+TEST(UpstreamCalls, WhatAnotherWriterMayHaveWrittenNamesNoUpstream) {
+  const char* bodies[] = {
+      "",
+      "[]",
+      R"({"service":"lote","address":"10.1.0.5:8403","slots":7})",
+      R"({"service":"lote","address":7,"slots":7,"state":"in_service"})",
+      R"({"service":"lote","address":"10.1.0.5:1","slots":"7",)"
+      R"("state":"in_service"})",
+      R"({"service":"lote","address":"10.1.0.5:1","slots":7,)"
+      R"("state":"asleep"})",
+  };
+  for (const char* body : bodies) {
+    CHECK_FALSE(ReadUpstreamCall(Heartbeat(body))->ok());
+  }
+}
+
+TEST(UpstreamCalls, ADeletionIsADeparture) {
+  const auto call =
+      ReadUpstreamCall({.method = "DELETE", .target = "/v1/instances/i-1"});
+  STRCMP_EQUAL("i-1", std::get<site::Departure>(**call).id.c_str());
+  CHECK_FALSE(ReadUpstreamCall({.target = "/metrics"}).has_value());
+}
+
+}  // namespace
+}  // namespace kingcupstair::platform
