--- a/apps/kingcupstairctl/commands.cc
+++ b/apps/kingcupstairctl/commands.cc
@@ -3,6 +3,7 @@
 #include <iostream>
 
 #include "apps/kingcupstairctl/config_commands.h"
+#include "apps/kingcupstairctl/explain_command.h"
 #include "apps/kingcupstairctl/host_commands.h"
 #include "components/settings/flag_set.h"
 
@@ -48,6 +49,7 @@
          "  host remove NAME       hand on the share of a host that will not "
          "run again\n"
          "  status                 how each host stands\n"
+         "  explain ID FILE...     the path of one request, from hosts' logs\n"
          "  timeline               what happened, over all hosts\n";
 }
 
@@ -71,6 +73,9 @@
   if (words.size() == 3 && words[0] == "host" && words[1] == "remove") {
     return RemoveHost(line, words[2]);
   }
+  if (words.size() >= 3 && words[0] == "explain") {
+    return ExplainFromFiles(words[1], {words.begin() + 2, words.end()});
+  }
   return words.size() == 1 ? RunOneWord(line)
                            : WrongWords("these words are no command");
 }
--- /dev/null
+++ b/apps/kingcupstairctl/explain_command.h
@@ -0,0 +1,16 @@
+#ifndef APPS_KINGCUPSTAIRCTL_EXPLAIN_COMMAND_H_
+#define APPS_KINGCUPSTAIRCTL_EXPLAIN_COMMAND_H_
+
+#include <string>
+#include <vector>
+
+namespace kingcupstair {
+
+/// Prints the path of a request from log files of several hosts; gives the exit
+/// code.
+int ExplainFromFiles(const std::string& request_id,
+                     const std::vector<std::string>& files);
+
+}  // namespace kingcupstair
+
+#endif  // APPS_KINGCUPSTAIRCTL_EXPLAIN_COMMAND_H_
--- a/apps/kingcupstairctl/main.cc
+++ b/apps/kingcupstairctl/main.cc
@@ -59,7 +59,8 @@
 bool NeedsStore(const CommandLine& line) {
   const std::string command = line.words.empty() ? "" : line.words[0];
   const bool asks_hosts = command == "status" || command == "timeline";
-  return command != "check" && !(asks_hosts && !line.hosts.empty());
+  return command != "check" && command != "explain" &&
+         !(asks_hosts && !line.hosts.empty());
 }
 
 int Main(int argc, char** argv) {
--- a/apps/kingcupstaird/main.cc
+++ b/apps/kingcupstaird/main.cc
@@ -43,6 +43,7 @@
   });
   daemon.Leave();
   logging::Write(logging::Level::kInfo, "left");
+  logging::Flush();
   settings::EndProcess(settings::kExitOk);
 }
 
--- a/components/guard/guard.cc
+++ b/components/guard/guard.cc
@@ -6,6 +6,7 @@
 #include "absl/strings/str_cat.h"
 #include "components/fibers/worker_pool.h"
 #include "components/guard/upstream_call.h"
+#include "components/logging/log.h"
 
 namespace kingcupstair::guard {
 namespace {
@@ -435,6 +436,7 @@
   GuardedUpstream& upstream = found->second;
   upstream.running.erase(ticket);
   upstream.judge.OnEnd(ticket, VerdictOf(outcome), now);
+  this->LogRun(request, outcome, upstream.gate->in_flight());
   this->recorder.counters().Add(
       "kingcupstair_upstream_runs_total",
       {{.name = "upstream", .value = request.upstream},
@@ -457,6 +459,23 @@
   return this->ResultFor(request.upstream, outcome);
 }
 
+void Guard::LogRun(const once::RunRequest& request,
+                   const once::Outcome& outcome,
+                   int in_flight) {
+  const auto* ran = std::get_if<once::Ran>(&outcome);
+  const auto* refusal = std::get_if<once::NotRun>(&outcome);
+  const std::string result =
+      ran != nullptr       ? absl::StrCat("status ", ran->response.status)
+      : refusal != nullptr ? once::ToText(refusal->reason)
+                           : std::get<once::Unknown>(outcome).detail;
+  logging::Write(logging::Level::kInfo, "a run ended",
+                 {{.name = "attempt", .value = request.request_id},
+                  {.name = "upstream", .value = request.upstream},
+                  {.name = "in_flight", .value = absl::StrCat(in_flight)},
+                  {.name = "outcome", .value = once::ResultOf(outcome)},
+                  {.name = "result", .value = result}});
+}
+
 void Guard::MarkUnreachable(GuardedUpstream& upstream) {
   if (!upstream.unreachable) {
     this->RecordUpstream("upstream_unreachable", upstream.announcement, "");
--- a/components/guard/guard.h
+++ b/components/guard/guard.h
@@ -128,6 +128,9 @@
                         admission::TicketId ticket,
                         const once::Outcome& outcome,
                         bool crashed);
+  static void LogRun(const once::RunRequest& request,
+                     const once::Outcome& outcome,
+                     int in_flight);
   void MarkUnreachable(GuardedUpstream& upstream);
   void NoteBreak(GuardedUpstream& upstream, const once::RunRequest& request);
   void BlameBroken(GuardedUpstream& upstream);
--- a/components/ingress/ingress.cc
+++ b/components/ingress/ingress.cc
@@ -18,6 +18,7 @@
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
 constexpr int kTooManyRequests = 429;
+constexpr int kFirstServerError = 500;
 constexpr int kUnavailable = 503;
 /// When to come back to a host that is not in service yet: a configuration is
 /// there within seconds.
@@ -30,30 +31,60 @@
 constexpr Duration kLongestPermitWait{std::chrono::milliseconds(120)};
 constexpr int64_t kMaxDeadlineMillis = 600'000;
 
-/// Logs a step of a request that brought no answer; names and ids only, no key.
-void LogStep(const AdmittedRequest& admitted,
-             const char* message,
-             const Choice& choice,
-             const once::Outcome& outcome) {
+using Fields = std::vector<logging::Field>;
+
+/// What every line on a request says; names and ids only, no key.
+Fields FieldsOf(const AdmittedRequest& admitted, const std::string& step) {
+  const Duration age = MonotonicNow() - admitted.arrived;
+  return {{.name = "request_id", .value = admitted.request_id},
+          {.name = "organisation", .value = admitted.organisation},
+          {.name = "service", .value = admitted.service},
+          {.name = "step", .value = step},
+          {.name = "age_ms", .value = absl::StrCat(ToMillisRoundedUp(age))}};
+}
+
+void AddOutcome(const once::Outcome& outcome, Fields& fields) {
+  fields.push_back({.name = "outcome", .value = once::ResultOf(outcome)});
+  if (const auto* ran = std::get_if<once::Ran>(&outcome)) {
+    fields.push_back(
+        {.name = "status", .value = absl::StrCat(ran->response.status)});
+  } else if (const auto* refusal = std::get_if<once::NotRun>(&outcome)) {
+    fields.push_back(
+        {.name = "reason", .value = once::ToText(refusal->reason)});
+  } else {
+    fields.push_back(
+        {.name = "reason", .value = std::get<once::Unknown>(outcome).detail});
+  }
+}
+
+void LogStart(const AdmittedRequest& admitted,
+              const std::string& attempt,
+              const Choice& choice,
+              const rpc::SlotAnswer& slot) {
+  Fields fields = FieldsOf(admitted, "reserve");
+  fields.push_back({.name = "attempt", .value = attempt});
+  fields.push_back({.name = "peer", .value = choice.host});
+  fields.push_back({.name = "upstream", .value = choice.upstream});
+  fields.push_back(
+      {.name = "in_flight", .value = absl::StrCat(slot.in_flight)});
+  fields.push_back({.name = "queued", .value = absl::StrCat(slot.queued)});
+  fields.push_back({.name = "limit", .value = absl::StrCat(slot.report.limit)});
+  logging::Write(logging::Level::kInfo, "an attempt begins", fields);
+}
+
+void LogEnd(const AdmittedRequest& admitted,
+            const char* step,
+            const Choice& choice,
+            const once::Outcome& outcome) {
   if (std::holds_alternative<once::Ran>(outcome)) {
     return;
   }
-  const auto* refusal = std::get_if<once::NotRun>(&outcome);
-  const Duration age = MonotonicNow() - admitted.arrived;
-  logging::Write(
-      logging::Level::kWarning, message,
-      {{.name = "request_id", .value = admitted.request_id},
-       {.name = "service", .value = admitted.service},
-       {.name = "organisation", .value = admitted.organisation},
-       {.name = "step", .value = "attempt"},
-       {.name = "peer", .value = choice.host},
-       {.name = "upstream", .value = choice.upstream},
-       {.name = "age_ms", .value = absl::StrCat(ToMillisRoundedUp(age))},
-       {.name = "outcome", .value = refusal != nullptr ? "not-run" : "unknown"},
-       {.name = "reason",
-        .value = refusal != nullptr
-                     ? once::ToText(refusal->reason)
-                     : std::get<once::Unknown>(outcome).detail}});
+  Fields fields = FieldsOf(admitted, step);
+  fields.push_back({.name = "peer", .value = choice.host});
+  fields.push_back({.name = "upstream", .value = choice.upstream});
+  AddOutcome(outcome, fields);
+  logging::Write(logging::Level::kWarning, "an attempt brought no answer",
+                 fields);
 }
 
 }  // namespace
@@ -267,11 +298,16 @@
                       [this](const std::string& service) {
                         return this->MayRetry(service);
                       },
-                  .note =
-                      [&admitted](const char* message, const Choice& choice,
-                                  const once::Outcome& outcome) {
-                        LogStep(admitted, message, choice, outcome);
-                      },
+                  .note_start =
+           [&admitted](const std::string& attempt, const Choice& choice,
+                       const rpc::SlotAnswer& slot) {
+             LogStart(admitted, attempt, choice, slot);
+           },
+       .note_end =
+           [&admitted](const char* step, const Choice& choice,
+                       const once::Outcome& outcome) {
+             LogEnd(admitted, step, choice, outcome);
+           },
                   .caller_service = this->options.caller_service},
                  admitted);
   const auto outcome = run.Execute();
@@ -288,10 +324,21 @@
 void Ingress::NoteOutcome(const AdmittedRequest& admitted,
                           const once::Outcome& outcome) {
   this->Count(admitted, once::ResultOf(outcome));
-  if (std::holds_alternative<once::Ran>(outcome)) {
+  this->recorder.counters().Observe(
+      "kingcupstair_request_duration",
+      {{.name = "service", .value = admitted.service}},
+      MonotonicNow() - admitted.arrived);
+  const auto* ran = std::get_if<once::Ran>(&outcome);
+  const bool served =
+      ran != nullptr && ran->response.status < kFirstServerError;
+  Fields fields = FieldsOf(admitted, "answer");
+  AddOutcome(outcome, fields);
+  logging::Write(served ? logging::Level::kInfo : logging::Level::kWarning,
+                 served ? "a request was served" : "a request was not served",
+                 fields);
+  if (ran != nullptr) {
     return;
   }
-  LogStep(admitted, "a request was not served", {}, outcome);
   const auto* refusal = std::get_if<once::NotRun>(&outcome);
   this->recorder.Record(
       {.kind = refusal != nullptr ? "not_run" : "outcome_unknown",
@@ -313,12 +360,15 @@
   this->recorder.Record({.kind = "refused",
                          .organisation = admitted.organisation,
                          .detail = problem.reason});
-  logging::Write(logging::Level::kWarning, "a request was refused",
-                 {{.name = "request_id", .value = admitted.request_id},
-                  {.name = "organisation", .value = admitted.organisation},
-                  {.name = "service", .value = admitted.service},
-                  {.name = "step", .value = "admit"},
-                  {.name = "reason", .value = problem.reason}});
+  Fields fields = FieldsOf(admitted, "admit");
+  fields.push_back({.name = "reason", .value = problem.reason});
+  fields.push_back(
+      {.name = "revision",
+       .value = absl::StrCat(this->configuration.Read()->revision())});
+  fields.push_back(
+      {.name = "retry_after_ms",
+       .value = absl::StrCat(ToMillisRoundedUp(problem.retry_after))});
+  logging::Write(logging::Level::kWarning, "a request was refused", fields);
   return AnswerFor(problem);
 }
 
--- a/components/ingress/request_run.cc
+++ b/components/ingress/request_run.cc
@@ -106,7 +106,7 @@
   if (attempt == this->running.end()) {
     return false;
   }
-  this->context.note("an attempt ended", attempt->second.choice, ended.outcome);
+  this->context.note_end("run", attempt->second.choice, ended.outcome);
   this->running.erase(attempt);
   if (IsServed(ended.outcome)) {
     this->last = std::move(ended.outcome);
@@ -226,10 +226,11 @@
        .max_wait = waits ? this->LongestWait() : Duration{},
        .time_left = this->TimeLeft()});
   if (answer.granted) {
+    this->context.note_start(this->next_id, *choice, answer);
     return choice;
   }
   if (answer.refusal.reason == once::RefusalReason::kConnectFailed) {
-    this->context.note("a host could not be reached", *choice, answer.refusal);
+    this->context.note_end("reserve", *choice, answer.refusal);
   }
   search.OnRefused(step, *choice, answer);
   return std::nullopt;
@@ -266,7 +267,7 @@
 void RequestRun::GiveUpAttempts(const char* reason) {
   for (const auto& [id, attempt] : this->running) {
     this->last = once::Unknown{.detail = reason};
-    this->context.note("an attempt was given up", attempt.choice, this->last);
+    this->context.note_end("wait", attempt.choice, this->last);
   }
 }
 
--- a/components/ingress/request_run.h
+++ b/components/ingress/request_run.h
@@ -26,11 +26,16 @@
     FleetBoard& board;
     AttemptRunner& runner;
     std::function<bool(const std::string& service)> may_retry;
-    /// Logs what became of an attempt at `choice`.
-    std::function<void(const char* message,
+    /// Logs that an attempt at `choice` begins, and what the choice rested on.
+    std::function<void(const std::string& attempt,
+                       const Choice& choice,
+                       const rpc::SlotAnswer& slot)>
+        note_start;
+    /// Logs what became of an attempt at `choice`, and at which step.
+    std::function<void(const char* step,
                        const Choice& choice,
                        const once::Outcome& outcome)>
-        note;
+        note_end;
     std::string caller_service;
   };
 
--- a/components/logging/log.h
+++ b/components/logging/log.h
@@ -16,9 +16,13 @@
   bool operator==(const Field&) const = default;
 };
 
-/// Sends all logs of the process to the error stream as JSON lines.
+/// Sends all logs of the process to standard output as JSON lines. Writing
+/// never waits for the reader; lines that it does not take are dropped.
 void Init(const std::string& program);
 
+/// Waits until the lines written so far are out, for half a second at most.
+void Flush();
+
 /// Writes one JSON line with the fields under "context_map".
 void Write(Level level,
            const std::string& message,
--- a/components/metrics/counters.cc
+++ b/components/metrics/counters.cc
@@ -8,6 +8,10 @@
 namespace kingcupstair::metrics {
 namespace {
 
+/// In milliseconds: from a hop between hosts to the longest timeouts in use.
+constexpr int64_t kBucketBounds[] = {1,   2,   5,    10,   25,   50,   100,
+                                     250, 500, 1000, 2500, 5000, 10000};
+
 std::string KeyOf(const std::string& name, const std::vector<Label>& labels) {
   if (labels.empty()) {
     return name;
@@ -28,6 +32,23 @@
   this->Find(KeyOf(name, labels)).fetch_add(count, std::memory_order_relaxed);
 }
 
+// Buckets are cumulative, as collectors expect.
+void Counters::Observe(const std::string& name,
+                       const std::vector<Label>& labels,
+                       Duration duration) {
+  const int64_t millis = ToMillisRoundedUp(duration);
+  std::vector<Label> bucket = labels;
+  bucket.push_back({.name = "le", .value = "+Inf"});
+  this->Add(name + "_ms_bucket", bucket);
+  for (const int64_t bound : kBucketBounds) {
+    if (millis <= bound) {
+      bucket.back().value = absl::StrCat(bound);
+      this->Add(name + "_ms_bucket", bucket);
+    }
+  }
+  this->Add(name + "_ms_sum", labels, static_cast<uint64_t>(millis));
+}
+
 uint64_t Counters::Value(const std::string& name,
                          const std::vector<Label>& labels) const {
   const std::shared_lock lock(this->mutex);
--- a/components/metrics/counters.h
+++ b/components/metrics/counters.h
@@ -9,6 +9,8 @@
 #include <string>
 #include <vector>
 
+#include "components/base/time.h"
+
 namespace kingcupstair::metrics {
 
 /// One name and value that tells counters of a family apart.
@@ -28,6 +30,12 @@
            const std::vector<Label>& labels,
            uint64_t count = 1);
 
+  /// Counts a duration in a histogram: NAME_ms_bucket by upper bound, and
+  /// NAME_ms_sum.
+  void Observe(const std::string& name,
+               const std::vector<Label>& labels,
+               Duration duration);
+
   /// The counter's value; 0 when it was never counted.
   uint64_t Value(const std::string& name,
                  const std::vector<Label>& labels) const;
--- a/tests/admission/upstream_gate_test.cc
+++ b/tests/admission/upstream_gate_test.cc
@@ -47,6 +47,62 @@
   LONGS_EQUAL(5, first);
 }
 
+/// An upstream that says itself when it is cold and bears 10 requests a second
+/// then.
+TEST_GROUP(PacedGate) {
+  UpstreamGate gate{{.slots = 4, .warm_up = WarmUpByRate{.rate = 10}}};
+  TicketId last = 0;
+
+  std::vector<GateDecision> Offer(int64_t at_ms, int64_t wait_ms,
+                                  int priority = 0) {
+    return this->gate.Offer({.ticket = ++this->last,
+                             .organisation = "o",
+                             .priority = priority,
+                             .deadline = At(90'000),
+                             .objective = Millis(1'000),
+                             .max_wait = Millis(wait_ms)},
+                            At(at_ms));
+  }
+};
+
+TEST(PacedGate, AllSlotsAreUsedFromTheStart) {
+  for (int i = 0; i < 4; ++i) {
+    LONGS_EQUAL(1, Started(this->Offer(0, 0)).size());
+  }
+  CHECK(RefusalOf(this->Offer(0, 0)) == once::RefusalReason::kQueueFull);
+}
+
+// Load pattern: an upstream turns cold unseen and crashes when it gets more new
+// requests a second than it bears; here it answers at once, so slots alone
+// would let hundreds through.
+TEST(PacedGate, NoSecondStartsMoreThanAColdUpstreamBears) {
+  std::vector<int64_t> starts;
+  for (int64_t at = 0; at < 5'000; at += 10) {
+    for (const TicketId ticket : Started(this->Offer(at, 0))) {
+      starts.push_back(at);
+      this->gate.Finish(ticket, RunEnd::kSuccess, At(at));
+    }
+  }
+  for (size_t i = 10; i < starts.size(); ++i) {
+    CHECK(starts[i] - starts[i - 10] >= 1'000);
+  }
+  CHECK(starts.size() >= 45);
+}
+
+// Load pattern: more requests than slots, urgent and not.
+TEST(PacedGate, WhatIsUrgentDoesNotStandBehindWhatIsNot) {
+  std::vector<TicketId> running;
+  for (int i = 0; i < 4; ++i) {
+    running.push_back(Started(this->Offer(0, 0)).front());
+  }
+  this->Offer(1, 800, /*priority=*/2);
+  this->Offer(1, 800, /*priority=*/2);
+  this->Offer(2, 800, /*priority=*/0);
+  const TicketId urgent = this->last;
+  const auto next = this->gate.Finish(running[0], RunEnd::kSuccess, At(100));
+  LONGS_EQUAL(urgent, Started(next).front());
+}
+
 TEST_GROUP(UpstreamGate) {
   UpstreamGate gate{{.slots = 8}};
   TicketId last = 0;
