--- a/tests/rpc/peer_clients_test.cc
+++ b/tests/rpc/peer_clients_test.cc
@@ -30,7 +30,7 @@
     for (int i = 0; i < kFillers; ++i) {
       const int filler =
           socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-      connect(filler, generic, size);
+      static_cast<void>(connect(filler, generic, size));
       this->sockets.push_back(filler);
     }
   }
