--- a/components/config/parse.cc
+++ b/components/config/parse.cc
@@ -86,6 +86,9 @@
     rule.repeat = Repeat::kOnce;
   } else if (word == "open") {
     rule.access = Access::kOpen;
+  } else if (word == "internal") {
+    rule.access = Access::kOpen;
+    rule.internal = true;
   } else if (word == "keyed") {
     rule.access = Access::kKeyed;
   } else if (word == "deadline") {
@@ -108,7 +111,8 @@
     if (!TakeRouteOption(word->text, reader, rule)) {
       reader.Fail(
           "expected 'service', 'split', 'host', 'idempotent', 'once', 'open', "
-          "'keyed', 'deadline', 'objective', 'priority' or 'attempts'");
+          "'internal', 'keyed', 'deadline', 'objective', 'priority' or "
+          "'attempts'");
       break;
     }
   }
--- a/components/config/rules.h
+++ b/components/config/rules.h
@@ -60,6 +60,9 @@
   int priority = 1;
   /// Upstreams that one request may be sent to.
   int attempts = 4;
+  /// Its requests come from upstreams, as part of others that hold a slot
+  /// already and fail with them.
+  bool internal = false;
 
   bool operator==(const RouteRule&) const = default;
 };
--- a/components/ingress/ingress.cc
+++ b/components/ingress/ingress.cc
@@ -292,13 +292,14 @@
     const std::lock_guard lock(this->mutex);
     this->budget.OnRequest(admitted.service, this->options.hosts());
   }
-  RequestRun run({.board = this->board,
-                  .runner = this->runner,
-                  .may_retry =
-                      [this](const std::string& service) {
-                        return this->MayRetry(service);
-                      },
-                  .note_start =
+  RequestRun run(
+      {.board = this->board,
+       .runner = this->runner,
+       .may_retry =
+           [this](const std::string& service) {
+             return this->MayRetry(service);
+           },
+       .note_start =
            [&admitted](const std::string& attempt, const Choice& choice,
                        const rpc::SlotAnswer& slot) {
              LogStart(admitted, attempt, choice, slot);
@@ -308,8 +309,8 @@
                        const once::Outcome& outcome) {
              LogEnd(admitted, step, choice, outcome);
            },
-                  .caller_service = this->options.caller_service},
-                 admitted);
+       .caller_service = this->options.caller_service},
+      admitted);
   const auto outcome = run.Execute();
   if (!outcome.has_value()) {
     this->Count(admitted, "caller_gone");
--- a/components/ingress/request_run.cc
+++ b/components/ingress/request_run.cc
@@ -215,6 +215,7 @@
        .organisation = this->admitted.organisation,
        .upstream = choice->upstream,
        .priority = this->admitted.priority,
+       .internal = this->admitted.route.internal,
        .careful = !this->admitted.IsIdempotent() || this->attempts > 0 ||
                   this->admitted.route.attempts == 1,
        .last_resort = step.kind == SlotStep::Kind::kLastResort,
@@ -258,7 +259,13 @@
       now);
 }
 
+// What an upstream waits for may come late: the request that it is part of is
+// lost otherwise, together with what has been done for it.
 Duration RequestRun::LongestWait() const {
+  if (this->admitted.route.internal) {
+    return std::max(this->TimeLeft() - this->admitted.route.objective,
+                    kLeastWait);
+  }
   const Instant latest = this->admitted.arrived +
                          PartOf(this->admitted.route.objective, kWaitPart);
   return std::max(latest - MonotonicNow(), kLeastWait);
--- a/components/once/run_request.h
+++ b/components/once/run_request.h
@@ -25,6 +25,8 @@
   std::string upstream;
   /// 0 is the most urgent.
   int priority = 1;
+  /// It is part of a request that holds a slot elsewhere.
+  bool internal = false;
   /// It can't be sent elsewhere later, so it keeps away from an upstream that
   /// may be hanging; others are the trial of such an upstream.
   bool careful = true;
--- a/components/rpc/convert_run.cc
+++ b/components/rpc/convert_run.cc
@@ -106,6 +106,7 @@
   out.setOrganisation(request.organisation);
   out.setUpstream(request.upstream);
   out.setPriority(static_cast<uint16_t>(request.priority));
+  out.setInternal(request.internal);
   out.setCareful(request.careful);
   out.setLastResort(request.last_resort);
   out.setObjectiveMicros(ToMicros(request.objective));
@@ -120,6 +121,7 @@
           .organisation = ToString(in.getOrganisation()),
           .upstream = ToString(in.getUpstream()),
           .priority = in.getPriority(),
+          .internal = in.getInternal(),
           .careful = in.getCareful(),
           .last_resort = in.getLastResort(),
           .objective = FromMicros(in.getObjectiveMicros()),
--- a/components/rpc/peer.capnp
+++ b/components/rpc/peer.capnp
@@ -62,6 +62,7 @@
   maxWaitMicros @8 :UInt64;
   timeLeftMicros @9 :UInt64;
   mostInFlight @10 :UInt16;
+  internal @11 :Bool;
 }
 
 struct SlotAnswer {
--- a/components/rpc/peer.capnp.h
+++ b/components/rpc/peer.capnp.h
@@ -3514,6 +3514,8 @@
 
   inline  ::uint16_t getMostInFlight() const;
 
+  inline bool getInternal() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3587,6 +3589,9 @@
   inline  ::uint16_t getMostInFlight();
   inline void setMostInFlight( ::uint16_t value);
 
+  inline bool getInternal();
+  inline void setInternal(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6968,6 +6973,20 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool SlotRequest::Reader::getInternal() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<82>() * ::capnp::ELEMENTS);
+}
+
+inline bool SlotRequest::Builder::getInternal() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<82>() * ::capnp::ELEMENTS);
+}
+inline void SlotRequest::Builder::setInternal(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<82>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool SlotAnswer::Reader::getGranted() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/tests/admission/upstream_gate_test.cc
+++ b/tests/admission/upstream_gate_test.cc
@@ -103,6 +103,33 @@
   LONGS_EQUAL(urgent, Started(next).front());
 }
 
+// Load pattern: every slot is in use and large organisations wait in line, when
+// the call comes that a running request needs.
+TEST(PacedGate, ACallThatARunningRequestNeedsIsNext) {
+  std::vector<TicketId> running;
+  for (int i = 0; i < 4; ++i) {
+    running.push_back(Started(this->Offer(0, 0)).front());
+  }
+  for (int i = 0; i < 8; ++i) {
+    this->gate.Offer({.ticket = ++this->last,
+                      .organisation = "large",
+                      .weight = 500,
+                      .priority = 0,
+                      .deadline = At(90'000),
+                      .max_wait = Millis(800)},
+                     At(1));
+  }
+  this->gate.Offer({.ticket = ++this->last,
+                    .organisation = "-",
+                    .weight = 1e4,
+                    .deadline = At(90'000),
+                    .max_wait = Millis(500)},
+                   At(2));
+  const TicketId call = this->last;
+  const auto next = this->gate.Finish(running[0], RunEnd::kSuccess, At(100));
+  LONGS_EQUAL(call, Started(next).front());
+}
+
 TEST_GROUP(UpstreamGate) {
   UpstreamGate gate{{.slots = 8}};
   TicketId last = 0;
