--- a/apps/kingcupstaird/daemon.cc
+++ b/apps/kingcupstaird/daemon.cc
@@ -75,25 +75,29 @@
              .fleet_key = this->settings.fleet_key}),
       store(
           {.server = this->settings.store, .protocol = this->interface.store}),
-      fleet{.places = PlacesOf(this->settings),
-            .config = this->config,
-            .directory = this->directory,
-            .rates = this->rates,
-            .crashes = this->crashes,
-            .isolation = this->isolation,
-            .peers = this->peers,
-            .store = this->store,
-            .recorder = this->recorder,
-            .configuration_source = this->interface.configuration,
-            .watchers_per_zone =
-                static_cast<size_t>(this->settings.watchers_per_zone),
-            .share_gathering_time = this->interface.hosts_in_store
-                                        ? kShareGatheringTime
-                                        : Duration{},
-            .on_reached =
-                [this](const std::string& host) {
-                  this->board.OnPathReached(host);
-                }},
+      fleet{
+          .places = PlacesOf(this->settings),
+          .config = this->config,
+          .directory = this->directory,
+          .rates = this->rates,
+          .crashes = this->crashes,
+          .isolation = this->isolation,
+          .peers = this->peers,
+          .store = this->store,
+          .recorder = this->recorder,
+          .configuration_source = this->interface.configuration,
+          .watchers_per_zone =
+              static_cast<size_t>(this->settings.watchers_per_zone),
+          .share_gathering_time =
+              this->interface.hosts_in_store ? kShareGatheringTime : Duration{},
+          .spread_news =
+              [this] {
+                this->workers.Spawn([this] { this->gossip_loop.SpreadNow(); });
+              },
+          .on_reached =
+              [this](const std::string& host) {
+                this->board.OnPathReached(host);
+              }},
       config_loop(this->fleet),
       gossip_loop(this->fleet, this->incarnation),
       loan_loop(this->fleet),
@@ -329,7 +333,8 @@
           [this](const std::string& organisation, int wanted, bool relay,
                  std::function<void(limits::PermitGrant)> done) {
             if (!relay) {
-              done(this->rates.Acquire(organisation, wanted));
+              done(this->leaving ? limits::PermitGrant{}
+                                 : this->rates.Acquire(organisation, wanted));
               return;
             }
             this->workers.Spawn([this, organisation, done = std::move(done)] {
--- a/components/control/directory_keeper.cc
+++ b/components/control/directory_keeper.cc
@@ -1,5 +1,7 @@
 #include "components/control/directory_keeper.h"
 
+#include <algorithm>
+
 namespace kingcupstair::control {
 
 DirectoryKeeper::DirectoryKeeper(membership::Directory::Options options,
@@ -27,6 +29,16 @@
   this->directory.Suspect(host, MonotonicNow());
 }
 
+bool DirectoryKeeper::IsAlive(const std::string& host) const {
+  const std::lock_guard lock(this->mutex);
+  const auto all = this->directory.All();
+  return std::any_of(all.begin(), all.end(),
+                     [&](const membership::HostUpdate& update) {
+                       return update.record.host == host &&
+                              update.liveness == membership::Liveness::kAlive;
+                     });
+}
+
 std::vector<std::string> DirectoryKeeper::Tick() {
   const std::lock_guard lock(this->mutex);
   return this->directory.Tick(MonotonicNow());
--- a/components/control/fleet.h
+++ b/components/control/fleet.h
@@ -49,6 +49,8 @@
   /// one of them writes equal shares for all; zero lets the first take all and
   /// hand on.
   Duration share_gathering_time{};
+  /// Tells peers now of what has just been learnt of another host.
+  std::function<void()> spread_news;
   /// Called when a peer has answered a probe.
   std::function<void(const std::string& host)> on_reached;
 };
--- a/components/control/permit_source.cc
+++ b/components/control/permit_source.cc
@@ -41,7 +41,7 @@
   const std::string pool = this->PoolOf(organisation);
   if (!this->IsLostNow(pool)) {
     const auto grant = this->AcquireFromPool(organisation);
-    if (grant.ok()) {
+    if (grant.ok() && grant->life > Duration{}) {
       return *grant;
     }
     this->NoteLost(pool);
@@ -50,6 +50,9 @@
   if (relayed.ok() && relayed->life > Duration{}) {
     return *relayed;
   }
+  if (relayed.ok()) {
+    this->Suspect(pool);
+  }
   this->fleet.rates.Distrust(pool, kDistrustTime);
   return this->fleet.rates.AcquireFromOwnShare(organisation, 1);
 }
@@ -85,6 +88,16 @@
                                    /*relay=*/true, kRelayTimeout);
 }
 
+// Neither this host nor another gets a word from the pool. Waiting until probes
+// find that out would leave all organisations without permits for seconds.
+void PermitSource::Suspect(const std::string& pool) {
+  if (this->fleet.directory.IsAlive(pool)) {
+    this->fleet.directory.Suspect(pool);
+    this->fleet.recorder.Record({.kind = "pool_suspected", .detail = pool});
+    this->fleet.spread_news();
+  }
+}
+
 bool PermitSource::IsLostNow(const std::string& pool) {
   const std::lock_guard lock(this->mutex);
   const auto found = this->lost.find(pool);
--- a/components/control/permit_source.h
+++ b/components/control/permit_source.h
@@ -39,6 +39,7 @@
   const std::string PoolOf(const std::string& organisation) const;
   bool IsLostNow(const std::string& pool);
   void NoteLost(const std::string& pool);
+  void Suspect(const std::string& pool);
   absl::StatusOr<limits::PermitGrant> AcquireThroughOther(
       const std::string& organisation,
       const std::string& pool);
--- a/components/control/rate_keeper.cc
+++ b/components/control/rate_keeper.cc
@@ -91,7 +91,7 @@
   const auto current = this->configuration.Read();
   const auto* rule = current->FindOrganisation(organisation);
   if (rule == nullptr) {
-    return {};
+    return {.life = limits::kMaxPermitLife};
   }
   const double factor = 1 + this->options.tolerance;
   return this->pool.Acquire(
--- a/components/limits/rate_pool.cc
+++ b/components/limits/rate_pool.cc
@@ -116,7 +116,7 @@
   const double fraction =
       this->shards[static_cast<size_t>(shard)].history.Current();
   if (fraction <= 0) {
-    return {.retry_after = kRetryWithoutLoan};
+    return {.retry_after = kRetryWithoutLoan, .life = PermitLife(limit)};
   }
   const Duration life = PermitLife(limit);
   const int granted = bucket.tokens.Take(wanted);
--- a/components/limits/rate_pool.h
+++ b/components/limits/rate_pool.h
@@ -24,7 +24,8 @@
   int granted = 0;
   /// When asking again makes sense, if fewer were granted than wanted.
   Duration retry_after{};
-  /// How long the permits hold, counted by the asker from its asking.
+  /// How long the permits hold, counted by the asker from its asking. Zero says
+  /// that the host asked does not pool here.
   Duration life{};
 
   bool operator==(const PermitGrant&) const = default;
