Calls that running requests need stand before all queues

Cause: the queue's credit for organisations that used less than their part put them before a call of higher weight; found by the gate's test of that load.

--- a/components/admission/fair_queue.cc
+++ b/components/admission/fair_queue.cc
@@ -19,6 +19,14 @@
 FairQueue::FairQueue(Options options) : options(options) {}
 
 bool FairQueue::Push(const QueuedRequest& request) {
+  if (request.internal) {
+    if (this->total >= this->options.max_total) {
+      return false;
+    }
+    this->internal.push_back(request);
+    ++this->total;
+    return true;
+  }
   Flow& flow = this->flows[request.organisation];
   if (flow.waiting.size() >= this->options.max_per_organisation ||
       this->total >= this->options.max_total) {
@@ -29,10 +37,27 @@
   return true;
 }
 
+std::optional<TicketId> FairQueue::PopReady(std::deque<QueuedRequest>& waiting,
+                                            Instant now) {
+  const auto ready = std::find_if(
+      waiting.begin(), waiting.end(),
+      [&](const QueuedRequest& request) { return request.expires > now; });
+  if (ready == waiting.end()) {
+    return std::nullopt;
+  }
+  const TicketId ticket = ready->ticket;
+  waiting.erase(ready);
+  return ticket;
+}
+
 // Only what is served is counted as used: a request that gave up waiting must
 // not put back the next ones of its organisation. One whose time is up is left
 // for TakeExpired, which gives its refusal.
 std::optional<TicketId> FairQueue::Pop(Instant now) {
+  if (const auto ticket = PopReady(this->internal, now)) {
+    --this->total;
+    return ticket;
+  }
   Flow* best = nullptr;
   std::deque<QueuedRequest>::iterator best_request;
   double best_finish = 0;
@@ -66,14 +91,16 @@
 
 std::vector<TicketId> FairQueue::TakeExpired(Instant now) {
   std::vector<TicketId> expired;
+  const auto take = [&](const QueuedRequest& request) {
+    if (request.expires > now) {
+      return false;
+    }
+    expired.push_back(request.ticket);
+    return true;
+  };
+  std::erase_if(this->internal, take);
   for (auto& [organisation, flow] : this->flows) {
-    std::erase_if(flow.waiting, [&](const QueuedRequest& request) {
-      if (request.expires > now) {
-        return false;
-      }
-      expired.push_back(request.ticket);
-      return true;
-    });
+    std::erase_if(flow.waiting, take);
   }
   this->total -= expired.size();
   return expired;
@@ -83,8 +110,13 @@
   return this->TakeExpired(Instant::max());
 }
 
-int FairQueue::Ahead(const std::string& organisation, double weight) const {
-  const double cost = CostOf(weight);
+int FairQueue::Ahead(const QueuedRequest& request) const {
+  const auto internal_ahead = static_cast<int>(this->internal.size());
+  if (request.internal) {
+    return internal_ahead;
+  }
+  const std::string& organisation = request.organisation;
+  const double cost = CostOf(request.weight);
   const auto own = this->flows.find(organisation);
   const Flow none;
   const Flow& flow = own == this->flows.end() ? none : own->second;
@@ -101,7 +133,7 @@
     ahead += std::clamp(std::floor(first), 0.0,
                         static_cast<double>(each.waiting.size()));
   }
-  return static_cast<int>(ahead);
+  return internal_ahead + static_cast<int>(ahead);
 }
 
 double FairQueue::CostOf(double weight) {
--- a/components/admission/fair_queue.h
+++ b/components/admission/fair_queue.h
@@ -21,6 +21,9 @@
   std::string organisation;
   /// The organisation's share of the slots against others', above 0.
   double weight = 1;
+  /// It is part of a request that holds a slot elsewhere; goes before all that
+  /// is not.
+  bool internal = false;
   Instant expires;
 
   bool operator==(const QueuedRequest&) const = default;
@@ -52,8 +55,8 @@
   /// Takes out everything.
   std::vector<TicketId> TakeAll();
 
-  /// Requests that would be served before a new one of this organisation.
-  int Ahead(const std::string& organisation, double weight) const;
+  /// Requests that would be served before this one if it were added now.
+  int Ahead(const QueuedRequest& request) const;
 
   size_t size() const { return this->total; }
 
@@ -69,7 +72,11 @@
   double StartOf(const Flow& flow, double cost) const;
   void DropIdle();
 
+  static std::optional<TicketId> PopReady(std::deque<QueuedRequest>& waiting,
+                                          Instant now);
+
   Options options;
+  std::deque<QueuedRequest> internal;
   std::map<std::string, Flow> flows;
   /// Advances as requests are served, the slower the more organisations wait.
   double virtual_time = 0;
--- a/components/admission/upstream_gate.cc
+++ b/components/admission/upstream_gate.cc
@@ -66,6 +66,7 @@
                       this->queue.Push({.ticket = request.ticket,
                                         .organisation = FlowOf(request),
                                         .weight = WeightOf(request),
+                                        .internal = request.internal,
                                         .expires = expires});
   if (!queued) {
     decisions.push_back(
@@ -173,7 +174,9 @@
 }
 
 Duration UpstreamGate::ExpectedWait(const GateRequest& request) const {
-  const double ahead = this->queue.Ahead(FlowOf(request), WeightOf(request));
+  const double ahead = this->queue.Ahead({.organisation = FlowOf(request),
+                                          .weight = WeightOf(request),
+                                          .internal = request.internal});
   const double waves = ahead / this->Limit();
   return Duration(static_cast<int64_t>(waves * this->latency_micros));
 }
--- a/components/admission/upstream_gate.h
+++ b/components/admission/upstream_gate.h
@@ -65,6 +65,8 @@
   double weight = 1;
   /// 0 is the most urgent.
   int priority = 0;
+  /// It is part of a request that holds a slot elsewhere.
+  bool internal = false;
   Instant deadline;
   /// The time within which an answer is as useful as it can be; zero when not
   /// known.
--- a/components/guard/guard.cc
+++ b/components/guard/guard.cc
@@ -13,9 +13,6 @@
 
 constexpr Duration kEarlierPollInterval{std::chrono::milliseconds(20)};
 constexpr int kDefaultSlots = 4;
-/// Against organisations' rates: above what large ones have, so that a request
-/// that holds a slot already waits behind hardly anything.
-constexpr double kInternalWeight = 1e4;
 /// How long a slot is held for the request that follows: several round trips
 /// between zones on a slow host.
 constexpr Duration kReservationLife{std::chrono::milliseconds(800)};
@@ -209,9 +206,9 @@
     const admission::GateRequest offered{
         .ticket = ticket,
         .organisation = request.organisation,
-        .weight = request.internal ? kInternalWeight
-                                   : this->WeightOf(request.organisation),
-        .priority = request.internal ? 0 : request.priority,
+        .weight = this->WeightOf(request.organisation),
+        .priority = request.priority,
+        .internal = request.internal,
         .deadline = now + request.time_left,
         .objective = request.objective,
         .max_wait = request.max_wait};
--- a/tests/admission/upstream_gate_test.cc
+++ b/tests/admission/upstream_gate_test.cc
@@ -121,7 +121,7 @@
   }
   this->gate.Offer({.ticket = ++this->last,
                     .organisation = "-",
-                    .weight = 1e4,
+                    .internal = true,
                     .deadline = At(90'000),
                     .max_wait = Millis(500)},
                    At(2));
