--- a/components/limits/shard.cc
+++ b/components/limits/shard.cc
@@ -12,8 +12,9 @@
 
 namespace {
 
-/// Lenders for which one pool can renew loans every half second.
-constexpr size_t kHostsPerPool = 32;
+/// Lenders of one pool: far from the sizes of fleets in use, so that a host that
+/// comes or goes does not change the number of pools.
+constexpr size_t kHostsPerPool = 64;
 
 uint64_t PoolSeed(ShardId shard, size_t hosts) {
   const size_t pools = std::clamp<size_t>(
