--- a/components/limits/shard.cc
+++ b/components/limits/shard.cc
@@ -12,8 +12,8 @@
 
 namespace {
 
-/// Lenders of one pool: far from the sizes of fleets in use, so that a host that
-/// comes or goes does not change the number of pools.
+/// Lenders of one pool: far from the sizes of fleets in use, so that a host
+/// that comes or goes does not change the number of pools.
 constexpr size_t kHostsPerPool = 64;
 
 uint64_t PoolSeed(ShardId shard, size_t hosts) {
