--- a/components/ingress/ingress.cc
+++ b/components/ingress/ingress.cc
@@ -8,6 +8,7 @@
 #include "absl/strings/str_cat.h"
 #include "components/base/hash.h"
 #include "components/fibers/worker_pool.h"
+#include "components/ingress/request_log.h"
 #include "components/ingress/request_run.h"
 #include "components/logging/log.h"
 
@@ -31,62 +32,6 @@
 constexpr Duration kLongestPermitWait{std::chrono::milliseconds(120)};
 constexpr int64_t kMaxDeadlineMillis = 600'000;
 
-using Fields = std::vector<logging::Field>;
-
-/// What every line on a request says; names and ids only, no key.
-Fields FieldsOf(const AdmittedRequest& admitted, const std::string& step) {
-  const Duration age = MonotonicNow() - admitted.arrived;
-  return {{.name = "request_id", .value = admitted.request_id},
-          {.name = "organisation", .value = admitted.organisation},
-          {.name = "service", .value = admitted.service},
-          {.name = "step", .value = step},
-          {.name = "age_ms", .value = absl::StrCat(ToMillisRoundedUp(age))}};
-}
-
-void AddOutcome(const once::Outcome& outcome, Fields& fields) {
-  fields.push_back({.name = "outcome", .value = once::ResultOf(outcome)});
-  if (const auto* ran = std::get_if<once::Ran>(&outcome)) {
-    fields.push_back(
-        {.name = "status", .value = absl::StrCat(ran->response.status)});
-  } else if (const auto* refusal = std::get_if<once::NotRun>(&outcome)) {
-    fields.push_back(
-        {.name = "reason", .value = once::ToText(refusal->reason)});
-  } else {
-    fields.push_back(
-        {.name = "reason", .value = std::get<once::Unknown>(outcome).detail});
-  }
-}
-
-void LogStart(const AdmittedRequest& admitted,
-              const std::string& attempt,
-              const Choice& choice,
-              const rpc::SlotAnswer& slot) {
-  Fields fields = FieldsOf(admitted, "reserve");
-  fields.push_back({.name = "attempt", .value = attempt});
-  fields.push_back({.name = "peer", .value = choice.host});
-  fields.push_back({.name = "upstream", .value = choice.upstream});
-  fields.push_back(
-      {.name = "in_flight", .value = absl::StrCat(slot.in_flight)});
-  fields.push_back({.name = "queued", .value = absl::StrCat(slot.queued)});
-  fields.push_back({.name = "limit", .value = absl::StrCat(slot.report.limit)});
-  logging::Write(logging::Level::kInfo, "an attempt begins", fields);
-}
-
-void LogEnd(const AdmittedRequest& admitted,
-            const char* step,
-            const Choice& choice,
-            const once::Outcome& outcome) {
-  if (std::holds_alternative<once::Ran>(outcome)) {
-    return;
-  }
-  Fields fields = FieldsOf(admitted, step);
-  fields.push_back({.name = "peer", .value = choice.host});
-  fields.push_back({.name = "upstream", .value = choice.upstream});
-  AddOutcome(outcome, fields);
-  logging::Write(logging::Level::kWarning, "an attempt brought no answer",
-                 fields);
-}
-
 }  // namespace
 
 Ingress::Ingress(Options options,
