No timed waits on condition variables; writes do not expire reads

Read for causes: the fiber library's condition variable can miss a notification at the moment of its timeout (Boost before 1.76), after which the request is never answered; the stream's expiry for writes also stood for reads that were begun later and closed connections in use; a request read while the closing answer was written was passed on and its answer could not be sent. Ruled out: the guard's promises (each path dispatches them), the log's flush.

--- a/components/http/server.cc
+++ b/components/http/server.cc
@@ -82,7 +82,8 @@
   Conversation(std::shared_ptr<Shared> server, tcp::socket socket)
       : server(std::move(server)),
         stream(std::move(socket)),
-        idle_timer(this->stream.get_executor()) {}
+        idle_timer(this->stream.get_executor()),
+        write_timer(this->stream.get_executor()) {}
 
   /// Reads requests until the connection ends.
   void Read() {
@@ -130,7 +131,7 @@
     if (read.error) {
       return this->EndReading(parser, read.error);
     }
-    if (this->ending) {
+    if (this->ending || this->closing) {
       return After::kWatch;
     }
     if (!IsUnambiguous(parser.get(), parser.get().version())) {
@@ -138,7 +139,7 @@
       return After::kWatch;
     }
     this->WaitForTurn(parser.get().method());
-    if (this->ending) {
+    if (this->ending || this->closing) {
       return After::kWatch;
     }
     return this->Begin(parser) ? After::kReadOn : After::kWatch;
@@ -206,6 +207,8 @@
       const auto next = this->queue.front();
       const bool last = !next->keep_alive ||
                         (this->server->stopping && this->queue.size() == 1);
+      // From here on nothing more is read for an answer: it could not be sent.
+      this->closing = this->closing || last;
       const bool written = next->response.status != kCloseWithoutAnswer &&
                            !this->broken && this->Write(*next, !last);
       this->queue.pop_front();
@@ -233,13 +236,27 @@
     if (pending.head) {
       message.body().clear();
     }
-    this->stream.expires_after(kWriteTimeout);
+    this->WatchWrite();
     const auto result = fibers::Await([&](auto handler) {
       beast::http::async_write(this->stream, message, handler);
     });
+    this->write_timer.cancel();
     return !result.error;
   }
 
+  // The stream's own expiry would also apply to the read that is pending, and
+  // end a connection on which requests are worked on.
+  void WatchWrite() {
+    this->write_timer.expires_after(kWriteTimeout);
+    this->write_timer.async_wait(
+        [weak = this->weak_from_this()](beast::error_code ec) {
+          const auto self = weak.lock();
+          if (!ec && self != nullptr) {
+            self->stream.close();
+          }
+        });
+  }
+
   // Nothing more is sent; requests behind this point were not read as far as
   // the client is concerned.
   void End() {
@@ -301,9 +318,11 @@
   std::shared_ptr<Shared> server;
   beast::tcp_stream stream;
   asio::steady_timer idle_timer;
+  asio::steady_timer write_timer;
   beast::flat_buffer buffer;
   std::deque<std::shared_ptr<Pending>> queue;
   bool writing = false;
+  bool closing = false;
   bool ending = false;
   bool broken = false;
 };
--- a/components/ingress/request_run.cc
+++ b/components/ingress/request_run.cc
@@ -4,11 +4,12 @@
 #include <deque>
 #include <utility>
 
-#include <boost/fiber/condition_variable.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/fiber/fiber.hpp>
-#include <boost/fiber/mutex.hpp>
 
 #include "components/base/hash.h"
+#include "components/fibers/await.h"
+#include "components/fibers/worker_pool.h"
 #include "components/ingress/slot_search.h"
 
 namespace kingcupstair::ingress {
@@ -48,15 +49,21 @@
 }  // namespace
 
 /// What attempts came to, handed to the fiber of the request. Shared, since an
-/// attempt may outlive its request.
+/// attempt may outlive its request. All fibers that use it are on one thread.
+///
+/// The request waits on a timer that the attempts cancel: timed waits of the
+/// fiber library's condition variables can miss a notification that comes just
+/// as the time is up (Boost before 1.76), and a request that misses its answer
+/// is never answered.
 struct RequestRun::Results {
   struct Ended {
     std::string attempt;
     once::Outcome outcome;
   };
 
-  boost::fibers::mutex mutex;
-  boost::fibers::condition_variable changed;
+  Results() : timer(*fibers::CurrentIo()) {}
+
+  boost::asio::steady_timer timer;
   std::deque<Ended> ended;
 };
 
@@ -97,11 +104,8 @@
 // Takes in one result; true when it is the final one.
 bool RequestRun::TakeResult() {
   Results::Ended ended;
-  {
-    const std::unique_lock lock(this->results->mutex);
-    ended = std::move(this->results->ended.front());
-    this->results->ended.pop_front();
-  }
+  ended = std::move(this->results->ended.front());
+  this->results->ended.pop_front();
   const auto attempt = this->running.find(ended.attempt);
   if (attempt == this->running.end()) {
     return false;
@@ -152,10 +156,15 @@
 }
 
 bool RequestRun::WaitForResult(Instant until) {
-  std::unique_lock lock(this->results->mutex);
-  return this->results->changed.wait_for(
-      lock, std::max(until - MonotonicNow(), Duration(1)),
-      [this] { return !this->results->ended.empty(); });
+  if (this->results->ended.empty()) {
+    this->results->timer.expires_after(
+        std::max(until - MonotonicNow(), Duration(1)));
+    fibers::Await([&](auto handler) {
+      this->results->timer.async_wait(
+          [handler](boost::system::error_code ec) mutable { handler(ec); });
+    });
+  }
+  return !this->results->ended.empty();
 }
 
 bool RequestRun::StartAttempt(bool may_wait) {
@@ -170,12 +179,9 @@
   boost::fibers::fiber([results = this->results, &runner = this->context.runner,
                         choice = *choice, run = this->MakeRun(*choice)] {
     once::Outcome outcome = runner.Run(choice, run);
-    {
-      const std::unique_lock lock(results->mutex);
-      results->ended.push_back(
-          {.attempt = run.request_id, .outcome = std::move(outcome)});
-    }
-    results->changed.notify_one();
+    results->ended.push_back(
+        {.attempt = run.request_id, .outcome = std::move(outcome)});
+    results->timer.cancel();
   }).detach();
   return true;
 }
