--- a/tests/http/server_test.cc
+++ b/tests/http/server_test.cc
@@ -59,6 +59,9 @@
   int connection;
 };
 
+/// More than the sockets between server and client hold.
+constexpr size_t kBigBody = 32 * 1024 * 1024;
+
 /// A server whose requests for /slow take a while and whose answers are the
 /// paths asked for.
 struct TestServer {
@@ -92,6 +95,9 @@
       }
       this->cancelled += caller->IsCancelled() ? 1 : 0;
     }
+    if (request.target == "/big") {
+      return {.body = std::string(kBigBody, 'x') + "</big>"};
+    }
     return {.body = "<" + request.target + ">"};
   }
 
@@ -182,6 +188,20 @@
   LONGS_EQUAL(1, this->server.cancelled);
 }
 
+// A request that comes while the closing answer is being written can't be
+// answered any more, so it must not be worked on: its client sends it again.
+TEST(HttpServer, WhatCrossesTheClosingAnswerIsNotWorkedOn) {
+  const RawClient client(this->server.address);
+  this->server.server.BeginShutdown();
+  client.Send(Get("/big"));
+  usleep(100'000);
+  client.Send(Get("/late"));
+  usleep(100'000);
+  CHECK(client.ReadUntil("</big>").find("Connection: close") !=
+        std::string::npos);
+  LONGS_EQUAL(1, this->server.handled);
+}
+
 TEST(HttpServer, AnIdleConnectionIsClosedAndSwallowsNothing) {
   const RawClient client(this->server.address);
   client.Send(Get("/a"));
