--- a/tests/http/server_test.cc
+++ b/tests/http/server_test.cc
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <string>
 
@@ -45,7 +46,9 @@
   std::string ReadUntil(const std::string& end) const {
     std::string text;
     char buffer[4096];
-    while (text.find(end) == std::string::npos) {
+    size_t searched = 0;
+    while (text.find(end, searched) == std::string::npos) {
+      searched = text.size() - std::min(text.size(), end.size());
       const auto got = recv(this->connection, buffer, sizeof(buffer), 0);
       if (got <= 0) {
         break;
