--- a/CI/mutants.sh
+++ b/CI/mutants.sh
@@ -55,7 +55,7 @@
 process() { "tests/process/$1_test.sh"; }
 
 mutant floor components/health/ejection_planner.cc 's/if (this->ejected.size() >= allowed)/if (this->ejected.size() >= allowed + 9)/' unit EjectionPlanner
-mutant key_stripped components/ingress/ingress.cc 's/{"Authorization", "Proxy-Authorization", "X-Api-Key"}/{"X-None"}/' process keys
+mutant key_stripped components/ingress/ingress.cc 's/{"Authorization", "Proxy-Authorization", "X-Api-Key", /{/' process keys
 mutant isolation components/membership/isolation.cc 's/return hosts_known > 1 \&\&/return false \&\&/' process keys
 mutant loan_exclusive components/limits/share_lender.cc 's/const bool taken = .*/const bool taken = false;/' unit RatesWorld
 mutant permits_counted components/limits/rate_pool.cc 's/bucket->outstanding_count += granted;/;/; s/bucket.outstanding_count += granted;/;/' unit RatesWorld
@@ -63,8 +63,8 @@
 mutant warm_up components/admission/concurrency_limit.cc 's/1 \/ (kAnswersPerStep \* this->value)/100/' scenario warm_up
 mutant zone_at_guard components/guard/guard.cc 's/return current->IsZoneOut(this->options.zone) ||/return false \&\&/' process zone
 mutant drain_at_guard components/guard/guard.cc 's/return found->second.announcement.draining ?/return false ?/' process zone
-mutant whole_answer components/http/client.cc 's/if (parser.need_eof())/if (false)/' io
-mutant late_answer components/http/client.cc 's/ \&\& connection->buffer.size() == 0//' io
+mutant whole_answer components/http/client.cc 's/if (read.error) {/if (false) {/' io
+mutant late_answer components/http/client.cc 's/connection->buffer.size() == 0;/true;/' io
 mutant fence components/once/run_ledger.cc 's/    at->second = Fence{};/    ;/' unit RunLedger
 mutant once_retry components/retry/retry_policy.cc 's/return this->result.repeat == config::Repeat::kIdempotent \&\&/return true \&\&/' process once
 mutant crash_refusal components/once/crash_ledger.cc 's/if (ends.size() < this->options.crashes_to_refuse)/if (true)/' process crash_request
