--- a/CI/mutants.sh
+++ b/CI/mutants.sh
@@ -55,7 +55,7 @@
 process() { "tests/process/$1_test.sh"; }
 
 mutant floor components/health/ejection_planner.cc 's/if (this->ejected.size() >= allowed)/if (this->ejected.size() >= allowed + 9)/' unit EjectionPlanner
-mutant key_stripped components/ingress/ingress.cc 's/{"Authorization", "Proxy-Authorization", "X-Api-Key", /{/' process keys
+mutant key_stripped components/ingress/ingress.cc 's/{"Authorization", "Proxy-Authorization", "X-Api-Key",/{/' process keys
 mutant isolation components/membership/isolation.cc 's/return hosts_known > 1 \&\&/return false \&\&/' process keys
 mutant loan_exclusive components/limits/share_lender.cc 's/const bool taken = .*/const bool taken = false;/' unit RatesWorld
 mutant permits_counted components/limits/rate_pool.cc 's/bucket->outstanding_count += granted;/;/; s/bucket.outstanding_count += granted;/;/' unit RatesWorld
