A store that failed is listed, not watched, until it answers

Cause: after its watch was cut, a host watched again at once. The store was silent by then and swallowed the call; the watch ran for its full time (8 s and 2 s more) although the store was back after 4 s, so that a configuration written meanwhile was in force six seconds late on all hosts. Ruled out: peers that do not pass it on (all had it within 0.1 s of the first watcher), a lost history (nothing told of it). Change: RecordsView decides between listing and watching; a failure makes the next call a listing, given up after 1 s (was 2 s). Tests of the view; the earlier code had no such piece, so they did not run against it.

--- a/components/control/config_loop.cc
+++ b/components/control/config_loop.cc
@@ -48,7 +48,7 @@
 
 void ConfigLoop::Step() {
   if (!this->IsWatcher()) {
-    this->records_revision = 0;
+    this->records.OnLost();
     fibers::SleepFor(kIdleTime);
     return;
   }
@@ -73,60 +73,38 @@
 }
 
 void ConfigLoop::Follow(const site::OperatorRecords& source) {
-  if (this->records_revision == 0) {
-    this->ReadRecords(source);
+  const auto revision = this->records.WatchFrom();
+  if (revision.has_value()) {
+    this->WatchRecords(source, *revision);
   } else {
-    this->WatchRecords(source);
+    this->ReadRecords(source);
   }
 }
 
 void ConfigLoop::ReadRecords(const site::OperatorRecords& source) {
   const auto listing =
       this->fleet.store.List(source.prefix, /*may_be_stale=*/false);
-  if (!this->NoteStoreAnswer(listing.status())) {
-    return;
-  }
-  this->records.clear();
-  for (const store::KeyedEntry& record : listing->entries) {
-    this->records[record.key] = record.entry;
+  if (this->NoteStoreAnswer(listing.status())) {
+    this->records.OnListing(*listing);
+    this->AdoptRecords(source);
   }
-  this->records_revision = listing->revision;
-  this->AdoptRecords(source);
 }
 
-// A change made while nobody listened is told at once by the store, since the
-// watch goes on from the revision that was read last.
-void ConfigLoop::WatchRecords(const site::OperatorRecords& source) {
-  const auto changes =
-      this->fleet.store.WatchPrefix({.prefix = source.prefix,
-                                     .after = this->records_revision,
-                                     .wait = kRecordsWatchTime});
+void ConfigLoop::WatchRecords(const site::OperatorRecords& source,
+                              uint64_t revision) {
+  const auto changes = this->fleet.store.WatchPrefix(
+      {.prefix = source.prefix, .after = revision, .wait = kRecordsWatchTime});
   if (!this->NoteStoreAnswer(changes.status())) {
+    this->records.OnLost();
     return;
   }
-  if (changes->history_lost) {
-    this->records_revision = 0;
-    return;
-  }
-  for (const store::KeyedEntry& change : changes->entries) {
-    if (change.entry.version == 0) {
-      this->records.erase(change.key);
-    } else {
-      this->records[change.key] = change.entry;
-    }
-  }
-  this->records_revision = std::max(this->records_revision, changes->revision);
-  if (!changes->entries.empty()) {
+  if (this->records.OnChanges(*changes)) {
     this->AdoptRecords(source);
   }
 }
 
 void ConfigLoop::AdoptRecords(const site::OperatorRecords& source) {
-  std::vector<store::KeyedEntry> all;
-  for (const auto& [key, entry] : this->records) {
-    all.push_back({.key = key, .entry = entry});
-  }
-  const auto rules = source.to_rules(all);
+  const auto rules = source.to_rules(this->records.All());
   if (!rules.ok()) {
     this->fleet.recorder.Record(
         {.kind = "configuration_refused",
@@ -134,7 +112,8 @@
                                rules.status().message().size())});
     return;
   }
-  config::Head head{.revision = this->records_revision, .author = "operator"};
+  config::Head head{.revision = this->records.known_revision(),
+                    .author = "operator"};
   const auto chunks = config::SplitIntoChunks(*rules);
   for (const config::Chunk& chunk : chunks) {
     head.chunks.push_back(chunk.id);
--- a/components/control/config_loop.h
+++ b/components/control/config_loop.h
@@ -1,10 +1,10 @@
 #ifndef COMPONENTS_CONTROL_CONFIG_LOOP_H_
 #define COMPONENTS_CONTROL_CONFIG_LOOP_H_
 
-#include <map>
 #include <string>
 
 #include "components/control/fleet.h"
+#include "components/store/records_view.h"
 
 namespace kingcupstair::control {
 
@@ -30,7 +30,7 @@
   void Follow(const site::OperatorRecords& source);
   bool NoteStoreAnswer(const absl::Status& status);
   void ReadRecords(const site::OperatorRecords& source);
-  void WatchRecords(const site::OperatorRecords& source);
+  void WatchRecords(const site::OperatorRecords& source, uint64_t revision);
   void AdoptRecords(const site::OperatorRecords& source);
   void FetchFromStore(const std::string& head_text);
   bool Adopt(const std::string& source);
@@ -39,10 +39,8 @@
 
   Fleet& fleet;
   uint64_t head_version = 0;
-  /// The operators' records by key, and the store's revision of them; 0 before
-  /// they were first read.
-  std::map<std::string, store::Entry> records;
-  uint64_t records_revision = 0;
+  /// The operators' records.
+  store::RecordsView records;
   bool store_answered = true;
 };
 
--- a/components/store/client.h
+++ b/components/store/client.h
@@ -16,7 +16,9 @@
  public:
   struct Options {
     Endpoint server;
-    Duration timeout{std::chrono::seconds(2)};
+    /// For an answer, besides the time that a watch waits: four times what a
+    /// store takes that is sixty times slower than its usual 4 ms.
+    Duration timeout{std::chrono::seconds(1)};
     Protocol protocol = OwnProtocol();
   };
 
--- /dev/null
+++ b/tests/store/records_view_test.cc
@@ -0,0 +1,56 @@
+#include "components/store/records_view.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace kingcupstair::store {
+namespace {
+
+TEST_GROUP(RecordsView) {
+  RecordsView view;
+
+  void List() {
+    this->view.OnListing(
+        {.entries = {{.key = "a", .entry = {.value = "1", .version = 3}}},
+         .revision = 5});
+  }
+};
+
+TEST(RecordsView, ListsFirstAndThenWatches) {
+  CHECK_FALSE(this->view.WatchFrom().has_value());
+  this->List();
+  CHECK_EQUAL(5U, *this->view.WatchFrom());
+}
+
+// A watch was once sent to a store that had just cut another one. It swallowed
+// that call and came back, while the watch was waited for to its end: a
+// configuration written meanwhile was not in force for six seconds.
+TEST(RecordsView, ListsAfterAFailureSoThatNoCallHangsForAWatchsTime) {
+  this->List();
+  this->view.OnLost();
+  CHECK_FALSE(this->view.WatchFrom().has_value());
+  CHECK_EQUAL(1U, this->view.All().size());
+  this->List();
+  CHECK_EQUAL(5U, *this->view.WatchFrom());
+}
+
+TEST(RecordsView, ListsWhenTheStoreHasForgottenItsHistory) {
+  this->List();
+  CHECK_FALSE(this->view.OnChanges({.history_lost = true}));
+  CHECK_FALSE(this->view.WatchFrom().has_value());
+}
+
+TEST(RecordsView, ChangesAreTakenInAndWatchedOnFrom) {
+  this->List();
+  CHECK(this->view.OnChanges(
+      {.entries = {{.key = "a"},
+                   {.key = "b", .entry = {.value = "2", .version = 7}}},
+       .revision = 7}));
+  CHECK_EQUAL(1U, this->view.All().size());
+  STRCMP_EQUAL("b", this->view.All().front().key.c_str());
+  CHECK_EQUAL(7U, *this->view.WatchFrom());
+  CHECK_FALSE(this->view.OnChanges({.revision = 9}));
+  CHECK_EQUAL(9U, *this->view.WatchFrom());
+}
+
+}  // namespace
+}  // namespace kingcupstair::store
