Late answers leave connections between hosts open; pools need two witnesses

Each call without an answer in its time gave up the connection for all others, and a fresh one takes three round trips more, so hosts behind such paths were never heard, counted as dead, and the pool of the rates moved to and fro. Hosts whose view of the pool differs from its own got nothing. Refusals name rate, burst and the part of them that was pooled.

--- a/apps/kingcupstaird/daemon.cc
+++ b/apps/kingcupstaird/daemon.cc
@@ -333,13 +333,12 @@
           [this](const std::string& organisation, int wanted, bool relay,
                  std::function<void(limits::PermitGrant)> done) {
             if (!relay) {
-              done(this->leaving ? limits::PermitGrant{}
+              done(this->leaving ? limits::PermitGrant{.pools_nothing = true}
                                  : this->rates.Acquire(organisation, wanted));
               return;
             }
             this->workers.Spawn([this, organisation, done = std::move(done)] {
-              done(this->permits.AcquireFromPool(organisation)
-                       .value_or(limits::PermitGrant{}));
+              done(this->permits.AcquireForOther(organisation));
             });
           },
       .submit =
--- a/components/control/gossip_loop.cc
+++ b/components/control/gossip_loop.cc
@@ -15,7 +15,7 @@
 constexpr Duration kSyncTimeout{std::chrono::seconds(2)};
 constexpr size_t kUpdatesPerMessage = 8;
 constexpr size_t kCrashesPerMessage = 16;
-constexpr size_t kHelpers = 2;
+constexpr size_t kHelpers = 3;
 constexpr size_t kSpreadTargets = 3;
 /// One probe in so many goes to any zone, the others stay in the own one.
 constexpr int kRoundsPerFarProbe = 3;
@@ -38,7 +38,7 @@
     this->SpreadNow();
   }
   const std::optional<std::string> target = this->NextTarget();
-  if (target.has_value() && !this->Exchange(*target)) {
+  if (target.has_value() && !this->ExchangeTwice(*target)) {
     this->AskHelpers(*target);
   }
   const Duration spent = MonotonicNow() - start;
@@ -92,6 +92,11 @@
   return true;
 }
 
+// A second try costs less than a host suspected for a few lost packets.
+bool GossipLoop::ExchangeTwice(const std::string& host) {
+  return this->Exchange(host) || this->Exchange(host);
+}
+
 // As long as changes told of lately explain the difference, they will even it
 // out; only a difference that stays unexplained is worth comparing all.
 void GossipLoop::CompareWith(const std::string& host,
--- a/components/control/gossip_loop.h
+++ b/components/control/gossip_loop.h
@@ -41,6 +41,7 @@
   rpc::GossipMessage MakeMessage() const;
   void TakeIn(const rpc::GossipMessage& message);
   bool Exchange(const std::string& host);
+  bool ExchangeTwice(const std::string& host);
   void CompareWith(const std::string& host, const rpc::GossipMessage& reply);
   void AskHelpers(const std::string& host);
   void Tell(const std::string& host, const std::vector<uint64_t>& wanted);
--- a/components/control/loan_loop.cc
+++ b/components/control/loan_loop.cc
@@ -15,7 +15,8 @@
 /// a pool makes a second then fall as the region grows, to 10 at 203 hosts.
 constexpr Duration kLoanPerPair{std::chrono::milliseconds(1)};
 constexpr Duration kAskTimeout{std::chrono::milliseconds(300)};
-constexpr Duration kPauseAfterFailure{std::chrono::milliseconds(500)};
+/// Short enough to ask twice more before a loan of the shortest kind is over.
+constexpr Duration kPauseAfterFailure{std::chrono::milliseconds(150)};
 /// A loan is renewed when this part of its life has passed.
 constexpr int kRenewDivisor = 2;
 
--- a/components/control/permit_source.cc
+++ b/components/control/permit_source.cc
@@ -1,5 +1,8 @@
 #include "components/control/permit_source.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace kingcupstair::control {
 namespace {
 
@@ -8,6 +11,11 @@
 /// A pool that did not answer is asked through others for this long.
 constexpr Duration kLostTime{std::chrono::seconds(1)};
 constexpr Duration kDistrustTime{std::chrono::seconds(3)};
+/// Other hosts through which a pool is asked: one may have lost its path too.
+constexpr int kRelays = 2;
+/// A pool that nobody has reached for this long is no longer lent to: longer
+/// than some lost packets take, shorter than a failure detector's time.
+constexpr Duration kUnreachedBeforeDistrust{std::chrono::milliseconds(800)};
 
 }  // namespace
 
@@ -37,24 +45,30 @@
                .Read())[static_cast<size_t>(limits::ShardOf(organisation))];
 }
 
+// The own share can be spent here once its loan to the pool has run out. Other
+// hosts come last: they may reach the pool, or know of another one.
 limits::PermitGrant PermitSource::Acquire(const std::string& organisation) {
   const std::string pool = this->PoolOf(organisation);
   if (!this->IsLostNow(pool)) {
     const auto grant = this->AcquireFromPool(organisation);
-    if (grant.ok() && grant->life > Duration{}) {
+    if (grant.ok() && !grant->pools_nothing) {
       return *grant;
     }
-    this->NoteLost(pool);
   }
-  const auto relayed = this->AcquireThroughOther(organisation, pool);
-  if (relayed.ok() && relayed->life > Duration{}) {
-    return *relayed;
+  if (this->IsUnreached(pool)) {
+    this->fleet.rates.Distrust(pool, kDistrustTime);
   }
-  if (relayed.ok()) {
-    this->Suspect(pool);
+  const auto own = this->fleet.rates.AcquireFromOwnShare(organisation, 1);
+  if (own.granted > 0) {
+    return own;
   }
-  this->fleet.rates.Distrust(pool, kDistrustTime);
-  return this->fleet.rates.AcquireFromOwnShare(organisation, 1);
+  return this->AcquireThroughOthers(organisation, pool).value_or(own);
+}
+
+limits::PermitGrant PermitSource::AcquireForOther(
+    const std::string& organisation) {
+  return this->AcquireFromPool(organisation)
+      .value_or(limits::PermitGrant{.pool_silent = true});
 }
 
 absl::StatusOr<limits::PermitGrant> PermitSource::AcquireFromPool(
@@ -63,29 +77,47 @@
   if (pool == this->fleet.places.host) {
     return this->fleet.rates.Acquire(organisation, 1);
   }
-  return this->fleet.peers.Acquire(pool, organisation, 1, /*relay=*/false,
-                                   kAcquireTimeout);
+  auto grant = this->fleet.peers.Acquire(pool, organisation, 1, /*relay=*/false,
+                                         kAcquireTimeout);
+  if (grant.ok()) {
+    this->NoteReached(pool);
+  } else {
+    this->NoteLost(pool);
+  }
+  return grant;
 }
 
-// The path from here to the pool may be cut while others reach it.
-absl::StatusOr<limits::PermitGrant> PermitSource::AcquireThroughOther(
+// The path from here to the pool may be cut while others reach it. The pool is
+// suspected when all that were asked found it silent: one of them may merely
+// have a bad path to it as well.
+absl::StatusOr<limits::PermitGrant> PermitSource::AcquireThroughOthers(
     const std::string& organisation,
     const std::string& pool) {
+  int found_silent = 0;
+  for (const std::string& relay : this->ChooseRelays(pool)) {
+    const auto grant = this->fleet.peers.Acquire(relay, organisation, 1,
+                                                 /*relay=*/true, kRelayTimeout);
+    if (grant.ok() && !grant->pool_silent && !grant->pools_nothing) {
+      return *grant;
+    }
+    found_silent += grant.ok() && grant->pool_silent ? 1 : 0;
+  }
+  if (found_silent == kRelays) {
+    this->Suspect(pool);
+  }
+  return absl::UnavailableError("no host got a permit from a pool");
+}
+
+std::vector<std::string> PermitSource::ChooseRelays(const std::string& pool) {
   auto hosts = this->fleet.directory.PoolHosts(this->fleet.places.region);
   std::erase_if(hosts, [&](const std::string& host) {
     return host == pool || host == this->fleet.places.host;
   });
-  if (hosts.empty()) {
-    return absl::UnavailableError("no other host to ask through");
-  }
-  size_t index = 0;
-  {
-    const std::lock_guard lock(this->mutex);
-    index = std::uniform_int_distribution<size_t>(
-        0, hosts.size() - 1)(this->random);
-  }
-  return this->fleet.peers.Acquire(hosts[index], organisation, 1,
-                                   /*relay=*/true, kRelayTimeout);
+  std::vector<std::string> relays;
+  const std::lock_guard lock(this->mutex);
+  std::sample(hosts.begin(), hosts.end(), std::back_inserter(relays), kRelays,
+              this->random);
+  return relays;
 }
 
 // Neither this host nor another gets a word from the pool. Waiting until probes
@@ -106,7 +138,21 @@
 
 void PermitSource::NoteLost(const std::string& pool) {
   const std::lock_guard lock(this->mutex);
-  this->lost[pool] = MonotonicNow() + kLostTime;
+  const Instant now = MonotonicNow();
+  this->lost[pool] = now + kLostTime;
+  this->unreached_since.emplace(pool, now);
+}
+
+void PermitSource::NoteReached(const std::string& pool) {
+  const std::lock_guard lock(this->mutex);
+  this->unreached_since.erase(pool);
+}
+
+bool PermitSource::IsUnreached(const std::string& pool) {
+  const std::lock_guard lock(this->mutex);
+  const auto found = this->unreached_since.find(pool);
+  return found != this->unreached_since.end() &&
+         MonotonicNow() - found->second >= kUnreachedBeforeDistrust;
 }
 
 }  // namespace kingcupstair::control
--- a/components/control/permit_source.h
+++ b/components/control/permit_source.h
@@ -6,6 +6,7 @@
 #include <mutex>
 #include <random>
 #include <string>
+#include <vector>
 
 #include "absl/status/statusor.h"
 #include "components/base/snapshot.h"
@@ -26,23 +27,26 @@
   /// takes its permits from: a share lent to any other would be out of reach.
   limits::LoanGrant Lend(limits::ShardId shard, const std::string& asker);
 
-  /// Takes one permit: from the pool, through another host if the pool does
-  /// not answer here, and else from this host's own share. Suspends the calling
-  /// fiber.
+  /// Takes one permit: from the pool, from this host's own share if the pool
+  /// gives none, and else through another host. Suspends the calling fiber.
   limits::PermitGrant Acquire(const std::string& organisation);
 
-  /// Takes one permit from the pool; an error says that it does not answer.
-  absl::StatusOr<limits::PermitGrant> AcquireFromPool(
-      const std::string& organisation);
+  /// Takes one permit from the pool for a host that does not reach it.
+  limits::PermitGrant AcquireForOther(const std::string& organisation);
 
  private:
+  absl::StatusOr<limits::PermitGrant> AcquireFromPool(
+      const std::string& organisation);
   const std::string PoolOf(const std::string& organisation) const;
   bool IsLostNow(const std::string& pool);
   void NoteLost(const std::string& pool);
+  void NoteReached(const std::string& pool);
+  bool IsUnreached(const std::string& pool);
   void Suspect(const std::string& pool);
-  absl::StatusOr<limits::PermitGrant> AcquireThroughOther(
+  absl::StatusOr<limits::PermitGrant> AcquireThroughOthers(
       const std::string& organisation,
       const std::string& pool);
+  std::vector<std::string> ChooseRelays(const std::string& pool);
 
   using PoolHosts = std::array<std::string, limits::kShardCount>;
 
@@ -51,6 +55,8 @@
   std::mutex mutex;
   /// Pools that did not answer here, and until when they are not asked.
   std::map<std::string, Instant> lost;
+  /// Pools from which no answer has come, and since when.
+  std::map<std::string, Instant> unreached_since;
   std::mt19937_64 random{std::random_device{}()};
 };
 
--- a/components/ingress/caller_answer.h
+++ b/components/ingress/caller_answer.h
@@ -5,6 +5,7 @@
 
 #include "components/base/time.h"
 #include "components/http/message.h"
+#include "components/logging/log.h"
 #include "components/once/outcome.h"
 
 namespace kingcupstair::ingress {
@@ -19,6 +20,8 @@
   std::string request_id_header = "Kingcupstair-Request-Id";
   /// When coming back makes sense; zero when it does not.
   Duration retry_after{};
+  /// What the decision rested on, for the log.
+  std::vector<logging::Field> inputs;
 
   bool operator==(const Problem&) const = default;
 };
--- a/components/ingress/ingress.cc
+++ b/components/ingress/ingress.cc
@@ -227,9 +227,13 @@
     }
     fibers::SleepFor(grant.retry_after);
   }
-  return Problem{.status = kTooManyRequests,
-                 .reason = "over_rate",
-                 .retry_after = std::max(grant.retry_after, kLeastOverRate)};
+  return Problem{
+      .status = kTooManyRequests,
+      .reason = "over_rate",
+      .retry_after = std::max(grant.retry_after, kLeastOverRate),
+      .inputs = {{.name = "rate", .value = absl::StrCat(rule->rate)},
+                 {.name = "burst", .value = absl::StrCat(rule->burst)},
+                 {.name = "pooled", .value = absl::StrCat(grant.fraction)}}};
 }
 
 http::Response Ingress::Run(const AdmittedRequest& admitted) {
@@ -314,6 +318,7 @@
   fields.push_back(
       {.name = "retry_after_ms",
        .value = absl::StrCat(ToMillisRoundedUp(problem.retry_after))});
+  fields.insert(fields.end(), problem.inputs.begin(), problem.inputs.end());
   logging::Write(logging::Level::kWarning, "a request was refused", fields);
   return AnswerFor(problem);
 }
--- a/components/limits/rate_pool.cc
+++ b/components/limits/rate_pool.cc
@@ -116,7 +116,9 @@
   const double fraction =
       this->shards[static_cast<size_t>(shard)].history.Current();
   if (fraction <= 0) {
-    return {.retry_after = kRetryWithoutLoan, .life = PermitLife(limit)};
+    return {.retry_after = kRetryWithoutLoan,
+            .life = PermitLife(limit),
+            .pools_nothing = true};
   }
   const Duration life = PermitLife(limit);
   const int granted = bucket.tokens.Take(wanted);
@@ -124,7 +126,7 @@
     bucket.outstanding.push_back({.count = granted, .expires = now + life});
     bucket.outstanding_count += granted;
   }
-  PermitGrant grant{.granted = granted, .life = life};
+  PermitGrant grant{.granted = granted, .life = life, .fraction = fraction};
   if (granted < wanted) {
     grant.retry_after = bucket.tokens.TimeToNext(Scaled(limit, fraction));
   }
--- a/components/limits/rate_pool.h
+++ b/components/limits/rate_pool.h
@@ -24,9 +24,14 @@
   int granted = 0;
   /// When asking again makes sense, if fewer were granted than wanted.
   Duration retry_after{};
-  /// How long the permits hold, counted by the asker from its asking. Zero says
-  /// that the host asked does not pool here.
+  /// How long the permits hold, counted by the asker from its asking.
   Duration life{};
+  /// Part of the limits of all hosts that the pool could spend, 0 to 1.
+  double fraction = 0;
+  /// Nobody lends to the host asked: it does not pool, or not yet.
+  bool pools_nothing = false;
+  /// The host asked on behalf of another got no answer from the pool.
+  bool pool_silent = false;
 
   bool operator==(const PermitGrant&) const = default;
 };
--- a/components/rpc/convert.cc
+++ b/components/rpc/convert.cc
@@ -191,13 +191,19 @@
   out.setGranted(static_cast<uint32_t>(grant.granted));
   out.setRetryAfterMicros(static_cast<uint64_t>(grant.retry_after.count()));
   out.setLifeMicros(static_cast<uint64_t>(grant.life.count()));
+  out.setFraction(grant.fraction);
+  out.setPoolsNothing(grant.pools_nothing);
+  out.setPoolSilent(grant.pool_silent);
 }
 
 limits::PermitGrant Read(wire::Grant::Reader in) {
   return {
       .granted = static_cast<int>(in.getGranted()),
       .retry_after = Duration(static_cast<int64_t>(in.getRetryAfterMicros())),
-      .life = Duration(static_cast<int64_t>(in.getLifeMicros()))};
+      .life = Duration(static_cast<int64_t>(in.getLifeMicros())),
+      .fraction = in.getFraction(),
+      .pools_nothing = in.getPoolsNothing(),
+      .pool_silent = in.getPoolSilent()};
 }
 
 void Write(const limits::LoanGrant& grant, wire::Loan::Builder out) {
--- a/components/rpc/peer.capnp
+++ b/components/rpc/peer.capnp
@@ -133,6 +133,9 @@
   granted @0 :UInt32;
   retryAfterMicros @1 :UInt64;
   lifeMicros @2 :UInt64;
+  fraction @3 :Float64;
+  poolsNothing @4 :Bool;
+  poolSilent @5 :Bool;
 }
 
 struct Header {
--- a/components/rpc/peer.capnp.h
+++ b/components/rpc/peer.capnp.h
@@ -719,7 +719,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cabf1792afc55f0f, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(cabf1792afc55f0f, 4, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -4498,6 +4498,12 @@
 
   inline  ::uint64_t getLifeMicros() const;
 
+  inline double getFraction() const;
+
+  inline bool getPoolsNothing() const;
+
+  inline bool getPoolSilent() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4535,6 +4541,15 @@
   inline  ::uint64_t getLifeMicros();
   inline void setLifeMicros( ::uint64_t value);
 
+  inline double getFraction();
+  inline void setFraction(double value);
+
+  inline bool getPoolsNothing();
+  inline void setPoolsNothing(bool value);
+
+  inline bool getPoolSilent();
+  inline void setPoolSilent(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7948,6 +7963,48 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline double Grant::Reader::getFraction() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline double Grant::Builder::getFraction() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Grant::Builder::setFraction(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Grant::Reader::getPoolsNothing() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool Grant::Builder::getPoolsNothing() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void Grant::Builder::setPoolsNothing(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Grant::Reader::getPoolSilent() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+}
+
+inline bool Grant::Builder::getPoolSilent() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+}
+inline void Grant::Builder::setPoolSilent(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Header::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/components/rpc/peer_clients.cc
+++ b/components/rpc/peer_clients.cc
@@ -14,6 +14,11 @@
 namespace kingcupstair::rpc {
 namespace {
 
+/// A connection without any answer for this long is given up: several of the
+/// kernel's first retransmissions (200 ms each) fit in, so lost packets alone
+/// do not end it.
+constexpr Duration kLongestSilence{std::chrono::seconds(1)};
+
 absl::Status FromException(const std::string& host,
                            const char* step,
                            const kj::Exception& error) {
@@ -46,6 +51,8 @@
 /// may outlive it.
 struct PeerClients::Link {
   uint64_t number = 0;
+  /// When it was begun, or last brought an answer.
+  Instant heard;
   kj::Own<kj::NetworkAddress> address;
   kj::Own<kj::AsyncIoStream> stream;
   kj::Own<capnp::TwoPartyClient> client;
@@ -76,6 +83,7 @@
   slot = std::make_shared<Link>();
   Link* link = slot.get();
   link->number = ++this->state->last_number;
+  link->heard = MonotonicNow();
   const CallerId caller{.host = this->options.own_host,
                         .incarnation = this->options.incarnation,
                         .link = link->number};
@@ -124,13 +132,28 @@
   return *link;
 }
 
+void PeerClients::NoteAnswer(const std::string& host, uint64_t number) {
+  const auto found = this->state->links.find(host);
+  if (found != this->state->links.end() && found->second->number == number) {
+    found->second->heard = MonotonicNow();
+  }
+}
+
 // Dropping the link fails every call that waits on it; each then finds out by
-// `resolve` over a fresh connection what became of its request.
-void PeerClients::DropLink(const std::string& host, uint64_t number) {
+// `resolve` over a fresh connection what became of its request. One late answer
+// is no reason to: a fresh connection takes more round trips than the call, so
+// on a path that loses packets it would hardly ever come to an answer.
+void PeerClients::NoteFailure(const std::string& host,
+                              uint64_t number,
+                              const kj::Exception& error) {
   const auto found = this->state->links.find(host);
   if (found == this->state->links.end() || found->second->number != number) {
     return;
   }
+  const bool late = error.getType() == kj::Exception::Type::OVERLOADED;
+  if (late && MonotonicNow() - found->second->heard < kLongestSilence) {
+    return;
+  }
   std::shared_ptr<Link> dropped = std::move(found->second);
   this->state->links.erase(found);
   this->loop.Post([held = std::move(dropped)]() mutable { held.reset(); });
@@ -151,11 +174,15 @@
         peer.then([start](wire::Peer::Client client) { return start(client); });
     this->loop.Keep(
         WithTimeout(this->loop, kj::mv(call), timeout)
-            .then([answer](T value) { answer->set_value(std::move(value)); },
-                  [this, answer, host, step, number](kj::Exception&& error) {
-                    this->DropLink(host, number);
-                    answer->set_value(FromException(host, step, error));
-                  }));
+            .then(
+                [this, answer, host, number](T value) {
+                  this->NoteAnswer(host, number);
+                  answer->set_value(std::move(value));
+                },
+                [this, answer, host, step, number](kj::Exception&& error) {
+                  this->NoteFailure(host, number, error);
+                  answer->set_value(FromException(host, step, error));
+                }));
   });
   return future.get();
 }
@@ -367,12 +394,13 @@
     const Duration whole = accept_timeout + accept_timeout + result_timeout;
     this->loop.Keep(WithTimeout(this->loop, kj::mv(sent), whole)
                         .then(
-                            [answer](RunResult run_result) {
+                            [this, answer, host, number](RunResult run_result) {
+                              this->NoteAnswer(host, number);
                               answer->set_value({.run = std::move(run_result)});
                             },
                             [=, this](kj::Exception&& error) {
                               if (*stage == SubmitStage::kNotAccepted) {
-                                this->DropLink(host, number);
+                                this->NoteFailure(host, number, error);
                               }
                               answer->set_value({.stage = *stage,
                                                  .status = FromException(
--- a/components/rpc/peer_clients.h
+++ b/components/rpc/peer_clients.h
@@ -32,8 +32,8 @@
 };
 
 /// Calls to other hosts, one connection to each. A call that gets no answer in
-/// time gives its connection up, so the next call opens a fresh one. All calls
-/// suspend the calling fiber.
+/// time gives its connection up if that has brought none for a second, so the
+/// next call opens a fresh one. All calls suspend the calling fiber.
 class PeerClients {
  public:
   struct Options {
@@ -106,7 +106,10 @@
                          Duration timeout,
                          Start start);
   Link& Connect(const std::string& host);
-  void DropLink(const std::string& host, uint64_t number);
+  void NoteAnswer(const std::string& host, uint64_t number);
+  void NoteFailure(const std::string& host,
+                   uint64_t number,
+                   const kj::Exception& error);
 
   Loop& loop;
   Options options;
--- a/tests/limits/rate_pool_test.cc
+++ b/tests/limits/rate_pool_test.cc
@@ -27,6 +27,16 @@
   CHECK(grant.retry_after > Duration{});
 }
 
+// The asker can then spend its own share, or ask through a host that knows of
+// another pool, instead of refusing.
+TEST(RatePool, SaysWhenNobodyLendsToIt) {
+  CHECK(this->pool.Acquire(kOrganisation, 1, kLimit, At(0)).pools_nothing);
+  this->Lend(0.25, 0, 10'000);
+  const auto grant = this->pool.Acquire(kOrganisation, 1, kLimit, At(1'000));
+  CHECK_FALSE(grant.pools_nothing);
+  DOUBLES_EQUAL(0.25, grant.fraction, 1e-9);
+}
+
 TEST(RatePool, AnOrganisationUnheardOfGetsTheBurstThatFilledMeanwhile) {
   this->Lend(1, 0, 10'000);
   const auto grant = this->pool.Acquire(kOrganisation, 1, kLimit, At(5'000));
