--- a/apps/kingcupstaird/daemon.cc
+++ b/apps/kingcupstaird/daemon.cc
@@ -66,7 +66,8 @@
       directory({}, RecordOf(PlacesOf(this->settings), this->incarnation)),
       rates({.host = ToText(this->settings.peer_address),
              .tolerance = this->settings.rate_tolerance,
-             .slack = this->settings.rate_slack},
+             .slack = this->settings.rate_slack,
+             .retries = this->settings.retries},
             this->config.snapshot()),
       isolation({.start = MonotonicNow()}),
       peers(this->rpc_loop,
@@ -119,11 +120,15 @@
              this->recorder),
       ingress({.isolated = [this] { return this->IsIsolated(); },
                .acquire =
-                   [this](const std::string& organisation) {
-                     return this->permits.Acquire(organisation);
+                   [this](const std::string& organisation,
+                          const std::string& service) {
+                     return this->permits.Acquire(organisation, service);
+                   },
+               .may_retry =
+                   [this](const std::string& organisation,
+                          const rpc::RetryCall& call) {
+                     return this->permits.TryRetry(organisation, call);
                    },
-               .hosts = [this] { return this->directory.size(); },
-               .retries = this->settings.retries,
                .dialect = this->dialect,
                .caller_service = this->settings.caller_service},
               this->config.snapshot(),
@@ -329,18 +334,30 @@
           [this](limits::ShardId shard, const std::string& asker) {
             this->rates.GiveBack(shard, asker);
           },
+      .leaves =
+          [this](const std::string& host) {
+            this->directory.MarkLeaving(host);
+            this->permits.UpdatePoolHosts();
+          },
       .acquire =
-          [this](const std::string& organisation, int wanted, bool relay,
+          [this](const rpc::PermitCall& call,
                  std::function<void(limits::PermitGrant)> done) {
-            if (!relay) {
-              done(this->leaving ? limits::PermitGrant{.pools_nothing = true}
-                                 : this->rates.Acquire(organisation, wanted));
+            if (!call.relay) {
+              done(this->leaving
+                       ? limits::PermitGrant{.pools_nothing = true}
+                       : this->rates.Acquire(call.organisation, call.service,
+                                             call.wanted));
               return;
             }
-            this->workers.Spawn([this, organisation, done = std::move(done)] {
-              done(this->permits.AcquireForOther(organisation));
+            this->workers.Spawn([this, call, done = std::move(done)] {
+              done(this->permits.AcquireForOther(call.organisation,
+                                                 call.service));
             });
           },
+      .retry =
+          [this](const rpc::RetryCall& call) {
+            return this->permits.TryPooledRetry(call);
+          },
       .submit =
           [this](const once::RunRequest& request, rpc::RunDone done) {
             auto answer = this->guard.Accept(request);
@@ -378,8 +395,8 @@
   this->caller_server.BeginShutdown();
   this->workers.Spawn([this] {
     this->PublishOwn();
+    this->loan_loop.Leave();
     this->gossip_loop.SpreadNow();
-    this->loan_loop.GiveBackAll();
   });
   std::this_thread::sleep_for(this->settings.leave_time);
   this->caller_server.StopAccepting();
--- a/components/control/directory_keeper.cc
+++ b/components/control/directory_keeper.cc
@@ -1,7 +1,5 @@
 #include "components/control/directory_keeper.h"
 
-#include <algorithm>
-
 namespace kingcupstair::control {
 
 DirectoryKeeper::DirectoryKeeper(membership::Directory::Options options,
@@ -29,14 +27,14 @@
   this->directory.Suspect(host, MonotonicNow());
 }
 
+void DirectoryKeeper::MarkLeaving(const std::string& host) {
+  const std::lock_guard lock(this->mutex);
+  this->directory.MarkLeaving(host);
+}
+
 bool DirectoryKeeper::IsAlive(const std::string& host) const {
   const std::lock_guard lock(this->mutex);
-  const auto all = this->directory.All();
-  return std::any_of(all.begin(), all.end(),
-                     [&](const membership::HostUpdate& update) {
-                       return update.record.host == host &&
-                              update.liveness == membership::Liveness::kAlive;
-                     });
+  return this->directory.IsAlive(host);
 }
 
 std::vector<std::string> DirectoryKeeper::Tick() {
--- a/components/control/directory_keeper.h
+++ b/components/control/directory_keeper.h
@@ -22,6 +22,7 @@
   int Merge(const std::vector<membership::HostUpdate>& updates);
 
   void Suspect(const std::string& host);
+  void MarkLeaving(const std::string& host);
   bool IsAlive(const std::string& host) const;
   std::vector<std::string> Tick();
   std::vector<membership::RecentVersion> Recent() const;
--- a/components/control/loan_loop.cc
+++ b/components/control/loan_loop.cc
@@ -3,6 +3,7 @@
 #include <boost/fiber/fiber.hpp>
 
 #include <algorithm>
+#include <utility>
 
 #include "components/fibers/worker_pool.h"
 
@@ -103,26 +104,43 @@
         unpooled.push_back(shard);
       }
     }
-    if (!unpooled.empty()) {
-      this->GiveBack(lender, unpooled);
-    }
     for (const limits::ShardId shard : unpooled) {
       shards.erase(shard);
     }
+    if (!unpooled.empty()) {
+      this->GiveBack(lender, unpooled, /*leaving=*/false);
+    }
   }
 }
 
-void LoanLoop::GiveBackAll() {
-  this->GiveBackUnpooled({});
+// All hosts hear of it at once and not by and by: until they agree on the next
+// pool, each of them has no permits but those of its own share.
+void LoanLoop::Leave() {
+  const bool pools =
+      std::any_of(this->borrowed.begin(), this->borrowed.end(),
+                  [](const auto& entry) { return !entry.second.empty(); });
+  if (!pools) {
+    return;
+  }
+  for (const std::string& host :
+       this->fleet.directory.PoolHosts(this->fleet.places.region)) {
+    const auto shards = std::exchange(this->borrowed[host], {});
+    boost::fibers::fiber([this, host, shards] {
+      this->GiveBack(host, {shards.begin(), shards.end()}, /*leaving=*/true);
+    }).detach();
+  }
 }
 
 // The loans are dropped here before the lender is told that it may spend.
-void LoanLoop::GiveBack(const std::string& lender, const ShardList& shards) {
+void LoanLoop::GiveBack(const std::string& lender,
+                        const ShardList& shards,
+                        bool leaving) {
   for (const limits::ShardId shard : shards) {
     this->fleet.rates.DropLoan(shard, lender);
   }
   if (lender != this->fleet.places.host) {
-    this->fleet.peers.GiveBack(lender, shards, kAskTimeout).IgnoreError();
+    this->fleet.peers.GiveBack(lender, shards, leaving, kAskTimeout)
+        .IgnoreError();
     return;
   }
   for (const limits::ShardId shard : shards) {
--- a/components/control/loan_loop.h
+++ b/components/control/loan_loop.h
@@ -23,15 +23,18 @@
   /// One round: asks whoever is due, gives back what is no longer pooled here.
   void Step();
 
-  /// Gives back all loans before this host leaves.
-  void GiveBackAll();
+  /// Gives back all loans before this host leaves, and tells all others that
+  /// it does.
+  void Leave();
 
  private:
   using ShardList = std::vector<limits::ShardId>;
 
   ShardList ShardsPooledHere(const std::vector<std::string>& hosts) const;
   void AskFor(const std::string& lender, const ShardList& shards);
-  void GiveBack(const std::string& lender, const ShardList& shards);
+  void GiveBack(const std::string& lender,
+                const ShardList& shards,
+                bool leaving);
   void GiveBackUnpooled(const std::set<limits::ShardId>& pooled);
 
   Fleet& fleet;
--- a/components/control/permit_source.cc
+++ b/components/control/permit_source.cc
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
+
+#include "absl/strings/str_join.h"
 
 namespace kingcupstair::control {
 namespace {
@@ -28,9 +31,20 @@
     updated[static_cast<size_t>(shard)] =
         limits::PoolHostOf(shard, hosts).value_or(this->fleet.places.host);
   }
+  this->RecordChange(*this->pool_hosts.Read(), updated);
   this->pool_hosts.Publish(std::move(updated));
 }
 
+void PermitSource::RecordChange(const PoolHosts& before,
+                                const PoolHosts& after) const {
+  const std::set<std::string> old(before.begin(), before.end());
+  const std::set<std::string> now(after.begin(), after.end());
+  if (old != now) {
+    this->fleet.recorder.Record(
+        {.kind = "pools_moved", .detail = absl::StrJoin(now, " ")});
+  }
+}
+
 limits::LoanGrant PermitSource::Lend(limits::ShardId shard,
                                      const std::string& asker) {
   const auto hosts = this->pool_hosts.Read();
@@ -47,10 +61,11 @@
 
 // The own share can be spent here once its loan to the pool has run out. Other
 // hosts come last: they may reach the pool, or know of another one.
-limits::PermitGrant PermitSource::Acquire(const std::string& organisation) {
+limits::PermitGrant PermitSource::Acquire(const std::string& organisation,
+                                          const std::string& service) {
   const std::string pool = this->PoolOf(organisation);
   if (!this->IsLostNow(pool)) {
-    const auto grant = this->AcquireFromPool(organisation);
+    const auto grant = this->AcquireFromPool(organisation, service);
     if (grant.ok() && !grant->pools_nothing) {
       return *grant;
     }
@@ -62,23 +77,51 @@
   if (own.granted > 0) {
     return own;
   }
-  return this->AcquireThroughOthers(organisation, pool).value_or(own);
+  return this
+      ->AcquireThroughOthers(
+          {.organisation = organisation, .service = service, .relay = true},
+          pool)
+      .value_or(own);
 }
 
 limits::PermitGrant PermitSource::AcquireForOther(
-    const std::string& organisation) {
-  return this->AcquireFromPool(organisation)
+    const std::string& organisation,
+    const std::string& service) {
+  return this->AcquireFromPool(organisation, service)
       .value_or(limits::PermitGrant{.pool_silent = true});
 }
 
+bool PermitSource::TryRetry(const std::string& organisation,
+                            const rpc::RetryCall& call) {
+  const std::string pool = this->PoolOf(organisation);
+  if (pool == this->fleet.places.host) {
+    return this->TryPooledRetry(call);
+  }
+  if (this->IsLostNow(pool)) {
+    return false;
+  }
+  const auto granted = this->fleet.peers.Retry(pool, call, kAcquireTimeout);
+  if (!granted.ok()) {
+    this->NoteLost(pool);
+  }
+  return granted.value_or(false);
+}
+
+bool PermitSource::TryPooledRetry(const rpc::RetryCall& call) {
+  return this->fleet.rates.TryRetry(
+      call, limits::PoolCount(this->fleet.directory.size()));
+}
+
 absl::StatusOr<limits::PermitGrant> PermitSource::AcquireFromPool(
-    const std::string& organisation) {
+    const std::string& organisation,
+    const std::string& service) {
   const std::string pool = this->PoolOf(organisation);
   if (pool == this->fleet.places.host) {
-    return this->fleet.rates.Acquire(organisation, 1);
+    return this->fleet.rates.Acquire(organisation, service, 1);
   }
-  auto grant = this->fleet.peers.Acquire(pool, organisation, 1, /*relay=*/false,
-                                         kAcquireTimeout);
+  auto grant = this->fleet.peers.Acquire(
+      pool, {.organisation = organisation, .service = service},
+      kAcquireTimeout);
   if (grant.ok()) {
     this->NoteReached(pool);
   } else {
@@ -91,12 +134,11 @@
 // suspected when all that were asked found it silent: one of them may merely
 // have a bad path to it as well.
 absl::StatusOr<limits::PermitGrant> PermitSource::AcquireThroughOthers(
-    const std::string& organisation,
+    const rpc::PermitCall& call,
     const std::string& pool) {
   int found_silent = 0;
   for (const std::string& relay : this->ChooseRelays(pool)) {
-    const auto grant = this->fleet.peers.Acquire(relay, organisation, 1,
-                                                 /*relay=*/true, kRelayTimeout);
+    const auto grant = this->fleet.peers.Acquire(relay, call, kRelayTimeout);
     if (grant.ok() && !grant->pool_silent && !grant->pools_nothing) {
       return *grant;
     }
--- a/components/control/permit_source.h
+++ b/components/control/permit_source.h
@@ -29,14 +29,27 @@
 
   /// Takes one permit: from the pool, from this host's own share if the pool
   /// gives none, and else through another host. Suspends the calling fiber.
-  limits::PermitGrant Acquire(const std::string& organisation);
+  limits::PermitGrant Acquire(const std::string& organisation,
+                              const std::string& service);
 
   /// Takes one permit from the pool for a host that does not reach it.
-  limits::PermitGrant AcquireForOther(const std::string& organisation);
+  limits::PermitGrant AcquireForOther(const std::string& organisation,
+                                      const std::string& service);
+
+  /// Leave from the pool to send a request a second time; false when it has
+  /// none left or does not answer. Suspends the calling fiber.
+  bool TryRetry(const std::string& organisation, const rpc::RetryCall& call);
+
+  /// The same, asked of this host as the pool.
+  bool TryPooledRetry(const rpc::RetryCall& call);
 
  private:
+  using PoolHosts = std::array<std::string, limits::kShardCount>;
+
+  void RecordChange(const PoolHosts& before, const PoolHosts& after) const;
   absl::StatusOr<limits::PermitGrant> AcquireFromPool(
-      const std::string& organisation);
+      const std::string& organisation,
+      const std::string& service);
   const std::string PoolOf(const std::string& organisation) const;
   bool IsLostNow(const std::string& pool);
   void NoteLost(const std::string& pool);
@@ -44,12 +57,10 @@
   bool IsUnreached(const std::string& pool);
   void Suspect(const std::string& pool);
   absl::StatusOr<limits::PermitGrant> AcquireThroughOthers(
-      const std::string& organisation,
+      const rpc::PermitCall& call,
       const std::string& pool);
   std::vector<std::string> ChooseRelays(const std::string& pool);
 
-  using PoolHosts = std::array<std::string, limits::kShardCount>;
-
   Fleet& fleet;
   Snapshot<PoolHosts> pool_hosts;
   std::mutex mutex;
--- a/components/control/rate_keeper.cc
+++ b/components/control/rate_keeper.cc
@@ -6,7 +6,8 @@
                        const Snapshot<config::Configuration>& configuration)
     : options(std::move(options)),
       configuration(configuration),
-      lender(this->options.lender) {}
+      lender(this->options.lender),
+      retries(this->options.retries) {}
 
 void RateKeeper::SetShare(double fraction) {
   const std::lock_guard lock(this->mutex);
@@ -70,9 +71,23 @@
 }
 
 limits::PermitGrant RateKeeper::Acquire(const std::string& organisation,
+                                        const std::string& service,
                                         int wanted) {
   const std::lock_guard lock(this->mutex);
-  return this->AcquireLocked(organisation, wanted);
+  const auto grant = this->AcquireLocked(organisation, wanted);
+  for (int i = 0; i < grant.granted; ++i) {
+    this->retries.OnRequest(service, 1, MonotonicNow());
+  }
+  return grant;
+}
+
+bool RateKeeper::TryRetry(const rpc::RetryCall& call, size_t pools) {
+  const std::lock_guard lock(this->mutex);
+  const Instant now = MonotonicNow();
+  for (int i = 0; i < call.uncounted; ++i) {
+    this->retries.OnRequest(call.service, pools, now);
+  }
+  return this->retries.TryRetry(call.service, pools, now);
 }
 
 limits::PermitGrant RateKeeper::AcquireFromOwnShare(
--- a/components/control/rate_keeper.h
+++ b/components/control/rate_keeper.h
@@ -8,6 +8,8 @@
 #include "components/config/configuration.h"
 #include "components/limits/rate_pool.h"
 #include "components/limits/share_lender.h"
+#include "components/retry/retry_budget.h"
+#include "components/rpc/messages.h"
 
 namespace kingcupstair::control {
 
@@ -22,6 +24,8 @@
     double tolerance = 0;
     double slack = 0;
     limits::ShareLender::Options lender;
+    /// The site's bounds on retries of all hosts together.
+    retry::RetryBudget::Options retries;
   };
 
   RateKeeper(Options options,
@@ -45,8 +49,14 @@
                Instant asked);
   void DropLoan(limits::ShardId shard, const std::string& lender);
 
-  /// Takes permits from the pool of this host.
-  limits::PermitGrant Acquire(const std::string& organisation, int wanted);
+  /// Takes permits from the pool of this host, for requests for `service`.
+  limits::PermitGrant Acquire(const std::string& organisation,
+                              const std::string& service,
+                              int wanted);
+
+  /// Leave from the pool of this host to send a request for `service` a second
+  /// time. `pools` hosts share this part of the retry budget.
+  bool TryRetry(const rpc::RetryCall& call, size_t pools);
 
   /// Takes permits from this host's own share, for when the pool of the shard
   /// can't be reached. Nothing is granted while the share is lent to it.
@@ -64,6 +74,7 @@
   mutable std::mutex mutex;
   limits::ShareLender lender;
   limits::RatePool pool;
+  retry::RetryBudget retries;
 };
 
 }  // namespace kingcupstair::control
--- a/components/guard/guard.cc
+++ b/components/guard/guard.cc
@@ -117,7 +117,10 @@
     }
     GuardedUpstream& upstream = found->second;
     upstream.running[accepted.ticket] = request.fingerprint;
-    upstream.judge.OnStart(accepted.ticket, request.objective, MonotonicNow());
+    upstream.judge.OnStart({.request = accepted.ticket,
+                            .objective = request.objective,
+                            .once_only = !request.idempotent},
+                           MonotonicNow());
     if (request.idempotent) {
       this->cancellable[request.request_id] = cancellation;
     }
--- a/components/guard/guard.h
+++ b/components/guard/guard.h
@@ -43,6 +43,8 @@
 struct Reservation {
   admission::TicketId ticket = 0;
   std::string upstream;
+  /// Its request can't be sent again, or was already.
+  bool careful = false;
   Instant lapses;
 };
 
@@ -111,6 +113,7 @@
                                      uint64_t asked_incarnation) const;
   once::RefusalReason ReasonToRefuseSlot(const once::SlotRequest& request,
                                          Instant now) const;
+  int OnceOnlySinceGood(const GuardedUpstream& upstream) const;
   admission::GateDecision WaitForSlot(const once::SlotRequest& request,
                                       admission::TicketId ticket);
   rpc::SlotAnswer SlotAnswerFor(const std::string& upstream,
--- a/components/guard/guard_slots.cc
+++ b/components/guard/guard_slots.cc
@@ -1,11 +1,17 @@
 #include "components/guard/guard.h"
 
+#include <algorithm>
+
 namespace kingcupstair::guard {
 namespace {
 
 /// How long a slot is held for the request that follows: several round trips
 /// between zones on a slow host.
 constexpr Duration kReservationLife{std::chrono::milliseconds(800)};
+/// Requests that may run only once, out at an upstream since its last good
+/// answer. A sound upstream that is busy answers every 150 ms or so, in which
+/// about one of them comes; a hanging one takes all that this allows with it.
+constexpr int kMostOnceOnly = 2;
 
 }  // namespace
 
@@ -27,6 +33,7 @@
   this->reservations[request.request_id] = {
       .ticket = ticket,
       .upstream = request.upstream,
+      .careful = request.careful,
       .lapses = MonotonicNow() + kReservationLife};
   return this->SlotAnswerFor(request.upstream, {}, true);
 }
@@ -45,9 +52,10 @@
     return once::RefusalReason::kNone;
   }
   const bool looks_unwell = upstream.judge.LooksUnwell(now);
-  const bool keep_away = request.careful
-                             ? looks_unwell || upstream.judge.IsInDoubt(now)
-                             : looks_unwell && upstream.judge.HasUndecided(now);
+  const bool keep_away =
+      request.careful ? looks_unwell || upstream.judge.IsInDoubt(now) ||
+                            this->OnceOnlySinceGood(upstream) >= kMostOnceOnly
+                      : looks_unwell && upstream.judge.HasUndecided(now);
   if (keep_away) {
     return once::RefusalReason::kLooksUnwell;
   }
@@ -56,6 +64,16 @@
              : once::RefusalReason::kNone;
 }
 
+int Guard::OnceOnlySinceGood(const GuardedUpstream& upstream) const {
+  const auto reserved =
+      std::count_if(this->reservations.begin(), this->reservations.end(),
+                    [&](const auto& entry) {
+                      return entry.second.careful &&
+                             entry.second.upstream == upstream.announcement.id;
+                    });
+  return upstream.judge.OnceOnlySinceGood() + static_cast<int>(reserved);
+}
+
 admission::GateDecision Guard::WaitForSlot(const once::SlotRequest& request,
                                            admission::TicketId ticket) {
   DecisionFuture decided;
--- a/components/health/upstream_judge.h
+++ b/components/health/upstream_judge.h
@@ -20,9 +20,16 @@
 /// while their health endpoint reports that all is well.
 class UpstreamJudge {
  public:
-  /// A request was sent. `objective` is the time within which its answer is as
-  /// useful as it can be.
-  void OnStart(uint64_t request, Duration objective, Instant now);
+  struct Sent {
+    uint64_t request = 0;
+    /// The time within which an answer is as useful as it can be.
+    Duration objective{};
+    /// It is lost for good if the upstream does not answer it.
+    bool once_only = false;
+  };
+
+  /// A request was sent.
+  void OnStart(const Sent& sent, Instant now);
 
   void OnEnd(uint64_t request, Verdict verdict, Instant now);
 
@@ -38,17 +45,19 @@
   /// Whether a request is out that may still tell more.
   bool HasUndecided(Instant now) const;
 
-  /// Share of the latest requests that failed or hang, 0 to 1.
-  double BadShare(Instant now) const;
+  /// Requests out that may run only once and were sent since the last good
+  /// answer: what is lost if the upstream has begun to hang.
+  int OnceOnlySinceGood() const;
 
   /// The upstream has started anew.
-  void Restart() { this->requests.clear(); }
+  void Restart();
 
  private:
   struct Observed {
     uint64_t request = 0;
     Instant started;
     Duration objective;
+    bool once_only = false;
     /// When it counts as hanging.
     Instant overdue;
     bool ended = false;
--- a/components/ingress/ingress.cc
+++ b/components/ingress/ingress.cc
@@ -45,8 +45,7 @@
       board(board),
       runner(runner),
       crashes(crashes),
-      recorder(recorder),
-      budget(this->options.retries) {}
+      recorder(recorder) {}
 
 http::Response Ingress::Handle(const http::Request& request,
                                const CancellationPtr& caller) {
@@ -207,17 +206,17 @@
                  .retry_after = refused};
 }
 
-std::optional<Problem> Ingress::TakePermit(
-    const config::Configuration& current,
-    const AdmittedRequest& admitted) const {
+std::optional<Problem> Ingress::TakePermit(const config::Configuration& current,
+                                           const AdmittedRequest& admitted) {
   const auto* rule = current.FindOrganisation(admitted.organisation);
   if (rule == nullptr || rule->unlimited) {
+    this->NoteUncounted(admitted);
     return std::nullopt;
   }
   limits::PermitGrant grant;
   for (int tries = 0; tries < kPermitTries; ++tries) {
     const Instant asked = MonotonicNow();
-    grant = this->options.acquire(admitted.organisation);
+    grant = this->options.acquire(admitted.organisation, admitted.service);
     const bool in_time = MonotonicNow() - asked < grant.life;
     if (grant.granted > 0 && in_time) {
       return std::nullopt;
@@ -236,17 +235,29 @@
                  {.name = "pooled", .value = absl::StrCat(grant.fraction)}}};
 }
 
-http::Response Ingress::Run(const AdmittedRequest& admitted) {
-  {
+// What upstreams call for is part of requests that were counted.
+void Ingress::NoteUncounted(const AdmittedRequest& admitted) {
+  if (!admitted.route.internal) {
     const std::lock_guard lock(this->mutex);
-    this->budget.OnRequest(admitted.service, this->options.hosts());
+    ++this->uncounted[admitted.service];
   }
+}
+
+int Ingress::TakeUncounted(const std::string& service) {
+  const std::lock_guard lock(this->mutex);
+  return std::exchange(this->uncounted[service], 0);
+}
+
+http::Response Ingress::Run(const AdmittedRequest& admitted) {
   RequestRun run(
       {.board = this->board,
        .runner = this->runner,
        .may_retry =
-           [this](const std::string& service) {
-             return this->MayRetry(service);
+           [this, &admitted] {
+             return this->options.may_retry(
+                 admitted.organisation,
+                 {.service = admitted.service,
+                  .uncounted = this->TakeUncounted(admitted.service)});
            },
        .note_start =
            [&admitted](const std::string& attempt, const Choice& choice,
@@ -297,11 +308,6 @@
                                     : std::get<once::Unknown>(outcome).detail});
 }
 
-bool Ingress::MayRetry(const std::string& service) {
-  const std::lock_guard lock(this->mutex);
-  return this->budget.TryRetry(service, this->options.hosts());
-}
-
 http::Response Ingress::Refuse(const AdmittedRequest& admitted,
                                Problem problem) {
   problem.request_id = admitted.request_id;
--- a/components/ingress/ingress.h
+++ b/components/ingress/ingress.h
@@ -2,6 +2,7 @@
 #define COMPONENTS_INGRESS_INGRESS_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -17,7 +18,6 @@
 #include "components/ingress/attempt_runner.h"
 #include "components/ingress/caller_answer.h"
 #include "components/ingress/fleet_board.h"
-#include "components/retry/retry_budget.h"
 
 namespace kingcupstair::ingress {
 
@@ -30,10 +30,13 @@
     /// True while this host must take no new work.
     std::function<bool()> isolated;
     /// Takes one permit for an organisation, wherever its pool is.
-    std::function<limits::PermitGrant(const std::string& organisation)> acquire;
-    /// Hosts of the fleet, which share the retry budget.
-    std::function<size_t()> hosts;
-    retry::RetryBudget::Options retries;
+    std::function<limits::PermitGrant(const std::string& organisation,
+                                      const std::string& service)>
+        acquire;
+    /// Leave to send a request once more.
+    std::function<bool(const std::string& organisation,
+                       const rpc::RetryCall& call)>
+        may_retry;
     std::shared_ptr<const Dialect> dialect = std::make_shared<const Dialect>();
     /// The service beside which this host stands; may be empty.
     std::string caller_service;
@@ -59,13 +62,14 @@
   std::optional<Problem> Authenticate(const config::Configuration& current,
                                       AdmittedRequest& admitted) const;
   std::optional<Problem> TakePermit(const config::Configuration& current,
-                                    const AdmittedRequest& admitted) const;
+                                    const AdmittedRequest& admitted);
   std::optional<Problem> CheckCrashes(const AdmittedRequest& admitted) const;
   http::Headers HeadersForUpstream(const http::Headers& headers) const;
   Duration TimeFor(const AdmittedRequest& admitted) const;
   std::string ChoosePart(const config::RouteRule& route);
+  void NoteUncounted(const AdmittedRequest& admitted);
+  int TakeUncounted(const std::string& service);
   http::Response Run(const AdmittedRequest& admitted);
-  bool MayRetry(const std::string& service);
   http::Response Refuse(const AdmittedRequest& admitted, Problem problem);
   void NoteOutcome(const AdmittedRequest& admitted,
                    const once::Outcome& outcome);
@@ -78,7 +82,8 @@
   guard::CrashWatch& crashes;
   events::Recorder& recorder;
   std::mutex mutex;
-  retry::RetryBudget budget;
+  /// Requests by service that needed no permits, since the last retry.
+  std::map<std::string, int> uncounted;
   std::mt19937_64 random{std::random_device{}()};
 };
 
--- a/components/ingress/request_run.cc
+++ b/components/ingress/request_run.cc
@@ -21,6 +21,9 @@
 /// A repeatable request without an answer after this part of its objective is
 /// sent a second time: a second upstream can still answer within it.
 constexpr double kHedgePart = 0.55;
+/// Pause before asking again for leave or room for it: leave is earned by other
+/// requests, and at the usual load that takes some tenths of a second.
+constexpr Duration kHedgePause{std::chrono::milliseconds(200)};
 /// Part of the objective that a request may spend waiting for a slot: what is
 /// left is about what an upstream takes.
 constexpr double kWaitPart = 0.6;
@@ -86,10 +89,7 @@
       break;
     }
     if (this->IsHedgeDue(now)) {
-      this->hedged = true;
-      if (this->context.may_retry(this->admitted.service)) {
-        this->StartAttempt(false);
-      }
+      this->Hedge();
     }
     if (!this->WaitForResult(this->NextWake(now))) {
       continue;
@@ -101,6 +101,15 @@
   return this->last;
 }
 
+void RequestRun::Hedge() {
+  this->hedged = this->StartRetry(/*may_wait=*/false);
+  this->hedge_again = MonotonicNow() + kHedgePause;
+}
+
+bool RequestRun::StartRetry(bool may_wait) {
+  return this->context.may_retry() && this->StartAttempt(may_wait);
+}
+
 // Takes in one result; true when it is the final one.
 bool RequestRun::TakeResult() {
   Results::Ended ended;
@@ -124,12 +133,11 @@
   if (!this->running.empty()) {
     return false;
   }
-  this->must_answer =
-      !this->MayStartAgain(this->last) || !this->StartAttempt(true);
+  this->must_answer = !this->StartAgain(this->last);
   return this->must_answer;
 }
 
-bool RequestRun::MayStartAgain(const once::Outcome& outcome) {
+bool RequestRun::StartAgain(const once::Outcome& outcome) {
   const bool again = std::holds_alternative<retry::TryAgain>(
       retry::DecideNextStep({.outcome = outcome,
                              .repeat = this->admitted.route.repeat,
@@ -137,13 +145,16 @@
                              .max_attempts = this->admitted.route.attempts,
                              .upstreams_broken = this->upstreams_broken,
                              .time_left = this->TimeLeft()}));
-  return again && this->admitted.dedupe_key.empty() &&
-         (!Arrived(outcome) || this->context.may_retry(this->admitted.service));
+  if (!again || !this->admitted.dedupe_key.empty()) {
+    return false;
+  }
+  return Arrived(outcome) ? this->StartRetry(/*may_wait=*/true)
+                          : this->StartAttempt(/*may_wait=*/true);
 }
 
 bool RequestRun::IsHedgeDue(Instant now) const {
-  if (this->hedged || !this->admitted.IsIdempotent() ||
-      this->running.size() != 1 ||
+  if (this->hedged || now < this->hedge_again ||
+      !this->admitted.IsIdempotent() || this->running.size() != 1 ||
       this->attempts >= this->admitted.route.attempts) {
     return false;
   }
--- a/components/ingress/request_run.h
+++ b/components/ingress/request_run.h
@@ -25,7 +25,8 @@
   struct Context {
     FleetBoard& board;
     AttemptRunner& runner;
-    std::function<bool(const std::string& service)> may_retry;
+    /// Takes leave to send the request once more.
+    std::function<bool()> may_retry;
     /// Logs that an attempt at `choice` begins, and what the choice rested on.
     std::function<void(const std::string& attempt,
                        const Choice& choice,
@@ -59,7 +60,9 @@
   bool StartAttempt(bool may_wait);
   bool WaitForResult(Instant until);
   bool TakeResult();
-  bool MayStartAgain(const once::Outcome& outcome);
+  bool StartAgain(const once::Outcome& outcome);
+  bool StartRetry(bool may_wait);
+  void Hedge();
   bool IsHedgeDue(Instant now) const;
   Instant NextWake(Instant now) const;
   void CancelAttempts();
@@ -76,6 +79,8 @@
   int attempts = 0;
   int upstreams_broken = 0;
   bool hedged = false;
+  /// When a second attempt is due, if it was refused before.
+  Instant hedge_again;
   bool must_answer = false;
   once::Outcome last{
       once::NotRun{.reason = once::RefusalReason::kUpstreamGone}};
--- a/components/limits/shard.cc
+++ b/components/limits/shard.cc
@@ -17,13 +17,16 @@
 constexpr size_t kHostsPerPool = 64;
 
 uint64_t PoolSeed(ShardId shard, size_t hosts) {
-  const size_t pools = std::clamp<size_t>(
-      (hosts + kHostsPerPool - 1) / kHostsPerPool, 1, kShardCount);
-  return static_cast<uint64_t>(shard) % pools + 1;
+  return static_cast<uint64_t>(shard) % PoolCount(hosts) + 1;
 }
 
 }  // namespace
 
+size_t PoolCount(size_t hosts) {
+  return std::clamp<size_t>((hosts + kHostsPerPool - 1) / kHostsPerPool, 1,
+                            kShardCount);
+}
+
 std::optional<std::string> PoolHostOf(ShardId shard,
                                       const std::vector<std::string>& hosts) {
   std::optional<std::string> best;
--- a/components/limits/shard.h
+++ b/components/limits/shard.h
@@ -17,6 +17,9 @@
 /// The shard that `organisation` belongs to, the same on every host.
 ShardId ShardOf(std::string_view organisation);
 
+/// How many hosts of a region of `hosts` pool rates.
+size_t PoolCount(size_t hosts);
+
 /// The host among `hosts` that pools the rates of `shard`: the one with the
 /// highest hash, so that a host that comes or goes moves only its own shards.
 /// Few hosts have fewer pools than there are shards, so that each pool can ask
--- a/components/limits/share_table.cc
+++ b/components/limits/share_table.cc
@@ -6,6 +6,10 @@
 namespace kingcupstair::limits {
 namespace {
 
+/// Parts on their way are of use to nobody until the taker reads the table, so
+/// a host gives some away only when it has this much more than an equal share
+/// (one in so many): when it goes, that much more goes with it.
+constexpr int64_t kSurplusDivisor = 2;
 /// A move smaller than this part of an equal share is not worth a write.
 constexpr int64_t kWorthwhileDivisor = 20;
 
@@ -54,7 +58,8 @@
                        });
   const int64_t parts =
       std::min(giver->parts - equal, equal - poorest->second.parts);
-  if (parts <= equal / kWorthwhileDivisor) {
+  if (giver->parts - equal <= equal / kSurplusDivisor ||
+      parts <= equal / kWorthwhileDivisor) {
     return std::nullopt;
   }
   return ShareMove{.from = host, .to = poorest->first, .parts = parts};
--- a/components/membership/directory.cc
+++ b/components/membership/directory.cc
@@ -81,6 +81,19 @@
   found->second.changed = now;
 }
 
+void Directory::MarkLeaving(const std::string& host) {
+  const auto found = this->members.find(host);
+  if (found != this->members.end()) {
+    found->second.update.record.leaving = true;
+  }
+}
+
+bool Directory::IsAlive(const std::string& host) const {
+  const auto found = this->members.find(host);
+  return found != this->members.end() &&
+         found->second.update.liveness == Liveness::kAlive;
+}
+
 std::vector<std::string> Directory::Tick(Instant now) {
   std::vector<std::string> died;
   for (auto& [host, member] : this->members) {
--- a/components/membership/directory.h
+++ b/components/membership/directory.h
@@ -57,6 +57,12 @@
   /// No path to `host` gave an answer.
   void Suspect(const std::string& host, Instant now);
 
+  /// `host` has said itself that it is about to end; its own record, which says
+  /// the same, is still on its way.
+  void MarkLeaving(const std::string& host);
+
+  bool IsAlive(const std::string& host) const;
+
   /// Lets time pass: suspects become dead, the dead are forgotten. Gives the
   /// hosts that have become dead.
   std::vector<std::string> Tick(Instant now);
--- a/components/retry/retry_budget.h
+++ b/components/retry/retry_budget.h
@@ -4,34 +4,43 @@
 #include <map>
 #include <string>
 
+#include "components/base/time.h"
+
 namespace kingcupstair::retry {
 
-/// This host's part of what all hosts together may send to a service beyond
-/// the first arrival of each request, so that retries can't multiply the load
-/// of a service that is failing.
+/// Bounds the arrivals at the upstreams of each service that are not the first
+/// of a request, so that retries can't multiply the load of a service that is
+/// failing. In any window they stay below a fraction of the requests in it plus
+/// a slack.
 class RetryBudget {
  public:
   struct Options {
     /// Retries earned by each request.
     double ratio = 0.2;
-    /// Retries of all hosts together beyond what requests have earned.
+    /// Retries of all hosts together in a window, beyond what requests earn.
     double slack = 60;
+    Duration window{std::chrono::seconds(10)};
   };
 
   explicit RetryBudget(Options options);
 
-  /// Counts a request for `service`. `hosts` share the slack.
-  void OnRequest(const std::string& service, size_t hosts);
+  /// Counts a request for `service`. `holders` of budgets share the slack.
+  void OnRequest(const std::string& service, size_t holders, Instant now);
 
   /// Takes leave for one retry; false when the budget is used up.
-  bool TryRetry(const std::string& service, size_t hosts);
+  bool TryRetry(const std::string& service, size_t holders, Instant now);
 
  private:
-  double& TokensOf(const std::string& service, size_t hosts);
-  double Depth(size_t hosts) const;
+  struct Tokens {
+    double held = 0;
+    Instant filled;
+  };
+
+  double& TokensOf(const std::string& service, size_t holders, Instant now);
+  double SlackPart(size_t holders) const;
 
   Options options;
-  std::map<std::string, double> tokens;
+  std::map<std::string, Tokens> tokens;
 };
 
 }  // namespace kingcupstair::retry
--- a/components/rpc/messages.h
+++ b/components/rpc/messages.h
@@ -14,6 +14,29 @@
 
 namespace kingcupstair::rpc {
 
+/// An ask for leave to send a request a second time.
+struct RetryCall {
+  std::string service;
+  /// Requests for the service that the asker took without permits since it
+  /// asked last.
+  int uncounted = 0;
+
+  bool operator==(const RetryCall&) const = default;
+};
+
+/// An ask for permits.
+struct PermitCall {
+  std::string organisation;
+  /// The service that the requests are for; the pool counts them for its part
+  /// of the retry budget.
+  std::string service;
+  int wanted = 1;
+  /// To be asked for at the pool, by a host that is not the pool.
+  bool relay = false;
+
+  bool operator==(const PermitCall&) const = default;
+};
+
 /// What two hosts tell each other at a probe.
 struct GossipMessage {
   std::string host;
--- a/components/rpc/peer.capnp
+++ b/components/rpc/peer.capnp
@@ -35,10 +35,11 @@
 
   lend @5 (shards :List(UInt16)) -> (loans :List(Loan));
   # Asks for this host's share of the limits of some shards.
-  acquire @6 (organisation :Text, wanted :UInt32, relay :Bool) -> (grant :Grant);
+  acquire @6 (organisation :Text, wanted :UInt32, relay :Bool, service :Text)
+      -> (grant :Grant);
   # Asks the pool for permits, or any host to ask the pool.
-  giveBack @7 (shards :List(UInt16)) -> ();
-  # The pool returns loans early.
+  giveBack @7 (shards :List(UInt16), leaving :Bool) -> ();
+  # The pool returns loans early, and is about to end if it is leaving.
 
   submit @8 (run :Run) -> (ticket :Ticket);
   # Returns as soon as the request is accepted. Uses the slot reserved for it.
@@ -48,6 +49,9 @@
   # Holds a slot of an upstream for a request that follows at once.
   cancel @11 (requestId :Text, incarnation :UInt64) -> ();
   # Nobody waits for the request any more.
+
+  retry @12 (service :Text, uncounted :UInt32) -> (granted :Bool);
+  # Asks the pool for leave to send a request a second time.
 }
 
 struct SlotRequest {
--- a/components/rpc/peer.capnp.c++
+++ b/components/rpc/peer.capnp.c++
@@ -325,7 +325,7 @@
   0, 3, i_f7ba9da5f99c2434, nullptr, nullptr, { &s_f7ba9da5f99c2434, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<138> b_fb674d0ba0aa5ea5 = {
+static const ::capnp::_::AlignedData<148> b_fb674d0ba0aa5ea5 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     165,  94, 170, 160,  11,  77, 103, 251,
      11,   0,   0,   0,   3,   0,   0,   0,
@@ -335,109 +335,117 @@
      21,   0,   0,   0, 130,   0,   0,   0,
      25,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,   7,   3,   0,   0,
-    249,   1,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0,  71,   3,   0,   0,
+     33,   2,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  80, 101, 101, 114,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     48,   0,   0,   0,   3,   0,   5,   0,
+     52,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     224, 214,  91, 208, 185, 228, 154, 222,
     212, 183, 196, 132,  97, 252, 191, 143,
-    113,   1,   0,   0,  58,   0,   0,   0,
+    145,   1,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    101,   1,   0,   0,   7,   0,   0,   0,
+    133,   1,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
      15, 252,  89,  45, 177, 127, 122, 227,
      66,  92, 175,  40, 136,  30, 139, 201,
-     89,   1,   0,   0,  42,   0,   0,   0,
+    121,   1,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     77,   1,   0,   0,   7,   0,   0,   0,
+    109,   1,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
      42,  75, 226,  42, 105,  92, 101, 208,
      15, 172,   0, 165,  66,  98,   0, 157,
-     65,   1,   0,   0,  50,   0,   0,   0,
+     97,   1,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     53,   1,   0,   0,   7,   0,   0,   0,
+     85,   1,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
      15, 152, 179, 174, 152, 204, 130, 236,
     190,  87,  91, 199, 161,  44,  42, 210,
-     41,   1,   0,   0,  42,   0,   0,   0,
+     73,   1,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   1,   0,   0,   7,   0,   0,   0,
+     61,   1,   0,   0,   7,   0,   0,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
      27, 225, 211, 224,  42, 240, 208, 236,
      19,  66, 134, 200, 118, 247, 205, 144,
-     17,   1,   0,   0,  58,   0,   0,   0,
+     49,   1,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      5,   1,   0,   0,   7,   0,   0,   0,
+     37,   1,   0,   0,   7,   0,   0,   0,
       5,   0,   0,   0,   0,   0,   0,   0,
     255, 217,   8,  39, 216, 201, 248, 157,
     250,  82, 179, 117, 237, 206, 206, 181,
-    249,   0,   0,   0,  42,   0,   0,   0,
+     25,   1,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    237,   0,   0,   0,   7,   0,   0,   0,
+     13,   1,   0,   0,   7,   0,   0,   0,
       6,   0,   0,   0,   0,   0,   0,   0,
     162,   7, 162, 160,   8,   8, 173, 239,
     114,  74, 236,  54, 137, 237, 170, 140,
-    225,   0,   0,   0,  66,   0,   0,   0,
+      1,   1,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    213,   0,   0,   0,   7,   0,   0,   0,
+    245,   0,   0,   0,   7,   0,   0,   0,
       7,   0,   0,   0,   0,   0,   0,   0,
     115,  80,  56,  43,  61, 138, 195, 203,
     178, 187, 173,   3, 222,  99, 105, 234,
-    201,   0,   0,   0,  74,   0,   0,   0,
+    233,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    193,   0,   0,   0,   7,   0,   0,   0,
+    225,   0,   0,   0,   7,   0,   0,   0,
       8,   0,   0,   0,   0,   0,   0,   0,
      26, 202, 199, 249, 188, 230, 200, 148,
     162, 157,  60, 172,  43,  28, 159, 254,
-    181,   0,   0,   0,  58,   0,   0,   0,
+    213,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    169,   0,   0,   0,   7,   0,   0,   0,
+    201,   0,   0,   0,   7,   0,   0,   0,
       9,   0,   0,   0,   0,   0,   0,   0,
      75,  29,  94,  65, 130, 132,  64, 206,
     181, 133, 224, 206, 105, 160, 166, 186,
-    157,   0,   0,   0,  66,   0,   0,   0,
+    189,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    145,   0,   0,   0,   7,   0,   0,   0,
+    177,   0,   0,   0,   7,   0,   0,   0,
      10,   0,   0,   0,   0,   0,   0,   0,
     167,  64, 218, 168, 253, 189, 110, 252,
     138, 211,  18,   9,  10, 143, 185, 168,
-    133,   0,   0,   0,  66,   0,   0,   0,
+    165,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    121,   0,   0,   0,   7,   0,   0,   0,
+    153,   0,   0,   0,   7,   0,   0,   0,
      11,   0,   0,   0,   0,   0,   0,   0,
     112, 228, 166, 205, 124, 100,  63, 238,
      23, 193,  86, 171, 234, 246,  60, 223,
-    109,   0,   0,   0,  58,   0,   0,   0,
+    141,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     97,   0,   0,   0,   7,   0,   0,   0,
+    129,   0,   0,   0,   7,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+     83,  60,  95, 130, 113, 246, 125, 250,
+    250,  47,  75,  21, 134, 153,  79, 172,
+    117,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    105,   0,   0,   0,   7,   0,   0,   0,
     103, 111, 115, 115, 105, 112,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
     115, 121, 110,  99,   0,   0,   0,   0,
@@ -463,6 +471,8 @@
       0,   0,   0,   0,   0,   0,   1,   0,
      99,  97, 110,  99, 101, 108,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    114, 101, 116, 114, 121,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_fb674d0ba0aa5ea5 = b_fb674d0ba0aa5ea5.words;
@@ -475,6 +485,7 @@
   &s_9d006242a500ac0f,
   &s_9df8c9d82708d9ff,
   &s_a8b98f0a0912d38a,
+  &s_ac4f9986154b2ffa,
   &s_b5ceceed75b352fa,
   &s_baa6a069cee085b5,
   &s_c98b1e8828af5c42,
@@ -490,13 +501,14 @@
   &s_ecd0f02ae0d3e11b,
   &s_ee3f647ccda6e470,
   &s_efad0808a0a207a2,
+  &s_fa7df671825f3c53,
   &s_fc6ebdfda8da40a7,
   &s_fe9f1c2bac3c9da2,
 };
-static const uint16_t m_fb674d0ba0aa5ea5[] = {6, 11, 4, 7, 0, 3, 5, 2, 10, 9, 8, 1};
+static const uint16_t m_fb674d0ba0aa5ea5[] = {6, 11, 4, 7, 0, 3, 5, 2, 10, 9, 12, 8, 1};
 const ::capnp::_::RawSchema s_fb674d0ba0aa5ea5 = {
-  0xfb674d0ba0aa5ea5, b_fb674d0ba0aa5ea5.words, 138, d_fb674d0ba0aa5ea5, m_fb674d0ba0aa5ea5,
-  24, 12, nullptr, nullptr, nullptr, { &s_fb674d0ba0aa5ea5, nullptr, nullptr, 0, 0, nullptr }
+  0xfb674d0ba0aa5ea5, b_fb674d0ba0aa5ea5.words, 148, d_fb674d0ba0aa5ea5, m_fb674d0ba0aa5ea5,
+  26, 13, nullptr, nullptr, nullptr, { &s_fb674d0ba0aa5ea5, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<32> b_de9ae4b9d05bd6e0 = {
@@ -1056,45 +1068,52 @@
   1, 1, i_b5ceceed75b352fa, nullptr, nullptr, { &s_b5ceceed75b352fa, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<63> b_efad0808a0a207a2 = {
+static const ::capnp::_::AlignedData<78> b_efad0808a0a207a2 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     162,   7, 162, 160,   8,   8, 173, 239,
      16,   0,   0,   0,   1,   0,   1,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      1,   0,   7,   0,   0,   0,   0,   0,
+      2,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0, 250,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0, 175,   0,   0,   0,
+     25,   0,   0,   0, 231,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  80, 101, 101, 114,  46,
      97,  99, 113, 117, 105, 114, 101,  36,
      80,  97, 114,  97, 109, 115,   0,   0,
-     12,   0,   0,   0,   3,   0,   4,   0,
+     16,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     69,   0,   0,   0, 106,   0,   0,   0,
+     97,   0,   0,   0, 106,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     68,   0,   0,   0,   3,   0,   1,   0,
-     80,   0,   0,   0,   2,   0,   1,   0,
+     96,   0,   0,   0,   3,   0,   1,   0,
+    108,   0,   0,   0,   2,   0,   1,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     77,   0,   0,   0,  58,   0,   0,   0,
+    105,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     72,   0,   0,   0,   3,   0,   1,   0,
-     84,   0,   0,   0,   2,   0,   1,   0,
+    100,   0,   0,   0,   3,   0,   1,   0,
+    112,   0,   0,   0,   2,   0,   1,   0,
       2,   0,   0,   0,  32,   0,   0,   0,
       0,   0,   1,   0,   2,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     81,   0,   0,   0,  50,   0,   0,   0,
+    109,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     76,   0,   0,   0,   3,   0,   1,   0,
-     88,   0,   0,   0,   2,   0,   1,   0,
+    104,   0,   0,   0,   3,   0,   1,   0,
+    116,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    113,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    108,   0,   0,   0,   3,   0,   1,   0,
+    120,   0,   0,   0,   2,   0,   1,   0,
     111, 114, 103,  97, 110, 105, 115,  97,
     116, 105, 111, 110,   0,   0,   0,   0,
      12,   0,   0,   0,   0,   0,   0,   0,
@@ -1118,16 +1137,24 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 101, 114, 118, 105,  99, 101,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
 ::capnp::word const* const bp_efad0808a0a207a2 = b_efad0808a0a207a2.words;
 #if !CAPNP_LITE
-static const uint16_t m_efad0808a0a207a2[] = {0, 2, 1};
-static const uint16_t i_efad0808a0a207a2[] = {0, 1, 2};
+static const uint16_t m_efad0808a0a207a2[] = {0, 2, 3, 1};
+static const uint16_t i_efad0808a0a207a2[] = {0, 1, 2, 3};
 const ::capnp::_::RawSchema s_efad0808a0a207a2 = {
-  0xefad0808a0a207a2, b_efad0808a0a207a2.words, 63, nullptr, m_efad0808a0a207a2,
-  0, 3, i_efad0808a0a207a2, nullptr, nullptr, { &s_efad0808a0a207a2, nullptr, nullptr, 0, 0, nullptr }
+  0xefad0808a0a207a2, b_efad0808a0a207a2.words, 78, nullptr, m_efad0808a0a207a2,
+  0, 4, i_efad0808a0a207a2, nullptr, nullptr, { &s_efad0808a0a207a2, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<32> b_8caaed8936ec4a72 = {
@@ -1176,31 +1203,38 @@
   1, 1, i_8caaed8936ec4a72, nullptr, nullptr, { &s_8caaed8936ec4a72, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<36> b_cbc38a3d2b385073 = {
+static const ::capnp::_::AlignedData<51> b_cbc38a3d2b385073 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     115,  80,  56,  43,  61, 138, 195, 203,
-     16,   0,   0,   0,   1,   0,   0,   0,
+     16,   0,   0,   0,   1,   0,   1,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       1,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0,   2,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0,  63,   0,   0,   0,
+     25,   0,   0,   0, 119,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  80, 101, 101, 114,  46,
     103, 105, 118, 101,  66,  97,  99, 107,
      36,  80,  97, 114,  97, 109, 115,   0,
-      4,   0,   0,   0,   3,   0,   4,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     13,   0,   0,   0,  58,   0,   0,   0,
+     41,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      8,   0,   0,   0,   3,   0,   1,   0,
-     36,   0,   0,   0,   2,   0,   1,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     64,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     61,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     56,   0,   0,   0,   3,   0,   1,   0,
+     68,   0,   0,   0,   2,   0,   1,   0,
     115, 104,  97, 114, 100, 115,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -1211,16 +1245,24 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    108, 101,  97, 118, 105, 110, 103,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
 ::capnp::word const* const bp_cbc38a3d2b385073 = b_cbc38a3d2b385073.words;
 #if !CAPNP_LITE
-static const uint16_t m_cbc38a3d2b385073[] = {0};
-static const uint16_t i_cbc38a3d2b385073[] = {0};
+static const uint16_t m_cbc38a3d2b385073[] = {1, 0};
+static const uint16_t i_cbc38a3d2b385073[] = {0, 1};
 const ::capnp::_::RawSchema s_cbc38a3d2b385073 = {
-  0xcbc38a3d2b385073, b_cbc38a3d2b385073.words, 36, nullptr, m_cbc38a3d2b385073,
-  0, 1, i_cbc38a3d2b385073, nullptr, nullptr, { &s_cbc38a3d2b385073, nullptr, nullptr, 0, 0, nullptr }
+  0xcbc38a3d2b385073, b_cbc38a3d2b385073.words, 51, nullptr, m_cbc38a3d2b385073,
+  0, 2, i_cbc38a3d2b385073, nullptr, nullptr, { &s_cbc38a3d2b385073, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<17> b_ea6963de03adbbb2 = {
@@ -1625,6 +1667,108 @@
   0, 0, nullptr, nullptr, nullptr, { &s_df3cf6eaab56c117, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<48> b_fa7df671825f3c53 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     83,  60,  95, 130, 113, 246, 125, 250,
+     16,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 234,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    114, 101, 116, 114, 121,  36,  80,  97,
+    114,  97, 109, 115,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     44,   0,   0,   0,   3,   0,   1,   0,
+     56,   0,   0,   0,   2,   0,   1,   0,
+    115, 101, 114, 118, 105,  99, 101,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    117, 110,  99, 111, 117, 110, 116, 101,
+    100,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_fa7df671825f3c53 = b_fa7df671825f3c53.words;
+#if !CAPNP_LITE
+static const uint16_t m_fa7df671825f3c53[] = {0, 1};
+static const uint16_t i_fa7df671825f3c53[] = {0, 1};
+const ::capnp::_::RawSchema s_fa7df671825f3c53 = {
+  0xfa7df671825f3c53, b_fa7df671825f3c53.words, 48, nullptr, m_fa7df671825f3c53,
+  0, 2, i_fa7df671825f3c53, nullptr, nullptr, { &s_fa7df671825f3c53, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<32> b_ac4f9986154b2ffa = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    250,  47,  75,  21, 134, 153,  79, 172,
+     16,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 242,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    114, 101, 116, 114, 121,  36,  82, 101,
+    115, 117, 108, 116, 115,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    103, 114,  97, 110, 116, 101, 100,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_ac4f9986154b2ffa = b_ac4f9986154b2ffa.words;
+#if !CAPNP_LITE
+static const uint16_t m_ac4f9986154b2ffa[] = {0};
+static const uint16_t i_ac4f9986154b2ffa[] = {0};
+const ::capnp::_::RawSchema s_ac4f9986154b2ffa = {
+  0xac4f9986154b2ffa, b_ac4f9986154b2ffa.words, 32, nullptr, m_ac4f9986154b2ffa,
+  0, 1, i_ac4f9986154b2ffa, nullptr, nullptr, { &s_ac4f9986154b2ffa, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<208> b_fa7f906901066f7a = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     122, 111,   6,   1, 105, 144, 127, 250,
@@ -3963,6 +4107,16 @@
       "peer.capnp:Peer", "cancel",
       0xfb674d0ba0aa5ea5ull, 11);
 }
+::capnp::Request< ::kingcupstair::rpc::wire::Peer::RetryParams,  ::kingcupstair::rpc::wire::Peer::RetryResults>
+Peer::Client::retryRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::kingcupstair::rpc::wire::Peer::RetryParams,  ::kingcupstair::rpc::wire::Peer::RetryResults>(
+      0xfb674d0ba0aa5ea5ull, 12, sizeHint);
+}
+::kj::Promise<void> Peer::Server::retry(RetryContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "peer.capnp:Peer", "retry",
+      0xfb674d0ba0aa5ea5ull, 12);
+}
 ::capnp::Capability::Server::DispatchCallResult Peer::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -4049,6 +4203,12 @@
              ::kingcupstair::rpc::wire::Peer::CancelParams,  ::kingcupstair::rpc::wire::Peer::CancelResults>(context)),
         false
       };
+    case 12:
+      return {
+        retry(::capnp::Capability::Server::internalGetTypedContext<
+             ::kingcupstair::rpc::wire::Peer::RetryParams,  ::kingcupstair::rpc::wire::Peer::RetryResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -4256,6 +4416,22 @@
 constexpr ::capnp::_::RawSchema const* Peer::CancelResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Peer::RetryParams
+constexpr uint16_t Peer::RetryParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::RetryParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::RetryParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::RetryParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::RetryResults
+constexpr uint16_t Peer::RetryResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::RetryResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::RetryResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::RetryResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // SlotRequest
 constexpr uint16_t SlotRequest::_capnpPrivate::dataWordSize;
 constexpr uint16_t SlotRequest::_capnpPrivate::pointerCount;
--- a/components/rpc/peer.capnp.h
+++ b/components/rpc/peer.capnp.h
@@ -50,6 +50,8 @@
 CAPNP_DECLARE_SCHEMA(a8b98f0a0912d38a);
 CAPNP_DECLARE_SCHEMA(ee3f647ccda6e470);
 CAPNP_DECLARE_SCHEMA(df3cf6eaab56c117);
+CAPNP_DECLARE_SCHEMA(fa7df671825f3c53);
+CAPNP_DECLARE_SCHEMA(ac4f9986154b2ffa);
 CAPNP_DECLARE_SCHEMA(fa7f906901066f7a);
 CAPNP_DECLARE_SCHEMA(e503ce3515f34194);
 CAPNP_DECLARE_SCHEMA(d9899d4dcf2f46c0);
@@ -207,6 +209,8 @@
   struct ReserveResults;
   struct CancelParams;
   struct CancelResults;
+  struct RetryParams;
+  struct RetryResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -404,7 +408,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(efad0808a0a207a2, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(efad0808a0a207a2, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -434,7 +438,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cbc38a3d2b385073, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(cbc38a3d2b385073, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -576,6 +580,36 @@
   };
 };
 
+struct Peer::RetryParams {
+  RetryParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fa7df671825f3c53, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::RetryResults {
+  RetryResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ac4f9986154b2ffa, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct SlotRequest {
   SlotRequest() = delete;
 
@@ -1440,6 +1474,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::kingcupstair::rpc::wire::Peer::CancelParams,  ::kingcupstair::rpc::wire::Peer::CancelResults> cancelRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::kingcupstair::rpc::wire::Peer::RetryParams,  ::kingcupstair::rpc::wire::Peer::RetryResults> retryRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -1504,6 +1540,10 @@
   typedef  ::kingcupstair::rpc::wire::Peer::CancelResults CancelResults;
   typedef ::capnp::CallContext<CancelParams, CancelResults> CancelContext;
   virtual ::kj::Promise<void> cancel(CancelContext context);
+  typedef  ::kingcupstair::rpc::wire::Peer::RetryParams RetryParams;
+  typedef  ::kingcupstair::rpc::wire::Peer::RetryResults RetryResults;
+  typedef ::capnp::CallContext<RetryParams, RetryResults> RetryContext;
+  virtual ::kj::Promise<void> retry(RetryContext context);
 
   inline  ::kingcupstair::rpc::wire::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -2513,6 +2553,9 @@
 
   inline bool getRelay() const;
 
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2554,6 +2597,13 @@
   inline bool getRelay();
   inline void setRelay(bool value);
 
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2682,6 +2732,8 @@
   inline bool hasShards() const;
   inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getShards() const;
 
+  inline bool getLeaving() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2718,6 +2770,9 @@
   inline void adoptShards(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownShards();
 
+  inline bool getLeaving();
+  inline void setLeaving(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3472,6 +3527,168 @@
 };
 #endif  // !CAPNP_LITE
 
+class Peer::RetryParams::Reader {
+public:
+  typedef RetryParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline  ::uint32_t getUncounted() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::RetryParams::Builder {
+public:
+  typedef RetryParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline  ::uint32_t getUncounted();
+  inline void setUncounted( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::RetryParams::Pipeline {
+public:
+  typedef RetryParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::RetryResults::Reader {
+public:
+  typedef RetryResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getGranted() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::RetryResults::Builder {
+public:
+  typedef RetryResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getGranted();
+  inline void setGranted(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::RetryResults::Pipeline {
+public:
+  typedef RetryResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class SlotRequest::Reader {
 public:
   typedef SlotRequest Reads;
@@ -6406,6 +6623,40 @@
       ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Peer::AcquireParams::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::AcquireParams::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Peer::AcquireParams::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Peer::AcquireParams::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Peer::AcquireParams::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Peer::AcquireParams::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Peer::AcquireParams::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Peer::AcquireParams::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool Peer::AcquireResults::Reader::hasGrant() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -6483,6 +6734,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::GiveBackParams::Reader::getLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Peer::GiveBackParams::Builder::getLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::GiveBackParams::Builder::setLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Peer::SubmitParams::Reader::hasRun() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -6774,6 +7039,68 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Peer::RetryParams::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::RetryParams::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Peer::RetryParams::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Peer::RetryParams::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::RetryParams::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Peer::RetryParams::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::RetryParams::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Peer::RetryParams::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Peer::RetryParams::Reader::getUncounted() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Peer::RetryParams::Builder::getUncounted() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::RetryParams::Builder::setUncounted( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Peer::RetryResults::Reader::getGranted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Peer::RetryResults::Builder::getGranted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::RetryResults::Builder::setGranted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool SlotRequest::Reader::hasRequestId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/components/rpc/peer_clients.cc
+++ b/components/rpc/peer_clients.cc
@@ -281,12 +281,14 @@
 
 absl::Status PeerClients::GiveBack(const std::string& host,
                                    const std::vector<limits::ShardId>& shards,
+                                   bool leaving,
                                    Duration timeout) {
   return this
       ->Call<bool>(
           host, "give back", timeout,
-          [shards](wire::Peer::Client& peer) {
+          [shards, leaving](wire::Peer::Client& peer) {
             auto request = peer.giveBackRequest();
+            request.setLeaving(leaving);
             auto out = request.initShards(static_cast<unsigned>(shards.size()));
             for (unsigned i = 0; i < shards.size(); ++i) {
               out.set(i, static_cast<uint16_t>(shards[i]));
@@ -296,19 +298,30 @@
       .status();
 }
 
+absl::StatusOr<bool> PeerClients::Retry(const std::string& host,
+                                        const RetryCall& call,
+                                        Duration timeout) {
+  return this->Call<bool>(
+      host, "retry", timeout, [call](wire::Peer::Client& peer) {
+        auto request = peer.retryRequest();
+        request.setService(call.service);
+        request.setUncounted(static_cast<uint32_t>(call.uncounted));
+        return request.send().then(
+            [](auto response) { return response.getGranted(); });
+      });
+}
+
 absl::StatusOr<limits::PermitGrant> PeerClients::Acquire(
     const std::string& host,
-    const std::string& organisation,
-    int wanted,
-    bool relay,
+    const PermitCall& call,
     Duration timeout) {
   return this->Call<limits::PermitGrant>(
-      host, "acquire", timeout,
-      [organisation, wanted, relay](wire::Peer::Client& peer) {
+      host, "acquire", timeout, [call](wire::Peer::Client& peer) {
         auto request = peer.acquireRequest();
-        request.setRelay(relay);
-        request.setOrganisation(organisation);
-        request.setWanted(static_cast<uint32_t>(wanted));
+        request.setRelay(call.relay);
+        request.setOrganisation(call.organisation);
+        request.setService(call.service);
+        request.setWanted(static_cast<uint32_t>(call.wanted));
         return request.send().then(
             [](auto response) { return Read(response.getGrant()); });
       });
--- a/components/rpc/peer_clients.h
+++ b/components/rpc/peer_clients.h
@@ -66,12 +66,14 @@
       Duration timeout);
   absl::Status GiveBack(const std::string& host,
                         const std::vector<limits::ShardId>& shards,
+                        bool leaving,
                         Duration timeout);
   absl::StatusOr<limits::PermitGrant> Acquire(const std::string& host,
-                                              const std::string& organisation,
-                                              int wanted,
-                                              bool relay,
+                                              const PermitCall& call,
                                               Duration timeout);
+  absl::StatusOr<bool> Retry(const std::string& host,
+                             const RetryCall& call,
+                             Duration timeout);
   absl::StatusOr<ResolveAnswer> Resolve(const std::string& host,
                                         const std::string& request_id,
                                         uint64_t incarnation,
--- a/components/rpc/peer_handlers.h
+++ b/components/rpc/peer_handlers.h
@@ -32,13 +32,15 @@
   std::function<limits::LoanGrant(limits::ShardId, const std::string& asker)>
       lend;
   std::function<void(limits::ShardId, const std::string& asker)> give_back;
+  /// A host that pooled rates is about to end.
+  std::function<void(const std::string& host)> leaves;
   /// Takes permits from the pool of this host, or for `relay` from whichever
   /// host pools them; calls `done` from any thread.
-  std::function<void(const std::string& organisation,
-                     int wanted,
-                     bool relay,
+  std::function<void(const PermitCall&,
                      std::function<void(limits::PermitGrant)> done)>
       acquire;
+  /// Leave from the pool of this host to send a request a second time.
+  std::function<bool(const RetryCall&)> retry;
   /// Accepts the run at once and calls `done` when it has ended.
   std::function<void(const once::RunRequest&, RunDone done)> submit;
   /// Reserves a slot and calls `done` with the answer, from any thread.
--- a/components/rpc/peer_server.cc
+++ b/components/rpc/peer_server.cc
@@ -120,20 +120,34 @@
         this->state.handlers.give_back(shard, this->caller.host);
       }
     }
+    if (context.getParams().getLeaving()) {
+      this->state.handlers.leaves(this->caller.host);
+    }
     return kj::READY_NOW;
   }
 
   kj::Promise<void> acquire(AcquireContext context) override {
     const auto params = context.getParams();
     auto [promise, done] = this->MakeReply<limits::PermitGrant>();
-    this->state.handlers.acquire(params.getOrganisation(),
-                                 static_cast<int>(params.getWanted()),
-                                 params.getRelay(), done);
+    this->state.handlers.acquire(
+        {.organisation = params.getOrganisation(),
+         .service = params.getService(),
+         .wanted = static_cast<int>(params.getWanted()),
+         .relay = params.getRelay()},
+        done);
     return promise.then([context](limits::PermitGrant grant) mutable {
       Write(grant, context.getResults().initGrant());
     });
   }
 
+  kj::Promise<void> retry(RetryContext context) override {
+    const auto params = context.getParams();
+    context.getResults().setGranted(this->state.handlers.retry(
+        {.service = params.getService(),
+         .uncounted = static_cast<int>(params.getUncounted())}));
+    return kj::READY_NOW;
+  }
+
   // A request that comes over a connection which its sender has since replaced
   // may already have been resolved as "not run", so it is refused.
   kj::Promise<void> submit(SubmitContext context) override {
