Retry slack is held where the loans are, so hosts that disagree on the pool can't use it twice

Cause: with the whole budget in the pool, two pools at once would each have spread the slack over the window. Hosts lend to one pool at a time, so the part of the slack is that of the loans.

--- a/apps/kingcupstaird/daemon.cc
+++ b/apps/kingcupstaird/daemon.cc
@@ -125,9 +125,8 @@
                      return this->permits.Acquire(organisation, service);
                    },
                .may_retry =
-                   [this](const std::string& organisation,
-                          const rpc::RetryCall& call) {
-                     return this->permits.TryRetry(organisation, call);
+                   [this](const rpc::RetryCall& call) {
+                     return this->permits.TryRetry(call);
                    },
                .dialect = this->dialect,
                .caller_service = this->settings.caller_service},
@@ -356,7 +355,7 @@
           },
       .retry =
           [this](const rpc::RetryCall& call) {
-            return this->permits.TryPooledRetry(call);
+            return this->rates.TryRetry(call);
           },
       .submit =
           [this](const once::RunRequest& request, rpc::RunDone done) {
--- a/components/control/permit_source.cc
+++ b/components/control/permit_source.cc
@@ -31,6 +31,7 @@
     updated[static_cast<size_t>(shard)] =
         limits::PoolHostOf(shard, hosts).value_or(this->fleet.places.host);
   }
+  this->fleet.rates.SetPools(limits::PoolCount(this->fleet.directory.size()));
   this->RecordChange(*this->pool_hosts.Read(), updated);
   this->pool_hosts.Publish(std::move(updated));
 }
@@ -91,11 +92,10 @@
       .value_or(limits::PermitGrant{.pool_silent = true});
 }
 
-bool PermitSource::TryRetry(const std::string& organisation,
-                            const rpc::RetryCall& call) {
-  const std::string pool = this->PoolOf(organisation);
+bool PermitSource::TryRetry(const rpc::RetryCall& call) {
+  const std::string pool = this->PoolOf(call.organisation);
   if (pool == this->fleet.places.host) {
-    return this->TryPooledRetry(call);
+    return this->fleet.rates.TryRetry(call);
   }
   if (this->IsLostNow(pool)) {
     return false;
@@ -107,11 +107,6 @@
   return granted.value_or(false);
 }
 
-bool PermitSource::TryPooledRetry(const rpc::RetryCall& call) {
-  return this->fleet.rates.TryRetry(
-      call, limits::PoolCount(this->fleet.directory.size()));
-}
-
 absl::StatusOr<limits::PermitGrant> PermitSource::AcquireFromPool(
     const std::string& organisation,
     const std::string& service) {
--- a/components/control/permit_source.h
+++ b/components/control/permit_source.h
@@ -38,10 +38,7 @@
 
   /// Leave from the pool to send a request a second time; false when it has
   /// none left or does not answer. Suspends the calling fiber.
-  bool TryRetry(const std::string& organisation, const rpc::RetryCall& call);
-
-  /// The same, asked of this host as the pool.
-  bool TryPooledRetry(const rpc::RetryCall& call);
+  bool TryRetry(const rpc::RetryCall& call);
 
  private:
   using PoolHosts = std::array<std::string, limits::kShardCount>;
--- a/components/control/rate_keeper.cc
+++ b/components/control/rate_keeper.cc
@@ -19,6 +19,11 @@
   this->lender.SetLoanLife(life);
 }
 
+void RateKeeper::SetPools(size_t pools) {
+  const std::lock_guard lock(this->mutex);
+  this->pools = pools;
+}
+
 void RateKeeper::HoldBackUntil(Instant until) {
   const std::lock_guard lock(this->mutex);
   this->lender.HoldBackUntil(until);
@@ -75,19 +80,28 @@
                                         int wanted) {
   const std::lock_guard lock(this->mutex);
   const auto grant = this->AcquireLocked(organisation, wanted);
+  const Instant now = MonotonicNow();
   for (int i = 0; i < grant.granted; ++i) {
-    this->retries.OnRequest(service, 1, MonotonicNow());
+    this->retries.OnRequest(service, this->RetryShare(organisation, now), now);
   }
   return grant;
 }
 
-bool RateKeeper::TryRetry(const rpc::RetryCall& call, size_t pools) {
+bool RateKeeper::TryRetry(const rpc::RetryCall& call) {
   const std::lock_guard lock(this->mutex);
   const Instant now = MonotonicNow();
+  const double share = this->RetryShare(call.organisation, now);
   for (int i = 0; i < call.uncounted; ++i) {
-    this->retries.OnRequest(call.service, pools, now);
+    this->retries.OnRequest(call.service, share, now);
   }
-  return this->retries.TryRetry(call.service, pools, now);
+  return this->retries.TryRetry(call.service, share, now);
+}
+
+// Hosts lend to one pool at a time, so what is lent here is held here only,
+// also while hosts do not agree on the pool.
+double RateKeeper::RetryShare(const std::string& organisation, Instant now) {
+  return this->pool.Fraction(limits::ShardOf(organisation), now) /
+         static_cast<double>(this->pools);
 }
 
 limits::PermitGrant RateKeeper::AcquireFromOwnShare(
--- a/components/control/rate_keeper.h
+++ b/components/control/rate_keeper.h
@@ -33,6 +33,8 @@
 
   void SetShare(double fraction);
   void SetLoanLife(Duration life);
+  /// How many hosts pool rates and share the retry budget.
+  void SetPools(size_t pools);
   void HoldBackUntil(Instant until);
   double Share() const;
   Instant FreeOfOldLoans(double fraction) const;
@@ -54,9 +56,8 @@
                               const std::string& service,
                               int wanted);
 
-  /// Leave from the pool of this host to send a request for `service` a second
-  /// time. `pools` hosts share this part of the retry budget.
-  bool TryRetry(const rpc::RetryCall& call, size_t pools);
+  /// Leave from the pool of this host to send a request a second time.
+  bool TryRetry(const rpc::RetryCall& call);
 
   /// Takes permits from this host's own share, for when the pool of the shard
   /// can't be reached. Nothing is granted while the share is lent to it.
@@ -66,6 +67,8 @@
   void ForgetIdle();
 
  private:
+  /// The part of the retry slack that is held here and nowhere else.
+  double RetryShare(const std::string& organisation, Instant now);
   limits::PermitGrant AcquireLocked(const std::string& organisation,
                                     int wanted);
 
@@ -75,6 +78,7 @@
   limits::ShareLender lender;
   limits::RatePool pool;
   retry::RetryBudget retries;
+  size_t pools = 1;
 };
 
 }  // namespace kingcupstair::control
--- a/components/ingress/ingress.cc
+++ b/components/ingress/ingress.cc
@@ -255,8 +255,8 @@
        .may_retry =
            [this, &admitted] {
              return this->options.may_retry(
-                 admitted.organisation,
-                 {.service = admitted.service,
+                 {.organisation = admitted.organisation,
+                  .service = admitted.service,
                   .uncounted = this->TakeUncounted(admitted.service)});
            },
        .note_start =
--- a/components/ingress/ingress.h
+++ b/components/ingress/ingress.h
@@ -34,9 +34,7 @@
                                       const std::string& service)>
         acquire;
     /// Leave to send a request once more.
-    std::function<bool(const std::string& organisation,
-                       const rpc::RetryCall& call)>
-        may_retry;
+    std::function<bool(const rpc::RetryCall& call)> may_retry;
     std::shared_ptr<const Dialect> dialect = std::make_shared<const Dialect>();
     /// The service beside which this host stands; may be empty.
     std::string caller_service;
--- a/components/retry/retry_budget.h
+++ b/components/retry/retry_budget.h
@@ -24,11 +24,12 @@
 
   explicit RetryBudget(Options options);
 
-  /// Counts a request for `service`. `holders` of budgets share the slack.
-  void OnRequest(const std::string& service, size_t holders, Instant now);
+  /// Counts a request for `service`. `share` is the part of the slack that is
+  /// held here and nowhere else, 0 to 1.
+  void OnRequest(const std::string& service, double share, Instant now);
 
   /// Takes leave for one retry; false when the budget is used up.
-  bool TryRetry(const std::string& service, size_t holders, Instant now);
+  bool TryRetry(const std::string& service, double share, Instant now);
 
  private:
   struct Tokens {
@@ -36,8 +37,7 @@
     Instant filled;
   };
 
-  double& TokensOf(const std::string& service, size_t holders, Instant now);
-  double SlackPart(size_t holders) const;
+  double& TokensOf(const std::string& service, double share, Instant now);
 
   Options options;
   std::map<std::string, Tokens> tokens;
--- a/components/rpc/messages.h
+++ b/components/rpc/messages.h
@@ -16,6 +16,7 @@
 
 /// An ask for leave to send a request a second time.
 struct RetryCall {
+  std::string organisation;
   std::string service;
   /// Requests for the service that the asker took without permits since it
   /// asked last.
--- a/components/rpc/peer.capnp
+++ b/components/rpc/peer.capnp
@@ -50,7 +50,7 @@
   cancel @11 (requestId :Text, incarnation :UInt64) -> ();
   # Nobody waits for the request any more.
 
-  retry @12 (service :Text, uncounted :UInt32) -> (granted :Bool);
+  retry @12 (organisation :Text, service :Text, uncounted :UInt32) -> (granted :Bool);
   # Asks the pool for leave to send a request a second time.
 }
 
--- a/components/rpc/peer.capnp.h
+++ b/components/rpc/peer.capnp.h
@@ -588,7 +588,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fa7df671825f3c53, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(fa7df671825f3c53, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3544,6 +3544,9 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasOrganisation() const;
+  inline  ::capnp::Text::Reader getOrganisation() const;
+
   inline bool hasService() const;
   inline  ::capnp::Text::Reader getService() const;
 
@@ -3577,6 +3580,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasOrganisation();
+  inline  ::capnp::Text::Builder getOrganisation();
+  inline void setOrganisation( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOrganisation(unsigned int size);
+  inline void adoptOrganisation(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOrganisation();
+
   inline bool hasService();
   inline  ::capnp::Text::Builder getService();
   inline void setService( ::capnp::Text::Reader value);
@@ -7039,40 +7049,74 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Peer::RetryParams::Reader::hasService() const {
+inline bool Peer::RetryParams::Reader::hasOrganisation() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::RetryParams::Builder::hasService() {
+inline bool Peer::RetryParams::Builder::hasOrganisation() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Peer::RetryParams::Reader::getService() const {
+inline  ::capnp::Text::Reader Peer::RetryParams::Reader::getOrganisation() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Peer::RetryParams::Builder::getService() {
+inline  ::capnp::Text::Builder Peer::RetryParams::Builder::getOrganisation() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::RetryParams::Builder::setService( ::capnp::Text::Reader value) {
+inline void Peer::RetryParams::Builder::setOrganisation( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Peer::RetryParams::Builder::initService(unsigned int size) {
+inline  ::capnp::Text::Builder Peer::RetryParams::Builder::initOrganisation(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Peer::RetryParams::Builder::adoptService(
+inline void Peer::RetryParams::Builder::adoptOrganisation(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Peer::RetryParams::Builder::disownService() {
+inline ::capnp::Orphan< ::capnp::Text> Peer::RetryParams::Builder::disownOrganisation() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::RetryParams::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::RetryParams::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Peer::RetryParams::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Peer::RetryParams::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Peer::RetryParams::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Peer::RetryParams::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Peer::RetryParams::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Peer::RetryParams::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::uint32_t Peer::RetryParams::Reader::getUncounted() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/components/rpc/peer_clients.cc
+++ b/components/rpc/peer_clients.cc
@@ -305,6 +305,7 @@
       host, "retry", timeout, [call](wire::Peer::Client& peer) {
         auto request = peer.retryRequest();
         request.setService(call.service);
+        request.setOrganisation(call.organisation);
         request.setUncounted(static_cast<uint32_t>(call.uncounted));
         return request.send().then(
             [](auto response) { return response.getGranted(); });
--- a/components/rpc/peer_server.cc
+++ b/components/rpc/peer_server.cc
@@ -143,7 +143,8 @@
   kj::Promise<void> retry(RetryContext context) override {
     const auto params = context.getParams();
     context.getResults().setGranted(this->state.handlers.retry(
-        {.service = params.getService(),
+        {.organisation = params.getOrganisation(),
+         .service = params.getService(),
          .uncounted = static_cast<int>(params.getUncounted())}));
     return kj::READY_NOW;
   }
