--- a/apps/kingcupstaird/daemon.cc
+++ b/apps/kingcupstaird/daemon.cc
@@ -329,21 +329,24 @@
             return this->config.ChunkTexts(ids);
           },
       .lend =
-          [this](limits::ShardId shard, const std::string& asker) {
-            return this->permits.Lend(shard, asker);
+          [this](limits::ShardId shard, const std::string& asker,
+                 uint64_t mark) {
+            return this->permits.Lend(shard, asker, mark);
           },
       .give_back =
-          [this](limits::ShardId shard, const std::string& asker) {
-            this->rates.GiveBack(shard, asker);
-          },
+          [this](limits::ShardId shard, const std::string& asker,
+                 uint64_t mark) { this->rates.GiveBack(shard, asker, mark); },
       .leaves =
           [this](const std::string& host) {
             this->directory.MarkLeaving(host);
             this->permits.UpdatePoolHosts();
           },
       .acquire =
-          [this](const rpc::PermitCall& call,
+          [this](const rpc::PermitCall& call, const std::string& asker,
                  std::function<void(limits::PermitGrant)> done) {
+            if (!this->leaving) {
+              this->permits.TakeOffer(asker, call.offer);
+            }
             if (!call.relay) {
               done(this->leaving
                        ? limits::PermitGrant{.pools_nothing = true}
--- a/components/control/loan_loop.cc
+++ b/components/control/loan_loop.cc
@@ -14,8 +14,9 @@
 /// The time without permits after a pool has died; an ask takes some
 /// milliseconds, so a loan can still be renewed several times within it.
 constexpr Duration kShortestLoan{std::chrono::milliseconds(500)};
-/// Loans of a region last this long for each pair of its hosts: the asks that
-/// a pool makes a second then fall as the region grows, to 10 at 203 hosts.
+constexpr Duration kLongestLoan{std::chrono::seconds(2)};
+/// Loans of a region last this long for each pair of its hosts, within these
+/// bounds: hosts without any requests have to be asked for theirs.
 constexpr Duration kLoanPerPair{std::chrono::milliseconds(1)};
 constexpr Duration kAskTimeout{std::chrono::milliseconds(300)};
 /// Short enough to ask twice more before a loan of the shortest kind is over.
@@ -23,14 +24,15 @@
 /// A host that has pooled for so long says that it keeps the pool. Hosts that
 /// start together agree on one sooner.
 constexpr Duration kKeepAfter{std::chrono::seconds(1)};
-/// A loan is renewed when this part of its life has passed.
-constexpr int kRenewDivisor = 2;
+/// A loan that ends this soon is asked for: two asks and a pause fit in. Most
+/// are renewed before, with an ask for permits.
+constexpr Duration kAskAhead{std::chrono::milliseconds(250)};
 
 }  // namespace
 
 Duration LoanLife(size_t hosts) {
   const auto count = static_cast<int64_t>(hosts);
-  return std::max(kShortestLoan, kLoanPerPair * count * count);
+  return std::clamp(kLoanPerPair * count * count, kShortestLoan, kLongestLoan);
 }
 
 LoanLoop::LoanLoop(Fleet& fleet) : fleet(fleet) {}
@@ -43,7 +45,9 @@
   this->GiveBackUnpooled({pooled.begin(), pooled.end()});
   if (!pooled.empty()) {
     for (const auto& [lender, keeps] : hosts) {
-      if (this->ask_again[lender] <= MonotonicNow()) {
+      const Instant now = MonotonicNow();
+      if (this->ask_again[lender] <= now &&
+          !this->fleet.rates.IsLent(pooled, lender, now + kAskAhead)) {
         this->ask_again[lender] = Instant::max();
         boost::fibers::fiber([this, lender = lender, pooled] {
           this->AskFor(lender, pooled);
@@ -87,48 +91,37 @@
 // message only makes it shorter.
 void LoanLoop::AskFor(const std::string& lender, const ShardList& shards) {
   const Instant asked = MonotonicNow();
+  const uint64_t mark = limits::RatePool::MarkAt(asked);
   std::vector<limits::LoanGrant> grants;
   if (lender == this->fleet.places.host) {
     for (const limits::ShardId shard : shards) {
-      grants.push_back(this->fleet.rates.Lend(shard, lender));
+      grants.push_back(this->fleet.rates.Lend(shard, lender, mark));
     }
   } else {
-    auto answer = this->fleet.peers.Lend(lender, shards, kAskTimeout);
+    auto answer = this->fleet.peers.Lend(lender, shards, mark, kAskTimeout);
     if (!answer.ok() || answer->size() != shards.size()) {
       this->ask_again[lender] = MonotonicNow() + kPauseAfterFailure;
       return;
     }
     grants = *std::move(answer);
   }
-  Duration life{};
   for (size_t i = 0; i < shards.size(); ++i) {
     this->fleet.rates.AddLoan(shards[i], lender, grants[i], asked);
-    if (grants[i].fraction > 0) {
-      this->borrowed[lender].insert(shards[i]);
-      life =
-          life == Duration{} ? grants[i].life : std::min(life, grants[i].life);
-    }
   }
   const bool whole = std::all_of(
       grants.begin(), grants.end(),
       [](const limits::LoanGrant& grant) { return grant.fraction > 0; });
-  this->ask_again[lender] =
-      asked + (whole ? life / kRenewDivisor : kPauseAfterFailure);
+  this->ask_again[lender] = whole ? asked : asked + kPauseAfterFailure;
 }
 
 void LoanLoop::GiveBackUnpooled(const std::set<limits::ShardId>& pooled) {
-  for (auto& [lender, shards] : this->borrowed) {
-    ShardList unpooled;
-    for (const limits::ShardId shard : shards) {
-      if (!pooled.contains(shard)) {
-        unpooled.push_back(shard);
-      }
-    }
-    for (const limits::ShardId shard : unpooled) {
-      shards.erase(shard);
-    }
+  for (auto& [lender, shards] : this->fleet.rates.Loans()) {
+    ShardList unpooled = shards;
+    std::erase_if(unpooled, [&](const limits::ShardId shard) {
+      return pooled.contains(shard);
+    });
     if (!unpooled.empty()) {
-      this->GiveBack(lender, unpooled, /*leaving=*/false);
+      this->GiveBack(lender, {.shards = unpooled});
     }
   }
 }
@@ -136,35 +129,30 @@
 // All hosts hear of it at once and not by and by: until they agree on the next
 // pool, each of them has no permits but those of its own share.
 void LoanLoop::Leave() {
-  const bool pools =
-      std::any_of(this->borrowed.begin(), this->borrowed.end(),
-                  [](const auto& entry) { return !entry.second.empty(); });
-  if (!pools) {
+  auto loans = this->fleet.rates.Loans();
+  if (loans.empty()) {
     return;
   }
   for (const auto& [host, keeps] :
        this->fleet.directory.PoolHosts(this->fleet.places.region)) {
-    const auto shards = std::exchange(this->borrowed[host], {});
-    boost::fibers::fiber([this, host = host, shards] {
-      this->GiveBack(host, {shards.begin(), shards.end()}, /*leaving=*/true);
+    boost::fibers::fiber([this, host = host, shards = loans[host]] {
+      this->GiveBack(host, {.shards = shards, .leaving = true});
     }).detach();
   }
 }
 
 // The loans are dropped here before the lender is told that it may spend.
 void LoanLoop::GiveBack(const std::string& lender,
-                        const ShardList& shards,
-                        bool leaving) {
-  for (const limits::ShardId shard : shards) {
-    this->fleet.rates.DropLoan(shard, lender);
+                        rpc::ReturnedLoans returned) {
+  for (const limits::ShardId shard : returned.shards) {
+    returned.mark = this->fleet.rates.DropLoan(shard, lender);
   }
   if (lender != this->fleet.places.host) {
-    this->fleet.peers.GiveBack(lender, shards, leaving, kAskTimeout)
-        .IgnoreError();
+    this->fleet.peers.GiveBack(lender, returned, kAskTimeout).IgnoreError();
     return;
   }
-  for (const limits::ShardId shard : shards) {
-    this->fleet.rates.GiveBack(shard, lender);
+  for (const limits::ShardId shard : returned.shards) {
+    this->fleet.rates.GiveBack(shard, lender, returned.mark);
   }
 }
 
--- a/components/control/loan_loop.h
+++ b/components/control/loan_loop.h
@@ -38,14 +38,11 @@
       const std::vector<limits::PoolCandidate>& hosts) const;
   void NotePools(const ShardList& pooled, size_t hosts);
   void AskFor(const std::string& lender, const ShardList& shards);
-  void GiveBack(const std::string& lender,
-                const ShardList& shards,
-                bool leaving);
+  void GiveBack(const std::string& lender, rpc::ReturnedLoans returned);
   void GiveBackUnpooled(const std::set<limits::ShardId>& pooled);
 
   Fleet& fleet;
-  /// By lender: which shards it has lent, and when to ask again.
-  std::map<std::string, std::set<limits::ShardId>> borrowed;
+  /// By lender: when it may be asked again.
   std::map<std::string, Instant> ask_again;
   /// The pools that are here, and since when.
   std::map<size_t, Instant> pools_since;
--- a/components/control/permit_source.cc
+++ b/components/control/permit_source.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <set>
+#include <utility>
 
 #include "absl/strings/str_join.h"
 
@@ -21,6 +22,8 @@
 /// A pool that nobody has reached for this long is no longer lent to: longer
 /// than some lost packets take, shorter than a failure detector's time.
 constexpr Duration kUnreachedBeforeDistrust{std::chrono::milliseconds(800)};
+/// Between offers to one pool: several in the life of a loan.
+constexpr Duration kOfferPause{std::chrono::milliseconds(100)};
 
 }  // namespace
 
@@ -49,12 +52,26 @@
 }
 
 limits::LoanGrant PermitSource::Lend(limits::ShardId shard,
-                                     const std::string& asker) {
+                                     const std::string& asker,
+                                     uint64_t mark) {
   const auto hosts = this->pool_hosts.Read();
   if ((*hosts)[static_cast<size_t>(shard)] != asker) {
     return {};
   }
-  return this->fleet.rates.Lend(shard, asker);
+  return this->fleet.rates.Lend(shard, asker, mark);
+}
+
+// What is not pooled here would be given back at once.
+void PermitSource::TakeOffer(const std::string& lender,
+                             const limits::LoanOffer& offer) {
+  const auto hosts = this->pool_hosts.Read();
+  limits::LoanOffer taken = offer;
+  std::erase_if(taken.shards, [&](const limits::ShardId shard) {
+    return (*hosts)[static_cast<size_t>(shard)] != this->fleet.places.host;
+  });
+  if (!taken.shards.empty()) {
+    this->fleet.rates.TakeOffer(lender, taken);
+  }
 }
 
 const std::string PermitSource::PoolOf(const std::string& organisation) const {
@@ -119,17 +136,48 @@
   if (pool == this->fleet.places.host) {
     return this->fleet.rates.Acquire(organisation, service, 1);
   }
-  auto grant = this->fleet.peers.Acquire(
-      pool, {.organisation = organisation, .service = service},
-      kAcquireTimeout);
+  auto grant = this->fleet.peers.Acquire(pool,
+                                         {.organisation = organisation,
+                                          .service = service,
+                                          .offer = this->OfferTo(pool)},
+                                         kAcquireTimeout);
   if (grant.ok()) {
     this->NoteReached(pool);
+    this->NoteMark(pool, grant->mark);
   } else {
     this->NoteLost(pool);
   }
   return grant;
 }
 
+// A loan that goes with an ask for permits saves the pool an ask of its own.
+limits::LoanOffer PermitSource::OfferTo(const std::string& pool) {
+  uint64_t mark = 0;
+  {
+    const std::lock_guard lock(this->mutex);
+    Mark& known = this->marks[pool];
+    const Instant now = MonotonicNow();
+    if (known.mark == 0 || now - known.offered < kOfferPause) {
+      return {};
+    }
+    known.offered = now;
+    mark = std::exchange(known.mark, 0);
+  }
+  std::vector<limits::ShardId> shards;
+  const auto hosts = this->pool_hosts.Read();
+  for (limits::ShardId shard = 0; shard < limits::kShardCount; ++shard) {
+    if ((*hosts)[static_cast<size_t>(shard)] == pool) {
+      shards.push_back(shard);
+    }
+  }
+  return this->fleet.rates.Offer(shards, pool, mark);
+}
+
+void PermitSource::NoteMark(const std::string& pool, uint64_t mark) {
+  const std::lock_guard lock(this->mutex);
+  this->marks[pool].mark = mark;
+}
+
 // The path from here to the pool may be cut while others reach it. The pool is
 // suspected when all that were asked found it silent: one of them may merely
 // have a bad path to it as well.
--- a/components/control/permit_source.h
+++ b/components/control/permit_source.h
@@ -25,7 +25,12 @@
 
   /// Lends this host's share of `shard`, but only to the host that this one
   /// takes its permits from: a share lent to any other would be out of reach.
-  limits::LoanGrant Lend(limits::ShardId shard, const std::string& asker);
+  limits::LoanGrant Lend(limits::ShardId shard,
+                         const std::string& asker,
+                         uint64_t mark);
+
+  /// Takes a loan that was offered, if this host is the pool.
+  void TakeOffer(const std::string& lender, const limits::LoanOffer& offer);
 
   /// Takes one permit: from the pool, from this host's own share if the pool
   /// gives none, and else through another host. Suspends the calling fiber.
@@ -49,6 +54,8 @@
       const std::string& service);
   const std::string PoolOf(const std::string& organisation) const;
   bool IsLostNow(const std::string& pool);
+  limits::LoanOffer OfferTo(const std::string& pool);
+  void NoteMark(const std::string& pool, uint64_t mark);
   void NoteLost(const std::string& pool);
   void NoteReached(const std::string& pool);
   bool IsUnreached(const std::string& pool);
@@ -63,6 +70,13 @@
   std::mutex mutex;
   /// Pools that did not answer here, and until when they are not asked.
   std::map<std::string, Instant> lost;
+  struct Mark {
+    uint64_t mark = 0;
+    Instant offered;
+  };
+
+  /// The last marks of pools.
+  std::map<std::string, Mark> marks;
   /// Pools from which no answer has come, and since when.
   std::map<std::string, Instant> unreached_since;
   std::mt19937_64 random{std::random_device{}()};
--- a/components/control/rate_keeper.cc
+++ b/components/control/rate_keeper.cc
@@ -1,5 +1,7 @@
 #include "components/control/rate_keeper.h"
 
+#include <algorithm>
+
 namespace kingcupstair::control {
 
 RateKeeper::RateKeeper(Options options,
@@ -42,19 +44,61 @@
 // What this host has lent to itself while the pool could not be reached goes to
 // the pool as soon as that asks.
 limits::LoanGrant RateKeeper::Lend(limits::ShardId shard,
-                                   const std::string& holder) {
+                                   const std::string& holder,
+                                   uint64_t mark) {
   const std::lock_guard lock(this->mutex);
   const Instant now = MonotonicNow();
   if (holder != this->options.host) {
     this->pool.DropLoan(shard, this->options.host, now);
-    this->lender.Return(shard, this->options.host, now);
+    this->lender.Return(shard, this->options.host, 0, now);
   }
-  return this->lender.Lend(shard, holder, now);
+  return this->lender.Lend(shard, holder, mark, now);
 }
 
-void RateKeeper::GiveBack(limits::ShardId shard, const std::string& holder) {
+void RateKeeper::GiveBack(limits::ShardId shard,
+                          const std::string& holder,
+                          uint64_t mark) {
   const std::lock_guard lock(this->mutex);
-  this->lender.Return(shard, holder, MonotonicNow());
+  this->lender.Return(shard, holder, mark, MonotonicNow());
+}
+
+limits::LoanOffer RateKeeper::Offer(const std::vector<limits::ShardId>& shards,
+                                    const std::string& pool,
+                                    uint64_t mark) {
+  const std::lock_guard lock(this->mutex);
+  limits::LoanOffer offer{.mark = mark};
+  const Instant now = MonotonicNow();
+  for (const limits::ShardId shard : shards) {
+    this->pool.DropLoan(shard, this->options.host, now);
+    this->lender.Return(shard, this->options.host, 0, now);
+    const auto grant = this->lender.Lend(shard, pool, mark, now);
+    if (grant.fraction > 0) {
+      offer.shards.push_back(shard);
+      offer.grant = grant;
+    }
+  }
+  return offer;
+}
+
+void RateKeeper::TakeOffer(const std::string& lender,
+                           const limits::LoanOffer& offer) {
+  const std::lock_guard lock(this->mutex);
+  this->pool.TakeOffer(lender, offer, MonotonicNow());
+}
+
+bool RateKeeper::IsLent(const std::vector<limits::ShardId>& shards,
+                        const std::string& lender,
+                        Instant then) const {
+  const std::lock_guard lock(this->mutex);
+  return std::all_of(shards.begin(), shards.end(),
+                     [&](const limits::ShardId shard) {
+                       return this->pool.LoanEnd(shard, lender) >= then;
+                     });
+}
+
+std::map<std::string, std::vector<limits::ShardId>> RateKeeper::Loans() const {
+  const std::lock_guard lock(this->mutex);
+  return this->pool.Loans();
 }
 
 void RateKeeper::Distrust(const std::string& holder, Duration duration) {
@@ -70,17 +114,20 @@
   this->pool.AddLoan(shard, from, grant, asked, MonotonicNow());
 }
 
-void RateKeeper::DropLoan(limits::ShardId shard, const std::string& from) {
+uint64_t RateKeeper::DropLoan(limits::ShardId shard, const std::string& from) {
   const std::lock_guard lock(this->mutex);
-  this->pool.DropLoan(shard, from, MonotonicNow());
+  const Instant now = MonotonicNow();
+  this->pool.DropLoan(shard, from, now);
+  return limits::RatePool::MarkAt(now);
 }
 
 limits::PermitGrant RateKeeper::Acquire(const std::string& organisation,
                                         const std::string& service,
                                         int wanted) {
   const std::lock_guard lock(this->mutex);
-  const auto grant = this->AcquireLocked(organisation, wanted);
+  auto grant = this->AcquireLocked(organisation, wanted);
   const Instant now = MonotonicNow();
+  grant.mark = limits::RatePool::MarkAt(now);
   for (int i = 0; i < grant.granted; ++i) {
     this->retries.OnRequest(service, this->RetryShare(organisation, now), now);
   }
@@ -110,7 +157,7 @@
   const std::lock_guard lock(this->mutex);
   const limits::ShardId shard = limits::ShardOf(organisation);
   const Instant now = MonotonicNow();
-  const auto grant = this->lender.Lend(shard, this->options.host, now);
+  const auto grant = this->lender.Lend(shard, this->options.host, 0, now);
   this->pool.AddLoan(shard, this->options.host, grant, now, now);
   return this->AcquireLocked(organisation, wanted);
 }
--- a/components/control/rate_keeper.h
+++ b/components/control/rate_keeper.h
@@ -1,8 +1,10 @@
 #ifndef COMPONENTS_CONTROL_RATE_KEEPER_H_
 #define COMPONENTS_CONTROL_RATE_KEEPER_H_
 
+#include <map>
 #include <mutex>
 #include <string>
+#include <vector>
 
 #include "components/base/snapshot.h"
 #include "components/config/configuration.h"
@@ -39,8 +41,18 @@
   double Share() const;
   Instant FreeOfOldLoans(double fraction) const;
 
-  limits::LoanGrant Lend(limits::ShardId shard, const std::string& holder);
-  void GiveBack(limits::ShardId shard, const std::string& holder);
+  limits::LoanGrant Lend(limits::ShardId shard,
+                         const std::string& holder,
+                         uint64_t mark);
+  void GiveBack(limits::ShardId shard,
+                const std::string& holder,
+                uint64_t mark);
+
+  /// Lends what `pool` is to have of `shards` without being asked.
+  limits::LoanOffer Offer(const std::vector<limits::ShardId>& shards,
+                          const std::string& pool,
+                          uint64_t mark);
+  void TakeOffer(const std::string& lender, const limits::LoanOffer& offer);
 
   /// Lends nothing to `holder` for `duration`.
   void Distrust(const std::string& holder, Duration duration);
@@ -49,7 +61,13 @@
                const std::string& lender,
                const limits::LoanGrant& grant,
                Instant asked);
-  void DropLoan(limits::ShardId shard, const std::string& lender);
+  /// Gives a loan up; offers with marks up to the one returned are not taken.
+  uint64_t DropLoan(limits::ShardId shard, const std::string& from);
+  /// Whether all loans of `shards` from `lender` last until `then`.
+  bool IsLent(const std::vector<limits::ShardId>& shards,
+              const std::string& lender,
+              Instant then) const;
+  std::map<std::string, std::vector<limits::ShardId>> Loans() const;
 
   /// Takes permits from the pool of this host, for requests for `service`.
   limits::PermitGrant Acquire(const std::string& organisation,
--- a/components/limits/rate_pool.cc
+++ b/components/limits/rate_pool.cc
@@ -37,7 +37,44 @@
   this->Refresh(shard, now);
 }
 
+uint64_t RatePool::MarkAt(Instant now) {
+  return static_cast<uint64_t>(now.time_since_epoch().count());
+}
+
+// The lender may have taken back what it offered before a loan was dropped, so
+// only offers that answer something sent later are safe to use.
+void RatePool::TakeOffer(const std::string& lender,
+                         const LoanOffer& offer,
+                         Instant now) {
+  const Instant asked{Duration(static_cast<int64_t>(offer.mark))};
+  for (const ShardId shard : offer.shards) {
+    const Shard& state = this->shards[static_cast<size_t>(shard)];
+    if (asked > state.dropped_at && asked <= now &&
+        asked + offer.grant.life > this->LoanEnd(shard, lender)) {
+      this->AddLoan(shard, lender, offer.grant, asked, now);
+    }
+  }
+}
+
+Instant RatePool::LoanEnd(ShardId shard, const std::string& lender) const {
+  const auto& loans = this->shards[static_cast<size_t>(shard)].loans;
+  const auto found = loans.find(lender);
+  return found == loans.end() ? Instant{} : found->second.expires;
+}
+
+std::map<std::string, std::vector<ShardId>> RatePool::Loans() const {
+  std::map<std::string, std::vector<ShardId>> loans;
+  for (ShardId shard = 0; shard < kShardCount; ++shard) {
+    for (const auto& [lender, loan] :
+         this->shards[static_cast<size_t>(shard)].loans) {
+      loans[lender].push_back(shard);
+    }
+  }
+  return loans;
+}
+
 void RatePool::DropLoan(ShardId shard, const std::string& lender, Instant now) {
+  this->shards[static_cast<size_t>(shard)].dropped_at = now;
   this->shards[static_cast<size_t>(shard)].loans.erase(lender);
   this->Refresh(shard, now);
 }
--- a/components/limits/rate_pool.h
+++ b/components/limits/rate_pool.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "components/base/time.h"
 #include "components/limits/fraction_history.h"
@@ -32,6 +33,8 @@
   bool pools_nothing = false;
   /// The host asked on behalf of another got no answer from the pool.
   bool pool_silent = false;
+  /// To be put into the asker's next offer.
+  uint64_t mark = 0;
 
   bool operator==(const PermitGrant&) const = default;
 };
@@ -48,7 +51,21 @@
                Instant asked,
                Instant now);
 
-  /// Gives up a loan before its end.
+  /// A mark for offers that are made from now on.
+  static uint64_t MarkAt(Instant now);
+
+  /// Notes a loan that was offered.
+  void TakeOffer(const std::string& lender,
+                 const LoanOffer& offer,
+                 Instant now);
+
+  /// When the loan of `lender` ends, in the past if there is none.
+  Instant LoanEnd(ShardId shard, const std::string& lender) const;
+
+  /// The shards that are on loan here, by lender.
+  std::map<std::string, std::vector<ShardId>> Loans() const;
+
+  /// Gives up a loan before its end. No offer made before is taken any more.
   void DropLoan(ShardId shard, const std::string& lender, Instant now);
 
   /// The fraction of the limits of `shard` that may be spent here now.
@@ -75,6 +92,7 @@
   struct Shard {
     std::map<std::string, Loan> loans;
     FractionHistory history;
+    Instant dropped_at;
   };
 
   struct Outstanding {
--- a/components/limits/share_lender.cc
+++ b/components/limits/share_lender.cc
@@ -14,6 +14,7 @@
 
 LoanGrant ShareLender::Lend(ShardId shard,
                             const std::string& holder,
+                            uint64_t mark,
                             Instant now) {
   Loan& loan = this->loans[static_cast<size_t>(shard)];
   const bool taken = loan.expires > now && loan.holder != holder;
@@ -23,6 +24,7 @@
   if (taken || !trusted || this->share <= 0) {
     return {};
   }
+  loan.mark = loan.holder == holder ? std::max(loan.mark, mark) : mark;
   loan.holder = holder;
   loan.fraction = this->share;
   loan.expires = now + this->options.loan_life + this->options.margin;
@@ -38,9 +40,10 @@
 
 void ShareLender::Return(ShardId shard,
                          const std::string& holder,
+                         uint64_t mark,
                          Instant now) {
   Loan& loan = this->loans[static_cast<size_t>(shard)];
-  if (loan.holder == holder) {
+  if (loan.holder == holder && loan.mark <= mark) {
     loan.holder.clear();
     loan.expires = std::min(loan.expires, now + this->options.margin);
   }
--- a/components/limits/share_lender.h
+++ b/components/limits/share_lender.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "components/base/time.h"
 #include "components/limits/shard.h"
@@ -19,6 +20,17 @@
   bool operator==(const LoanGrant&) const = default;
 };
 
+/// A loan that comes without having been asked for, with an ask for permits.
+struct LoanOffer {
+  /// From the pool's last answer to the lender. The loan runs from when that
+  /// answer was sent, so whatever delays the offer only shortens it.
+  uint64_t mark = 0;
+  std::vector<ShardId> shards;
+  LoanGrant grant;
+
+  bool operator==(const LoanOffer&) const = default;
+};
+
 /// Keeps one host's share of all rates and lends it, shard by shard, to one
 /// holder at a time. Only the holder of a loan may spend the share.
 class ShareLender {
@@ -45,16 +57,24 @@
   void SetShare(double fraction) { this->share = fraction; }
 
   /// Lends the share of `shard` to `holder`, or renews its loan. Refused while
-  /// another holds it.
-  LoanGrant Lend(ShardId shard, const std::string& holder, Instant now);
+  /// another holds it. `mark` tells the holder's asks and offers from later
+  /// ones.
+  LoanGrant Lend(ShardId shard,
+                 const std::string& holder,
+                 uint64_t mark,
+                 Instant now);
 
   /// Lends nothing to `holder` before `until`, because this host can't get
   /// permits from it.
   void Distrust(const std::string& holder, Instant until);
 
   /// Takes back a loan from which its holder grants no more permits. Those it
-  /// has granted hold on for a while, and so long nothing is lent.
-  void Return(ShardId shard, const std::string& holder, Instant now);
+  /// has granted hold on for a while, and so long nothing is lent. A loan with
+  /// a higher mark was made after the holder gave it back, and stands.
+  void Return(ShardId shard,
+              const std::string& holder,
+              uint64_t mark,
+              Instant now);
 
   /// The time at which no loan of a fraction above `fraction` is out any more.
   Instant FreeOfOldLoans(double fraction) const;
@@ -66,6 +86,8 @@
     std::string holder;
     double fraction = 0;
     Instant expires;
+    /// The latest with which it was lent.
+    uint64_t mark = 0;
   };
 
   Options options;
--- a/components/rpc/convert.cc
+++ b/components/rpc/convert.cc
@@ -196,6 +196,7 @@
   out.setFraction(grant.fraction);
   out.setPoolsNothing(grant.pools_nothing);
   out.setPoolSilent(grant.pool_silent);
+  out.setMark(grant.mark);
 }
 
 limits::PermitGrant Read(wire::Grant::Reader in) {
@@ -205,7 +206,28 @@
       .life = Duration(static_cast<int64_t>(in.getLifeMicros())),
       .fraction = in.getFraction(),
       .pools_nothing = in.getPoolsNothing(),
-      .pool_silent = in.getPoolSilent()};
+      .pool_silent = in.getPoolSilent(),
+      .mark = in.getMark()};
+}
+
+void Write(const limits::LoanOffer& offer, wire::Offer::Builder out) {
+  uint32_t shards = 0;
+  for (const limits::ShardId shard : offer.shards) {
+    shards |= 1U << static_cast<unsigned>(shard);
+  }
+  out.setMark(offer.mark);
+  out.setShards(shards);
+  Write(offer.grant, out.initLoan());
+}
+
+limits::LoanOffer Read(wire::Offer::Reader in) {
+  limits::LoanOffer offer{.mark = in.getMark(), .grant = Read(in.getLoan())};
+  for (limits::ShardId shard = 0; shard < limits::kShardCount; ++shard) {
+    if ((in.getShards() >> static_cast<unsigned>(shard) & 1U) != 0) {
+      offer.shards.push_back(shard);
+    }
+  }
+  return offer;
 }
 
 void Write(const limits::LoanGrant& grant, wire::Loan::Builder out) {
--- a/components/rpc/convert.h
+++ b/components/rpc/convert.h
@@ -49,6 +49,8 @@
 void Write(const ResolveAnswer& answer, wire::Resolution::Builder out);
 ResolveAnswer Read(wire::Resolution::Reader in);
 
+void Write(const limits::LoanOffer& offer, wire::Offer::Builder out);
+limits::LoanOffer Read(wire::Offer::Reader in);
 void Write(const limits::PermitGrant& grant, wire::Grant::Builder out);
 limits::PermitGrant Read(wire::Grant::Reader in);
 
--- a/components/rpc/messages.h
+++ b/components/rpc/messages.h
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "components/limits/share_lender.h"
 #include "components/membership/directory.h"
 #include "components/membership/host_record.h"
 #include "components/once/crash_ledger.h"
@@ -14,6 +15,17 @@
 
 namespace kingcupstair::rpc {
 
+/// Loans that a pool gives back before they end.
+struct ReturnedLoans {
+  std::vector<limits::ShardId> shards;
+  /// Offers with a higher mark are taken again.
+  uint64_t mark = 0;
+  /// The pool is about to end.
+  bool leaving = false;
+
+  bool operator==(const ReturnedLoans&) const = default;
+};
+
 /// An ask for leave to send a request a second time.
 struct RetryCall {
   std::string organisation;
@@ -34,6 +46,8 @@
   int wanted = 1;
   /// To be asked for at the pool, by a host that is not the pool.
   bool relay = false;
+  /// The asker's share, lent to the pool; no shards when it lends nothing.
+  limits::LoanOffer offer;
 
   bool operator==(const PermitCall&) const = default;
 };
--- a/components/rpc/peer.capnp
+++ b/components/rpc/peer.capnp
@@ -33,12 +33,12 @@
   head @3 () -> (head :Text);
   chunks @4 (ids :List(Text)) -> (texts :List(Text));
 
-  lend @5 (shards :List(UInt16)) -> (loans :List(Loan));
+  lend @5 (shards :List(UInt16), mark :UInt64) -> (loans :List(Loan));
   # Asks for this host's share of the limits of some shards.
-  acquire @6 (organisation :Text, wanted :UInt32, relay :Bool, service :Text)
-      -> (grant :Grant);
+  acquire @6 (organisation :Text, wanted :UInt32, relay :Bool, service :Text,
+      offer :Offer) -> (grant :Grant);
   # Asks the pool for permits, or any host to ask the pool.
-  giveBack @7 (shards :List(UInt16), leaving :Bool) -> ();
+  giveBack @7 (shards :List(UInt16), leaving :Bool, mark :UInt64) -> ();
   # The pool returns loans early, and is about to end if it is leaving.
 
   submit @8 (run :Run) -> (ticket :Ticket);
@@ -134,6 +134,13 @@
   lifeMicros @1 :UInt64;
 }
 
+struct Offer {
+  mark @0 :UInt64;
+  shards @1 :UInt32;
+  # A bit each.
+  loan @2 :Loan;
+}
+
 struct Grant {
   granted @0 :UInt32;
   retryAfterMicros @1 :UInt64;
@@ -141,6 +148,7 @@
   fraction @3 :Float64;
   poolsNothing @4 :Bool;
   poolSilent @5 :Bool;
+  mark @6 :UInt64;
 }
 
 struct Header {
--- a/components/rpc/peer.capnp.h
+++ b/components/rpc/peer.capnp.h
@@ -61,6 +61,7 @@
 CAPNP_DECLARE_SCHEMA(dae0bdfdfd002f96);
 CAPNP_DECLARE_SCHEMA(f19b4cd447f6be45);
 CAPNP_DECLARE_SCHEMA(9ae9cc4408bc3d90);
+CAPNP_DECLARE_SCHEMA(919864b95a0a1180);
 CAPNP_DECLARE_SCHEMA(cabf1792afc55f0f);
 CAPNP_DECLARE_SCHEMA(b429ba7d891a564b);
 CAPNP_DECLARE_SCHEMA(a761dc9d05e2daa7);
@@ -378,7 +379,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9df8c9d82708d9ff, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(9df8c9d82708d9ff, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -408,7 +409,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(efad0808a0a207a2, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(efad0808a0a207a2, 1, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -438,7 +439,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cbc38a3d2b385073, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(cbc38a3d2b385073, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -745,6 +746,21 @@
   };
 };
 
+struct Offer {
+  Offer() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(919864b95a0a1180, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Grant {
   Grant() = delete;
 
@@ -753,7 +769,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cabf1792afc55f0f, 4, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(cabf1792afc55f0f, 5, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2386,6 +2402,8 @@
   inline bool hasShards() const;
   inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getShards() const;
 
+  inline  ::uint64_t getMark() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2422,6 +2440,9 @@
   inline void adoptShards(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownShards();
 
+  inline  ::uint64_t getMark();
+  inline void setMark( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2556,6 +2577,9 @@
   inline bool hasService() const;
   inline  ::capnp::Text::Reader getService() const;
 
+  inline bool hasOffer() const;
+  inline  ::kingcupstair::rpc::wire::Offer::Reader getOffer() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2604,6 +2628,13 @@
   inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownService();
 
+  inline bool hasOffer();
+  inline  ::kingcupstair::rpc::wire::Offer::Builder getOffer();
+  inline void setOffer( ::kingcupstair::rpc::wire::Offer::Reader value);
+  inline  ::kingcupstair::rpc::wire::Offer::Builder initOffer();
+  inline void adoptOffer(::capnp::Orphan< ::kingcupstair::rpc::wire::Offer>&& value);
+  inline ::capnp::Orphan< ::kingcupstair::rpc::wire::Offer> disownOffer();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2622,6 +2653,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::kingcupstair::rpc::wire::Offer::Pipeline getOffer();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2734,6 +2766,8 @@
 
   inline bool getLeaving() const;
 
+  inline  ::uint64_t getMark() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2773,6 +2807,9 @@
   inline bool getLeaving();
   inline void setLeaving(bool value);
 
+  inline  ::uint64_t getMark();
+  inline void setMark( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4707,6 +4744,98 @@
 };
 #endif  // !CAPNP_LITE
 
+class Offer::Reader {
+public:
+  typedef Offer Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getMark() const;
+
+  inline  ::uint32_t getShards() const;
+
+  inline bool hasLoan() const;
+  inline  ::kingcupstair::rpc::wire::Loan::Reader getLoan() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Offer::Builder {
+public:
+  typedef Offer Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getMark();
+  inline void setMark( ::uint64_t value);
+
+  inline  ::uint32_t getShards();
+  inline void setShards( ::uint32_t value);
+
+  inline bool hasLoan();
+  inline  ::kingcupstair::rpc::wire::Loan::Builder getLoan();
+  inline void setLoan( ::kingcupstair::rpc::wire::Loan::Reader value);
+  inline  ::kingcupstair::rpc::wire::Loan::Builder initLoan();
+  inline void adoptLoan(::capnp::Orphan< ::kingcupstair::rpc::wire::Loan>&& value);
+  inline ::capnp::Orphan< ::kingcupstair::rpc::wire::Loan> disownLoan();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Offer::Pipeline {
+public:
+  typedef Offer Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::kingcupstair::rpc::wire::Loan::Pipeline getLoan();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Grant::Reader {
 public:
   typedef Grant Reads;
@@ -4736,6 +4865,8 @@
 
   inline bool getPoolSilent() const;
 
+  inline  ::uint64_t getMark() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4782,6 +4913,9 @@
   inline bool getPoolSilent();
   inline void setPoolSilent(bool value);
 
+  inline  ::uint64_t getMark();
+  inline void setMark( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6542,6 +6676,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Peer::LendParams::Reader::getMark() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::LendParams::Builder::getMark() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::LendParams::Builder::setMark( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Peer::LendResults::Reader::hasLoans() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -6672,6 +6820,45 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::AcquireParams::Reader::hasOffer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::AcquireParams::Builder::hasOffer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::kingcupstair::rpc::wire::Offer::Reader Peer::AcquireParams::Reader::getOffer() const {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Offer>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::kingcupstair::rpc::wire::Offer::Builder Peer::AcquireParams::Builder::getOffer() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Offer>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::kingcupstair::rpc::wire::Offer::Pipeline Peer::AcquireParams::Pipeline::getOffer() {
+  return  ::kingcupstair::rpc::wire::Offer::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::AcquireParams::Builder::setOffer( ::kingcupstair::rpc::wire::Offer::Reader value) {
+  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Offer>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::kingcupstair::rpc::wire::Offer::Builder Peer::AcquireParams::Builder::initOffer() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Offer>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Peer::AcquireParams::Builder::adoptOffer(
+    ::capnp::Orphan< ::kingcupstair::rpc::wire::Offer>&& value) {
+  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Offer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::kingcupstair::rpc::wire::Offer> Peer::AcquireParams::Builder::disownOffer() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Offer>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool Peer::AcquireResults::Reader::hasGrant() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -6763,6 +6950,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Peer::GiveBackParams::Reader::getMark() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::GiveBackParams::Builder::getMark() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Peer::GiveBackParams::Builder::setMark( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Peer::SubmitParams::Reader::hasRun() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -8311,6 +8512,73 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Offer::Reader::getMark() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Offer::Builder::getMark() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Offer::Builder::setMark( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Offer::Reader::getShards() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Offer::Builder::getShards() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Offer::Builder::setShards( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Offer::Reader::hasLoan() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Offer::Builder::hasLoan() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::kingcupstair::rpc::wire::Loan::Reader Offer::Reader::getLoan() const {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Loan>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::kingcupstair::rpc::wire::Loan::Builder Offer::Builder::getLoan() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Loan>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::kingcupstair::rpc::wire::Loan::Pipeline Offer::Pipeline::getLoan() {
+  return  ::kingcupstair::rpc::wire::Loan::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Offer::Builder::setLoan( ::kingcupstair::rpc::wire::Loan::Reader value) {
+  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Loan>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::kingcupstair::rpc::wire::Loan::Builder Offer::Builder::initLoan() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Loan>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Offer::Builder::adoptLoan(
+    ::capnp::Orphan< ::kingcupstair::rpc::wire::Loan>&& value) {
+  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Loan>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::kingcupstair::rpc::wire::Loan> Offer::Builder::disownLoan() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Loan>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint32_t Grant::Reader::getGranted() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -8395,6 +8663,20 @@
       ::capnp::bounded<33>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Grant::Reader::getMark() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Grant::Builder::getMark() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Grant::Builder::setMark( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Header::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/components/rpc/peer_clients.cc
+++ b/components/rpc/peer_clients.cc
@@ -261,10 +261,12 @@
 absl::StatusOr<std::vector<limits::LoanGrant>> PeerClients::Lend(
     const std::string& host,
     const std::vector<limits::ShardId>& shards,
+    uint64_t mark,
     Duration timeout) {
   return this->Call<std::vector<limits::LoanGrant>>(
-      host, "lend", timeout, [shards](wire::Peer::Client& peer) {
+      host, "lend", timeout, [shards, mark](wire::Peer::Client& peer) {
         auto request = peer.lendRequest();
+        request.setMark(mark);
         auto out = request.initShards(static_cast<unsigned>(shards.size()));
         for (unsigned i = 0; i < shards.size(); ++i) {
           out.set(i, static_cast<uint16_t>(shards[i]));
@@ -280,15 +282,16 @@
 }
 
 absl::Status PeerClients::GiveBack(const std::string& host,
-                                   const std::vector<limits::ShardId>& shards,
-                                   bool leaving,
+                                   const ReturnedLoans& returned,
                                    Duration timeout) {
   return this
       ->Call<bool>(
           host, "give back", timeout,
-          [shards, leaving](wire::Peer::Client& peer) {
+          [returned](wire::Peer::Client& peer) {
             auto request = peer.giveBackRequest();
-            request.setLeaving(leaving);
+            request.setLeaving(returned.leaving);
+            request.setMark(returned.mark);
+            const auto& shards = returned.shards;
             auto out = request.initShards(static_cast<unsigned>(shards.size()));
             for (unsigned i = 0; i < shards.size(); ++i) {
               out.set(i, static_cast<uint16_t>(shards[i]));
@@ -323,6 +326,9 @@
         request.setOrganisation(call.organisation);
         request.setService(call.service);
         request.setWanted(static_cast<uint32_t>(call.wanted));
+        if (!call.offer.shards.empty()) {
+          Write(call.offer, request.initOffer());
+        }
         return request.send().then(
             [](auto response) { return Read(response.getGrant()); });
       });
--- a/components/rpc/peer_clients.h
+++ b/components/rpc/peer_clients.h
@@ -63,10 +63,10 @@
   absl::StatusOr<std::vector<limits::LoanGrant>> Lend(
       const std::string& host,
       const std::vector<limits::ShardId>& shards,
+      uint64_t mark,
       Duration timeout);
   absl::Status GiveBack(const std::string& host,
-                        const std::vector<limits::ShardId>& shards,
-                        bool leaving,
+                        const ReturnedLoans& returned,
                         Duration timeout);
   absl::StatusOr<limits::PermitGrant> Acquire(const std::string& host,
                                               const PermitCall& call,
--- a/components/rpc/peer_handlers.h
+++ b/components/rpc/peer_handlers.h
@@ -29,14 +29,18 @@
   std::function<std::string()> head;
   std::function<std::vector<std::string>(const std::vector<std::string>&)>
       chunks;
-  std::function<limits::LoanGrant(limits::ShardId, const std::string& asker)>
+  std::function<limits::LoanGrant(limits::ShardId,
+                                  const std::string& asker,
+                                  uint64_t mark)>
       lend;
-  std::function<void(limits::ShardId, const std::string& asker)> give_back;
+  std::function<void(limits::ShardId, const std::string& asker, uint64_t mark)>
+      give_back;
   /// A host that pooled rates is about to end.
   std::function<void(const std::string& host)> leaves;
   /// Takes permits from the pool of this host, or for `relay` from whichever
   /// host pools them; calls `done` from any thread.
   std::function<void(const PermitCall&,
+                     const std::string& asker,
                      std::function<void(limits::PermitGrant)> done)>
       acquire;
   /// Leave from the pool of this host to send a request a second time.
--- a/components/rpc/peer_server.cc
+++ b/components/rpc/peer_server.cc
@@ -108,7 +108,9 @@
     auto out = context.getResults().initLoans(shards.size());
     for (unsigned i = 0; i < shards.size(); ++i) {
       if (IsShard(shards[i])) {
-        Write(this->state.handlers.lend(shards[i], this->caller.host), out[i]);
+        Write(this->state.handlers.lend(shards[i], this->caller.host,
+                                        context.getParams().getMark()),
+              out[i]);
       }
     }
     return kj::READY_NOW;
@@ -117,7 +119,8 @@
   kj::Promise<void> giveBack(GiveBackContext context) override {
     for (const auto shard : context.getParams().getShards()) {
       if (IsShard(shard)) {
-        this->state.handlers.give_back(shard, this->caller.host);
+        this->state.handlers.give_back(shard, this->caller.host,
+                                       context.getParams().getMark());
       }
     }
     if (context.getParams().getLeaving()) {
@@ -133,8 +136,9 @@
         {.organisation = params.getOrganisation(),
          .service = params.getService(),
          .wanted = static_cast<int>(params.getWanted()),
-         .relay = params.getRelay()},
-        done);
+         .relay = params.getRelay(),
+         .offer = Read(params.getOffer())},
+        this->caller.host, done);
     return promise.then([context](limits::PermitGrant grant) mutable {
       Write(grant, context.getResults().initGrant());
     });
--- a/tests/limits/rates_world.cc
+++ b/tests/limits/rates_world.cc
@@ -62,12 +62,13 @@
     return;
   }
   const Instant asked = this->now;
+  const uint64_t mark = limits::RatePool::MarkAt(asked);
   const int life = asker.life;
   this->Send(there, {.to = lender,
                      .to_any_life = true,
                      .deliver = [=, this, name = asker.name](Host& host) {
                        const auto grant =
-                           host.lender.Lend(TheShard(), name, this->now);
+                           host.lender.Lend(TheShard(), name, mark, this->now);
                        const std::string from = host.name;
                        this->Send(back, {.to = pool,
                                          .to_life = life,
@@ -84,20 +85,30 @@
                             int wanted,
                             Duration there,
                             Duration back) {
-  const Host& asker = this->hosts[static_cast<size_t>(ingress)];
+  Host& asker = this->hosts[static_cast<size_t>(ingress)];
   if (asker.frozen_until > this->now) {
     return;
   }
   const Instant asked = this->now;
   const int life = asker.life;
+  const std::string from = asker.name;
+  const std::string to = this->hosts[static_cast<size_t>(pool)].name;
+  limits::LoanOffer offer{.mark = std::exchange(asker.marks[to], 0)};
+  if (offer.mark != 0) {
+    offer.grant = asker.lender.Lend(TheShard(), to, offer.mark, this->now);
+    offer.shards = {TheShard()};
+  }
   this->Send(
       there,
       {.to = pool, .to_any_life = true, .deliver = [=, this](Host& host) {
+         host.pool.TakeOffer(from, offer, this->now);
+         const uint64_t mark = limits::RatePool::MarkAt(this->now);
          const auto grant = host.pool.Acquire(kOrganisation, wanted,
                                               this->options.limit, this->now);
          this->Send(
              back,
-             {.to = ingress, .to_life = life, .deliver = [=, this](Host&) {
+             {.to = ingress, .to_life = life, .deliver = [=, this](Host& host) {
+                host.marks[to] = mark;
                 if (this->now - asked < grant.life) {
                   this->StartRequests(grant.granted);
                 }
@@ -112,10 +123,11 @@
     return;
   }
   holder.pool.DropLoan(TheShard(), from, this->now);
+  const uint64_t mark = limits::RatePool::MarkAt(this->now);
   this->Send(there, {.to = lender,
                      .to_any_life = true,
-                     .deliver = [this, name = holder.name](Host& host) {
-                       host.lender.Return(TheShard(), name, this->now);
+                     .deliver = [this, mark, name = holder.name](Host& host) {
+                       host.lender.Return(TheShard(), name, mark, this->now);
                      }});
 }
 
@@ -126,6 +138,7 @@
   host.lender.HoldBackUntil(this->now + this->options.loan_life);
   host.lender.SetShare(this->table.Fraction(host.name));
   host.pool = limits::RatePool();
+  host.marks.clear();
   host.frozen_until = this->now;
   ++host.life;
 }
--- a/tests/limits/rates_world.h
+++ b/tests/limits/rates_world.h
@@ -34,7 +34,8 @@
   void AskLoan(int pool, int lender, Duration there, Duration back);
 
   /// `ingress` asks `pool` for permits and starts that many requests when the
-  /// answer comes, if the permits still hold then.
+  /// answer comes, if the permits still hold then. It offers its share with the
+  /// ask when it has a mark to do so.
   void AskPermits(int ingress,
                   int pool,
                   int wanted,
@@ -63,6 +64,8 @@
     limits::RatePool pool;
     int life = 0;
     Instant frozen_until;
+    /// The last marks of pools.
+    std::map<std::string, uint64_t> marks;
   };
 
   struct Message {
--- a/tests/limits/rates_world_test.cc
+++ b/tests/limits/rates_world_test.cc
@@ -109,14 +109,41 @@
   DOUBLES_EQUAL(0, world.excess(), kRounding);
 }
 
+// An ask that overtakes the loan given back before it once ended a loan that
+// the pool went on to spend from.
+TEST(RatesWorld, AReturnThatComesLateLeavesTheLaterLoan) {
+  limits::ShareLender lender({});
+  lender.SetShare(0.5);
+  lender.Lend(0, "pool", 10, At(0));
+  CHECK(lender.Lend(0, "pool", 30, At(100)).fraction > 0);
+  lender.Return(0, "pool", 20, At(200));
+  DOUBLES_EQUAL(0, lender.Lend(0, "other", 40, At(1'000)).fraction, 0);
+  lender.Return(0, "pool", 50, At(1'100));
+  CHECK(lender.Lend(0, "other", 60, At(1'500)).fraction > 0);
+}
+
+// Load pattern: every host asks for permits several times a second, so nobody
+// has to be asked for its share.
+TEST(RatesWorld, OffersWithAsksForPermitsKeepTheWholeRateInThePool) {
+  RatesWorld world({.hosts = 3,
+                    .limit = {.rate = 100, .depth = 40},
+                    .loan_life = Millis(500)});
+  for (int i = 0; i < 1'000; ++i) {
+    world.AskPermits(i % 3, 0, 1, Millis(1), Millis(1));
+    world.Advance(Millis(10));
+  }
+  CHECK(world.started() > 980);
+  DOUBLES_EQUAL(0, world.excess(), kRounding);
+}
+
 TEST(RatesWorld, AHostThatCannotReachItsPoolGetsItsShareBack) {
   limits::ShareLender lender({});
   lender.SetShare(0.5);
-  CHECK(lender.Lend(0, "pool", At(0)).fraction > 0);
+  CHECK(lender.Lend(0, "pool", 0, At(0)).fraction > 0);
   lender.Distrust("pool", At(5'000));
-  DOUBLES_EQUAL(0, lender.Lend(0, "pool", At(1'000)).fraction, 0);
-  DOUBLES_EQUAL(0, lender.Lend(0, "own", At(1'000)).fraction, 0);
-  CHECK(lender.Lend(0, "own", At(2'400)).fraction > 0);
+  DOUBLES_EQUAL(0, lender.Lend(0, "pool", 0, At(1'000)).fraction, 0);
+  DOUBLES_EQUAL(0, lender.Lend(0, "own", 0, At(1'000)).fraction, 0);
+  CHECK(lender.Lend(0, "own", 0, At(2'400)).fraction > 0);
 }
 
 TEST(RatesWorld, SteadyLoadGetsTheWholeRate) {
