Requests wait for a pool that takes over instead of being refused

Load pattern: the pool dies; for 0.6 to 0.9 s its loans run, then the bucket of its successor starts empty, while callers go on at their usual rate. Change: PermitPatience, a decision without input and output: wait while the pool has less than six tenths of the shares, on while its bucket fills, at most 1.5 s or half of the time, four requests an organisation and host. Who is over the rate of a whole pool is told at once, as before.

--- a/components/ingress/ingress.cc
+++ b/components/ingress/ingress.cc
@@ -26,10 +26,6 @@
 constexpr Duration kSoon{std::chrono::seconds(1)};
 /// The shortest time after which a caller over its rate should come back.
 constexpr Duration kLeastOverRate{std::chrono::milliseconds(200)};
-/// An organisation inside its rate may find its bucket empty for a moment after
-/// a burst; waiting that out costs less than coming back.
-constexpr int kPermitTries = 2;
-constexpr Duration kLongestPermitWait{std::chrono::milliseconds(120)};
 constexpr int64_t kMaxDeadlineMillis = 600'000;
 
 }  // namespace
@@ -213,18 +209,9 @@
     this->NoteUncounted(admitted);
     return std::nullopt;
   }
-  limits::PermitGrant grant;
-  for (int tries = 0; tries < kPermitTries; ++tries) {
-    const Instant asked = MonotonicNow();
-    grant = this->options.acquire(admitted.organisation, admitted.service);
-    const bool in_time = MonotonicNow() - asked < grant.life;
-    if (grant.granted > 0 && in_time) {
-      return std::nullopt;
-    }
-    if (grant.retry_after > kLongestPermitWait) {
-      break;
-    }
-    fibers::SleepFor(grant.retry_after);
+  const limits::PermitGrant grant = this->WaitForPermit(admitted);
+  if (grant.granted > 0) {
+    return std::nullopt;
   }
   return Problem{
       .status = kTooManyRequests,
@@ -235,6 +222,41 @@
                  {.name = "pooled", .value = absl::StrCat(grant.fraction)}}};
 }
 
+limits::PermitGrant Ingress::WaitForPermit(const AdmittedRequest& admitted) {
+  limits::PermitPatience::Wait wait{.arrived = admitted.arrived,
+                                    .deadline = admitted.deadline};
+  limits::PermitGrant grant;
+  while (true) {
+    const Instant asked = MonotonicNow();
+    grant = this->options.acquire(admitted.organisation, admitted.service);
+    const Instant now = MonotonicNow();
+    if (grant.granted > 0 && now - asked < grant.life) {
+      break;
+    }
+    grant.granted = 0;
+    ++wait.asks;
+    const auto pause = this->PauseForPermit(admitted, grant, wait);
+    if (!pause.has_value() || admitted.caller->IsCancelled()) {
+      break;
+    }
+    fibers::SleepFor(*pause);
+  }
+  if (wait.waits) {
+    const std::lock_guard lock(this->mutex);
+    this->patience.End(admitted.organisation);
+  }
+  return grant;
+}
+
+std::optional<Duration> Ingress::PauseForPermit(
+    const AdmittedRequest& admitted,
+    const limits::PermitGrant& grant,
+    limits::PermitPatience::Wait& wait) {
+  const std::lock_guard lock(this->mutex);
+  return this->patience.NextAsk(admitted.organisation, grant, wait,
+                                MonotonicNow());
+}
+
 // What upstreams call for is part of requests that were counted.
 void Ingress::NoteUncounted(const AdmittedRequest& admitted) {
   if (!admitted.route.internal) {
--- a/components/ingress/ingress.h
+++ b/components/ingress/ingress.h
@@ -18,6 +18,7 @@
 #include "components/ingress/attempt_runner.h"
 #include "components/ingress/caller_answer.h"
 #include "components/ingress/fleet_board.h"
+#include "components/limits/permit_patience.h"
 
 namespace kingcupstair::ingress {
 
@@ -65,6 +66,10 @@
   http::Headers HeadersForUpstream(const http::Headers& headers) const;
   Duration TimeFor(const AdmittedRequest& admitted) const;
   std::string ChoosePart(const config::RouteRule& route);
+  limits::PermitGrant WaitForPermit(const AdmittedRequest& admitted);
+  std::optional<Duration> PauseForPermit(const AdmittedRequest& admitted,
+                                         const limits::PermitGrant& grant,
+                                         limits::PermitPatience::Wait& wait);
   void NoteUncounted(const AdmittedRequest& admitted);
   int TakeUncounted(const std::string& service);
   http::Response Run(const AdmittedRequest& admitted);
@@ -80,6 +85,7 @@
   guard::CrashWatch& crashes;
   events::Recorder& recorder;
   std::mutex mutex;
+  limits::PermitPatience patience;
   /// Requests by service that needed no permits, since the last retry.
   std::map<std::string, int> uncounted;
   std::mt19937_64 random{std::random_device{}()};
