Only a request with less time than the shortest answer takes is hopeless

Change: the gate follows the shortest of the latest latencies. Test fails without it.

Shares move only when much would go with a host.

--- a/apps/relay_standin/relay.cc
+++ b/apps/relay_standin/relay.cc
@@ -79,6 +79,9 @@
     if (pair->silent) {
       continue;
     }
+    if (this->faults.delay > Duration{}) {
+      fibers::SleepFor(this->faults.delay);
+    }
     const auto written = fibers::Await([&](auto handler) {
       boost::asio::async_write(
           to, boost::asio::buffer(buffer.data(), read.bytes), handler);
@@ -98,17 +101,41 @@
   if (request.target != "/faults" || !json.is_object()) {
     return {.status = 400, .body = "POST a JSON object to /faults\n"};
   }
-  this->faults = {.drop_to_server = json.value("drop_to_server", false),
-                  .drop_to_client = json.value("drop_to_client", false),
-                  .refuse = json.value("refuse", false)};
+  this->faults = {
+      .drop_to_server = json.value("drop_to_server", false),
+      .drop_to_client = json.value("drop_to_client", false),
+      .refuse = json.value("refuse", false),
+      .delay = std::chrono::milliseconds(json.value("delay_ms", 0))};
   if (json.value("silence_open", false)) {
-    for (const auto& weak : this->pairs) {
-      if (const auto pair = weak.lock()) {
-        pair->silent = true;
-      }
-    }
+    this->SilenceOpen();
+  }
+  if (json.value("reset_open", false)) {
+    this->ResetOpen();
   }
   return {};
 }
 
+void Relay::SilenceOpen() {
+  for (const auto& weak : this->pairs) {
+    if (const auto pair = weak.lock()) {
+      pair->silent = true;
+    }
+  }
+}
+
+// Closing with a linger time of zero sends a reset.
+void Relay::ResetOpen() {
+  for (const auto& weak : this->pairs) {
+    const auto pair = weak.lock();
+    if (pair == nullptr) {
+      continue;
+    }
+    for (tcp::socket* each : {&pair->client, &pair->server}) {
+      boost::system::error_code ignored;
+      each->set_option(boost::asio::socket_base::linger(true, 0), ignored);
+      each->close(ignored);
+    }
+  }
+}
+
 }  // namespace kingcupstair
--- a/apps/relay_standin/relay.h
+++ b/apps/relay_standin/relay.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "components/base/endpoint.h"
+#include "components/base/time.h"
 #include "components/http/message.h"
 
 namespace kingcupstair {
@@ -18,10 +19,11 @@
 /// is told not to. All connections run on one thread.
 ///
 ///   POST /faults  {"drop_to_server":bool,"drop_to_client":bool,
-///                  "silence_open":bool,"refuse":bool}
+///                  "silence_open":bool,"reset_open":bool,"refuse":bool,
+///                  "delay_ms":number}
 ///
 /// `silence_open` makes the connections open now go silent for good, while new
-/// ones work.
+/// ones work; `reset_open` resets them. `delay_ms` holds all bytes back.
 class Relay {
  public:
   struct Options {
@@ -43,10 +45,13 @@
     bool drop_to_server = false;
     bool drop_to_client = false;
     bool refuse = false;
+    Duration delay{};
   };
 
   void Serve(std::shared_ptr<Pair> pair);
   void Pump(std::shared_ptr<Pair> pair, bool to_server);
+  void SilenceOpen();
+  void ResetOpen();
 
   Options options;
   Faults faults;
--- a/components/admission/upstream_gate.cc
+++ b/components/admission/upstream_gate.cc
@@ -12,6 +12,9 @@
 constexpr double kErrorWeight = 0.2;
 /// A request that had this many times the usual latency had enough time.
 constexpr int kEnoughTimes = 3;
+/// By how much of the distance the shortest latency follows longer ones: what
+/// was fast a hundred answers ago says little.
+constexpr double kShortestWeight = 0.02;
 constexpr Duration kRetryWhenFull{std::chrono::milliseconds(500)};
 
 /// Bounds on new requests hold for each span of this length.
@@ -48,14 +51,14 @@
                                               Instant now) {
   std::vector<GateDecision> decisions;
   const Duration max_wait = request.max_wait.value_or(this->options.max_wait);
-  if (max_wait == Duration{} &&
-      (this->queue.size() > 0 || this->in_flight() >= this->Limit() ||
-       !this->MayStart(now))) {
+  const bool free = this->queue.size() == 0 &&
+                    this->in_flight() < this->Limit() && this->MayStart(now);
+  if (max_wait == Duration{} && !free) {
     decisions.push_back(
         Refuse(request.ticket, once::RefusalReason::kQueueFull));
     return decisions;
   }
-  const Instant expires = std::min(request.deadline - this->UsualLatency(),
+  const Instant expires = std::min(request.deadline - this->LeastLatency(),
                                    now + std::max(max_wait, kLeastWait));
   if (expires <= now) {
     decisions.push_back(
@@ -125,6 +128,7 @@
 void UpstreamGate::Restart() {
   this->concurrency = ConcurrencyLimit({.slots = this->options.slots});
   this->latency_micros = 0;
+  this->shortest_micros = 0;
   this->relative_latency = 0;
   this->error_share = 0;
   this->finished = 0;
@@ -173,6 +177,12 @@
   return Duration(static_cast<int64_t>(this->latency_micros));
 }
 
+// The usual time is no measure for what is hopeless: kinds of requests of one
+// service differ, and calls that take a tenth of what others do were refused.
+Duration UpstreamGate::LeastLatency() const {
+  return Duration(static_cast<int64_t>(this->shortest_micros));
+}
+
 Duration UpstreamGate::ExpectedWait(const GateRequest& request) const {
   const double ahead = this->queue.Ahead({.organisation = FlowOf(request),
                                           .weight = WeightOf(request),
@@ -215,7 +225,11 @@
   const auto micros = static_cast<double>(latency.count());
   if (this->latency_micros == 0) {
     this->latency_micros = micros;
+    this->shortest_micros = micros;
   }
+  this->shortest_micros =
+      std::min(micros, this->shortest_micros +
+                           kShortestWeight * (micros - this->shortest_micros));
   this->latency_micros += kLatencyWeight * (micros - this->latency_micros);
 }
 
--- a/components/admission/upstream_gate.h
+++ b/components/admission/upstream_gate.h
@@ -134,6 +134,7 @@
   bool MayStart(Instant now);
   void NoteFailure(Instant now);
   Duration UsualLatency() const;
+  Duration LeastLatency() const;
   Duration ExpectedWait(const GateRequest& request) const;
 
   Options options;
@@ -150,6 +151,8 @@
   /// Starts within the last second, the oldest first.
   std::deque<Instant> starts;
   double latency_micros = 0;
+  /// Of the latest answers.
+  double shortest_micros = 0;
   /// Latency as a part of the objective, exponentially weighted.
   double relative_latency = 0;
   double error_share = 0;
--- a/components/control/gossip_loop.cc
+++ b/components/control/gossip_loop.cc
@@ -19,6 +19,9 @@
 constexpr size_t kSpreadTargets = 3;
 /// One probe in so many goes to any zone, the others stay in the own one.
 constexpr int kRoundsPerFarProbe = 3;
+/// One round in so many goes to a seed, whatever else is known: hosts that met
+/// in two groups would not find each other, since each group knows enough.
+constexpr uint64_t kRoundsPerSeed = 10;
 /// Probes in a row that found a peer knowing something else for no reason told,
 /// after which all versions are compared.
 constexpr int kUnexplainedRoundsBeforeSync = 3;
@@ -62,8 +65,13 @@
 // any of a zone's hosts.
 std::optional<std::string> GossipLoop::NextTarget() {
   const std::lock_guard lock(this->mutex);
+  ++this->rounds;
+  const auto& seeds = this->fleet.places.seeds;
+  if (this->rounds % kRoundsPerSeed == 0 && !seeds.empty()) {
+    return seeds[this->rounds / kRoundsPerSeed % seeds.size()];
+  }
   const auto near = this->TargetsOfOwnZone();
-  if (++this->rounds % kRoundsPerFarProbe != 0 && !near.empty()) {
+  if (this->rounds % kRoundsPerFarProbe != 0 && !near.empty()) {
     return this->near_prober.Next(near);
   }
   return this->prober.Next(this->Targets());
--- a/components/limits/share_table.cc
+++ b/components/limits/share_table.cc
@@ -7,8 +7,9 @@
 namespace {
 
 /// Parts on their way are of use to nobody until the taker reads the table, so
-/// a host gives some away only when it has this much more than an equal share
-/// (one in so many): when it goes, that much more goes with it.
+/// a host gives some away only when much would go with it if it went: more than
+/// this of all parts (one in so many), or than an equal share by half of it.
+constexpr int64_t kMuchDivisor = 10;
 constexpr int64_t kSurplusDivisor = 2;
 /// A move smaller than this part of an equal share is not worth a write.
 constexpr int64_t kWorthwhileDivisor = 20;
@@ -58,8 +59,9 @@
                        });
   const int64_t parts =
       std::min(giver->parts - equal, equal - poorest->second.parts);
-  if (giver->parts - equal <= equal / kSurplusDivisor ||
-      parts <= equal / kWorthwhileDivisor) {
+  const bool much = giver->parts > kAllParts / kMuchDivisor ||
+                    giver->parts - equal > equal / kSurplusDivisor;
+  if (!much || parts <= equal / kWorthwhileDivisor) {
     return std::nullopt;
   }
   return ShareMove{.from = host, .to = poorest->first, .parts = parts};
--- a/scripts/lib/site.sh
+++ b/scripts/lib/site.sh
@@ -71,9 +71,9 @@
     --service "$service" "$@"
 }
 
-site_faults() { curl -s -X POST --data "$2" "http://127.0.0.1:${site_upstream_ports[$1]}/faults" >/dev/null; }
+site_faults() { curl -s --max-time 1 -X POST --data "$2" "http://127.0.0.1:${site_upstream_ports[$1]}/faults" >/dev/null; }
 site_counts() { curl -s --max-time 5 "http://127.0.0.1:${site_upstream_ports[$1]}/counts"; }
-site_store_faults() { curl -s -X POST --data "$1" "http://$site_store_address/v1/faults" >/dev/null; }
+site_store_faults() { curl -s --max-time 1 -X POST --data "$1" "http://$site_store_address/v1/faults" >/dev/null; }
 site_ctl() { "$site_bin/kingcupstairctl" --author "${SITE_AUTHOR:-operator}" "$@"; }
 site_status() { curl -s --max-time 2 "http://127.0.0.1:$(site_admin_port "$1")/status"; }
 
@@ -138,7 +138,7 @@
 }
 
 site_relay_faults() {
-  curl -s -X POST --data "$2" "http://127.0.0.1:$((site_base + 10 * $1 + 6))/faults" >/dev/null
+  curl -s --max-time 1 -X POST --data "$2" "http://127.0.0.1:$((site_base + 10 * $1 + 6))/faults" >/dev/null
 }
 
 site_hosts() {
--- a/tests/admission/upstream_gate_test.cc
+++ b/tests/admission/upstream_gate_test.cc
@@ -130,6 +130,21 @@
   LONGS_EQUAL(call, Started(next).front());
 }
 
+// Load pattern: at the worst load requests take a second on average, and short
+// ones with less to go, among them calls of other upstreams, were all refused.
+TEST(PacedGate, ARequestWithLessThanTheUsualTimeIsNotHopeless) {
+  const auto quick = Started(this->Offer(0, 0));
+  this->gate.Finish(quick.front(), RunEnd::kSuccess, At(20));
+  const auto slow = Started(this->Offer(0, 0));
+  this->gate.Finish(slow.front(), RunEnd::kSuccess, At(5'000));
+  const auto brief = this->gate.Offer({.ticket = ++this->last,
+                                       .organisation = "o",
+                                       .deadline = At(5'800),
+                                       .max_wait = Millis(50)},
+                                      At(5'000));
+  LONGS_EQUAL(1, Started(brief).size());
+}
+
 TEST_GROUP(UpstreamGate) {
   UpstreamGate gate{{.slots = 8}};
   TicketId last = 0;
--- a/tests/limits/share_table_test.cc
+++ b/tests/limits/share_table_test.cc
@@ -37,6 +37,24 @@
   CHECK_FALSE(this->table.NextMove("b").has_value());
 }
 
+// Load pattern: a few hosts join a fleet of some dozen, and while parts were on
+// their way to them a fifth of all rates was out of use for half a minute.
+TEST(ShareTable, AFewNewHostsAmongManyMoveNothing) {
+  std::map<std::string, ShareEntry> hosts;
+  for (int i = 0; i < 27; ++i) {
+    hosts["h" + std::to_string(i)] = {};
+  }
+  ShareTable fleet = ShareTable::EqualShares(hosts);
+  for (int i = 0; i < 5; ++i) {
+    fleet.Join("new" + std::to_string(i), {});
+  }
+  CHECK_FALSE(fleet.NextMove("h0").has_value());
+  for (int i = 0; i < 27; ++i) {
+    fleet.Join("more" + std::to_string(i), {});
+  }
+  CHECK(fleet.NextMove("h0").has_value());
+}
+
 TEST(ShareTable, ARejoinKeepsTheShare) {
   CHECK_FALSE(this->table.Join("a", {.zone = "z1"}));
   CHECK(this->table.Join("a", {.zone = "z3"}));
