--- a/components/control/gossip_loop.cc
+++ b/components/control/gossip_loop.cc
@@ -68,7 +68,11 @@
   ++this->rounds;
   const auto& seeds = this->fleet.places.seeds;
   if (this->rounds % kRoundsPerSeed == 0 && !seeds.empty()) {
-    return seeds[this->rounds / kRoundsPerSeed % seeds.size()];
+    const std::string& seed =
+        seeds[this->rounds / kRoundsPerSeed % seeds.size()];
+    if (seed != this->fleet.places.host) {
+      return seed;
+    }
   }
   const auto near = this->TargetsOfOwnZone();
   if (this->rounds % kRoundsPerFarProbe != 0 && !near.empty()) {
--- a/components/control/permit_source.cc
+++ b/components/control/permit_source.cc
@@ -18,7 +18,7 @@
 /// Other hosts through which a pool is asked, and that must all find it silent
 /// before it is suspected: when a third of the hosts have a bad path to it, six
 /// picked at random all have one in less than one case of a thousand.
-constexpr int kRelays = 6;
+constexpr size_t kRelays = 6;
 /// A pool that nobody has reached for this long is no longer lent to: longer
 /// than some lost packets take, shorter than a failure detector's time.
 constexpr Duration kUnreachedBeforeDistrust{std::chrono::milliseconds(800)};
@@ -184,15 +184,16 @@
 absl::StatusOr<limits::PermitGrant> PermitSource::AcquireThroughOthers(
     const rpc::PermitCall& call,
     const std::string& pool) {
-  int found_silent = 0;
-  for (const std::string& relay : this->ChooseRelays(pool)) {
+  size_t found_silent = 0;
+  const std::vector<std::string> relays = this->ChooseRelays(pool);
+  for (const std::string& relay : relays) {
     const auto grant = this->fleet.peers.Acquire(relay, call, kRelayTimeout);
     if (grant.ok() && !grant->pool_silent && !grant->pools_nothing) {
       return *grant;
     }
     found_silent += grant.ok() && grant->pool_silent ? 1 : 0;
   }
-  if (found_silent == kRelays) {
+  if (!relays.empty() && found_silent == relays.size()) {
     this->Suspect(pool);
   }
   return absl::UnavailableError("no host got a permit from a pool");
--- a/components/control/permit_source.h
+++ b/components/control/permit_source.h
@@ -48,6 +48,11 @@
  private:
   using PoolHosts = std::array<std::string, limits::kShardCount>;
 
+  struct Mark {
+    uint64_t mark = 0;
+    Instant offered;
+  };
+
   void RecordChange(const PoolHosts& before, const PoolHosts& after) const;
   absl::StatusOr<limits::PermitGrant> AcquireFromPool(
       const std::string& organisation,
@@ -70,12 +75,7 @@
   std::mutex mutex;
   /// Pools that did not answer here, and until when they are not asked.
   std::map<std::string, Instant> lost;
-  struct Mark {
-    uint64_t mark = 0;
-    Instant offered;
-  };
-
-  /// The last marks of pools.
+  /// The last marks of pools, and when offers were made with them.
   std::map<std::string, Mark> marks;
   /// Pools from which no answer has come, and since when.
   std::map<std::string, Instant> unreached_since;
