--- a/components/retry/retry_budget.cc
+++ b/components/retry/retry_budget.cc
@@ -16,12 +16,14 @@
 
 RetryBudget::RetryBudget(Options options) : options(options) {}
 
-// Starts empty: another holder may have used all of the slack just before.
+// Starts with one retry and no more: another holder may have used all of the
+// slack just before.
 double& RetryBudget::TokensOf(const std::string& service,
                               double share,
                               Instant now) {
   Tokens& known =
-      this->tokens.try_emplace(service, Tokens{.filled = now}).first->second;
+      this->tokens.try_emplace(service, Tokens{.held = 1, .filled = now})
+          .first->second;
   const double slack = kUsedPart * this->options.slack * share;
   const double windows =
       ToSeconds(now - known.filled) / ToSeconds(this->options.window);
