One seed of the soak gives one plan

Cause, found on rereading: the plan was drawn in a pipeline, and bash seeds RANDOM anew in each subshell. Three plans of seed 7 differed before, they are the same now. The steps that a fault sets and clears, or begins and ends, have one piece of code each.

--- a/soak/faults.sh
+++ b/soak/faults.sh
@@ -37,45 +37,66 @@
   site_ctl apply "$dir/rules.$2" >>"$dir/ctl.log" 2>&1 || true
 }
 
+# A fault of $1 at $2, from $at to $until, that is set as $3 and cleared as {}.
+set_and_clear() {
+  echo "$at $1 $2 $3"
+  echo "$until $1 $2 {}"
+}
+
+# Two actions at $3, one at $at and the other at $until.
+first_and_then() {
+  echo "$at $1 $3"
+  echo "$until $2 $3"
+}
+
 # The steps that one fault takes: begins at $1 ms, lasts $2 ms, at host $3.
 fault_steps() {
   local at="$1" until=$(($1 + $2)) host="$3"
   case "$4" in
-    kill) echo "$at host_kill $host" && echo "$until host_back $host" ;;
-    term) echo "$at host_term $host" && echo "$((until + 4000)) host_back $host" ;;
-    pause) echo "$at pause_process host$host" && echo "$until resume_process host$host" ;;
-    pause_relay) echo "$at pause_process relay$host" && echo "$until resume_process relay$host" ;;
-    cut_in) echo "$at path_fault $host {\"drop_to_server\":true}" && echo "$until path_fault $host {}" ;;
-    cut_out) echo "$at path_fault $host {\"drop_to_client\":true}" && echo "$until path_fault $host {}" ;;
-    refuse) echo "$at path_fault $host {\"refuse\":true,\"reset_open\":true}" && echo "$until path_fault $host {}" ;;
+    kill) first_and_then host_kill host_back "$host" ;;
+    term)
+      # The process may take some seconds to end.
+      until=$((until + 4000))
+      first_and_then host_term host_back "$host"
+      ;;
+    pause) first_and_then pause_process resume_process "host$host" ;;
+    pause_relay) first_and_then pause_process resume_process "relay$host" ;;
+    cut_in) set_and_clear path_fault "$host" '{"drop_to_server":true}' ;;
+    cut_out) set_and_clear path_fault "$host" '{"drop_to_client":true}' ;;
+    refuse) set_and_clear path_fault "$host" '{"refuse":true,"reset_open":true}' ;;
     silence) echo "$at path_fault $host {\"silence_open\":true}" ;;
     reset) echo "$at path_fault $host {\"reset_open\":true}" ;;
-    delay) echo "$at path_fault $host {\"delay_ms\":150}" && echo "$until path_fault $host {}" ;;
-    upstream_kill) echo "$at upstream_kill $host" && echo "$until upstream_back $host" ;;
-    upstream_pause) echo "$at pause_process lote-$host" && echo "$until resume_process lote-$host" ;;
-    upstream_hang) echo "$at upstream_fault $host {\"hang\":true}" && echo "$until upstream_fault $host {}" ;;
-    upstream_fail) echo "$at upstream_fault $host {\"error_share\":0.6}" && echo "$until upstream_fault $host {}" ;;
-    upstream_cut) echo "$at upstream_fault $host {\"cut\":true}" && echo "$until upstream_fault $host {}" ;;
-    store_down) echo "$at store_fault - {\"down\":true}" && echo "$until store_fault - {}" ;;
-    store_slow) echo "$at store_fault - {\"delay_ms\":400}" && echo "$until store_fault - {}" ;;
+    delay) set_and_clear path_fault "$host" '{"delay_ms":150}' ;;
+    upstream_kill) first_and_then upstream_kill upstream_back "$host" ;;
+    upstream_pause) first_and_then pause_process resume_process "lote-$host" ;;
+    upstream_hang) set_and_clear upstream_fault "$host" '{"hang":true}' ;;
+    upstream_fail) set_and_clear upstream_fault "$host" '{"error_share":0.6}' ;;
+    upstream_cut) set_and_clear upstream_fault "$host" '{"cut":true}' ;;
+    store_down) set_and_clear store_fault - '{"down":true}' ;;
+    store_slow) set_and_clear store_fault - '{"delay_ms":400}' ;;
     store_loses) echo "$at store_fault - {\"lose_answers\":6}" ;;
-    store_pause) echo "$at pause_process store" && echo "$until resume_process store" ;;
+    store_pause) first_and_then pause_process resume_process store ;;
     rules) echo "$at change_rules - $at" ;;
   esac
 }
 
-# make_plan SECONDS HOSTS: lines of "MS ACTION TARGET DETAIL", by time. All that
-# is begun ends two seconds before the callers do.
+# make_plan SECONDS HOSTS: lines of "MS ACTION TARGET DETAIL", by time, of the
+# state of RANDOM. All that
+# is begun ends a second or more before the callers do.
 make_plan() {
   local kinds=(kill term pause pause_relay cut_in cut_out refuse silence reset delay
     upstream_kill upstream_pause upstream_hang upstream_fail upstream_cut
     store_down store_slow store_loses store_pause rules)
-  local latest=$(($1 * 1000 - 8500)) count=$(($1 / 2)) i at length
+  local latest=$(($1 * 1000 - 8500)) count=$(($1 / 2)) i at length host kind steps=""
+  # Drawn in this shell: bash seeds RANDOM anew in each subshell.
   for ((i = 0; i < count; i++)); do
     at=$((500 + RANDOM % latest))
     length=$((200 + RANDOM % 2800))
-    fault_steps "$at" "$length" $((1 + RANDOM % $2)) "${kinds[RANDOM % ${#kinds[@]}]}"
-  done | sort -n
+    host=$((1 + RANDOM % $2))
+    kind="${kinds[RANDOM % ${#kinds[@]}]}"
+    steps+="$(fault_steps "$at" "$length" "$host" "$kind")"$'\n'
+  done
+  sort -n <<<"${steps%$'\n'}"
 }
 
 check_no_double() {
