--- a/apps/kingcupstaird/daemon.cc
+++ b/apps/kingcupstaird/daemon.cc
@@ -119,15 +119,16 @@
              this->board,
              this->recorder),
       ingress({.isolated = [this] { return this->IsIsolated(); },
-               .acquire =
-                   [this](const std::string& organisation,
-                          const std::string& service) {
-                     return this->permits.Acquire(organisation, service);
-                   },
-               .may_retry =
-                   [this](const rpc::RetryCall& call) {
-                     return this->permits.TryRetry(call);
-                   },
+               .permits = {.acquire =
+                               [this](const std::string& organisation,
+                                      const std::string& service) {
+                                 return this->permits.Acquire(organisation,
+                                                              service);
+                               },
+                           .may_retry =
+                               [this](const rpc::RetryCall& call) {
+                                 return this->permits.TryRetry(call);
+                               }},
                .dialect = this->dialect,
                .caller_service = this->settings.caller_service},
               this->config.snapshot(),
--- a/components/base/error.cc
+++ b/components/base/error.cc
@@ -35,4 +35,8 @@
           .peer = PayloadOf(status, kPeerUrl)};
 }
 
+std::string MessageOf(const absl::Status& status) {
+  return {status.message().data(), status.message().size()};
+}
+
 }  // namespace kingcupstair
--- a/components/base/error.h
+++ b/components/base/error.h
@@ -24,6 +24,9 @@
 /// The origin carried by `status`; both parts are empty when it carries none.
 ErrorOrigin OriginOf(const absl::Status& status);
 
+/// The message of `status` as a string of the standard library.
+std::string MessageOf(const absl::Status& status);
+
 }  // namespace kingcupstair
 
 #endif  // COMPONENTS_BASE_ERROR_H_
--- a/components/base/time.cc
+++ b/components/base/time.cc
@@ -24,6 +24,11 @@
   return std::chrono::duration<double>(duration).count();
 }
 
+Duration PartOf(Duration whole, double part) {
+  return Duration(
+      static_cast<int64_t>(static_cast<double>(whole.count()) * part));
+}
+
 int64_t ToMillisRoundedUp(Duration duration) {
   return std::chrono::ceil<std::chrono::milliseconds>(duration).count();
 }
--- a/components/base/time.h
+++ b/components/base/time.h
@@ -21,6 +21,9 @@
 /// A duration as floating-point seconds.
 double ToSeconds(Duration duration);
 
+/// A fraction of a duration.
+Duration PartOf(Duration whole, double part);
+
 /// A duration in whole milliseconds, rounded up.
 int64_t ToMillisRoundedUp(Duration duration);
 
--- a/components/control/config_loop.cc
+++ b/components/control/config_loop.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
+#include "components/base/error.h"
 #include "components/base/hash.h"
 #include "components/config/chunks.h"
 #include "components/config/head.h"
@@ -61,8 +62,7 @@
     this->store_answered = status.ok();
     this->fleet.recorder.Record(
         {.kind = status.ok() ? "store_back" : "store_lost",
-         .detail =
-             std::string(status.message().data(), status.message().size())});
+         .detail = MessageOf(status)});
   }
   if (status.ok()) {
     this->fleet.isolation.OnHeard(MonotonicNow());
@@ -107,9 +107,7 @@
   const auto rules = source.to_rules(this->records.All());
   if (!rules.ok()) {
     this->fleet.recorder.Record(
-        {.kind = "configuration_refused",
-         .detail = std::string(rules.status().message().data(),
-                               rules.status().message().size())});
+        {.kind = "configuration_refused", .detail = MessageOf(rules.status())});
     return;
   }
   config::Head head{.revision = this->records.known_revision(),
--- a/components/control/gossip_loop.cc
+++ b/components/control/gossip_loop.cc
@@ -18,7 +18,7 @@
 constexpr size_t kHelpers = 3;
 constexpr size_t kSpreadTargets = 3;
 /// One probe in so many goes to any zone, the others stay in the own one.
-constexpr int kRoundsPerFarProbe = 3;
+constexpr uint64_t kRoundsPerFarProbe = 3;
 /// One round in so many goes to a seed, whatever else is known: hosts that met
 /// in two groups would not find each other, since each group knows enough.
 constexpr uint64_t kRoundsPerSeed = 10;
--- a/components/control/gossip_loop.h
+++ b/components/control/gossip_loop.h
@@ -55,7 +55,7 @@
   /// Of the own availability zone, and of all.
   membership::Prober near_prober;
   membership::Prober prober;
-  int rounds = 0;
+  uint64_t rounds = 0;
   std::string peer_ahead;
   int rounds_unexplained = 0;
 };
--- a/components/control/rate_keeper.cc
+++ b/components/control/rate_keeper.cc
@@ -41,13 +41,19 @@
   return this->lender.FreeOfOldLoans(fraction);
 }
 
-// What this host has lent to itself while the pool could not be reached goes to
-// the pool as soon as that asks.
 limits::LoanGrant RateKeeper::Lend(limits::ShardId shard,
                                    const std::string& holder,
                                    uint64_t mark) {
   const std::lock_guard lock(this->mutex);
-  const Instant now = MonotonicNow();
+  return this->LendLocked(shard, holder, mark, MonotonicNow());
+}
+
+// What this host has lent to itself while the pool could not be reached goes to
+// the pool as soon as that asks or is offered it.
+limits::LoanGrant RateKeeper::LendLocked(limits::ShardId shard,
+                                         const std::string& holder,
+                                         uint64_t mark,
+                                         Instant now) {
   if (holder != this->options.host) {
     this->pool.DropLoan(shard, this->options.host, now);
     this->lender.Return(shard, this->options.host, 0, now);
@@ -69,9 +75,7 @@
   limits::LoanOffer offer{.mark = mark};
   const Instant now = MonotonicNow();
   for (const limits::ShardId shard : shards) {
-    this->pool.DropLoan(shard, this->options.host, now);
-    this->lender.Return(shard, this->options.host, 0, now);
-    const auto grant = this->lender.Lend(shard, pool, mark, now);
+    const auto grant = this->LendLocked(shard, pool, mark, now);
     if (grant.fraction > 0) {
       offer.shards.push_back(shard);
       offer.grant = grant;
--- a/components/control/rate_keeper.h
+++ b/components/control/rate_keeper.h
@@ -85,6 +85,10 @@
   void ForgetIdle();
 
  private:
+  limits::LoanGrant LendLocked(limits::ShardId shard,
+                               const std::string& holder,
+                               uint64_t mark,
+                               Instant now);
   /// The part of the retry slack that is held here and nowhere else.
   double RetryShare(const std::string& organisation, Instant now);
   limits::PermitGrant AcquireLocked(const std::string& organisation,
--- a/components/health/upstream_judge.cc
+++ b/components/health/upstream_judge.cc
@@ -26,11 +26,6 @@
 constexpr Duration kMemory{std::chrono::seconds(6)};
 constexpr size_t kMostKept = 256;
 
-Duration PartOf(Duration whole, double part) {
-  return Duration(
-      static_cast<int64_t>(static_cast<double>(whole.count()) * part));
-}
-
 }  // namespace
 
 void UpstreamJudge::OnStart(const Sent& sent, Instant now) {
--- a/components/ingress/ingress.cc
+++ b/components/ingress/ingress.cc
@@ -7,7 +7,6 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "components/base/hash.h"
-#include "components/fibers/worker_pool.h"
 #include "components/ingress/request_log.h"
 #include "components/ingress/request_run.h"
 #include "components/logging/log.h"
@@ -18,14 +17,11 @@
 constexpr int kBadRequest = 400;
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
-constexpr int kTooManyRequests = 429;
 constexpr int kFirstServerError = 500;
 constexpr int kUnavailable = 503;
 /// When to come back to a host that is not in service yet: a configuration is
 /// there within seconds.
 constexpr Duration kSoon{std::chrono::seconds(1)};
-/// The shortest time after which a caller over its rate should come back.
-constexpr Duration kLeastOverRate{std::chrono::milliseconds(200)};
 constexpr int64_t kMaxDeadlineMillis = 600'000;
 
 }  // namespace
@@ -41,7 +37,8 @@
       board(board),
       runner(runner),
       crashes(crashes),
-      recorder(recorder) {}
+      recorder(recorder),
+      permits(this->options.permits) {}
 
 http::Response Ingress::Handle(const http::Request& request,
                                const CancellationPtr& caller) {
@@ -206,81 +203,18 @@
                                            const AdmittedRequest& admitted) {
   const auto* rule = current.FindOrganisation(admitted.organisation);
   if (rule == nullptr || rule->unlimited) {
-    this->NoteUncounted(admitted);
+    this->permits.PassWithout(admitted);
     return std::nullopt;
   }
-  const limits::PermitGrant grant = this->WaitForPermit(admitted);
-  if (grant.granted > 0) {
-    return std::nullopt;
-  }
-  return Problem{
-      .status = kTooManyRequests,
-      .reason = "over_rate",
-      .retry_after = std::max(grant.retry_after, kLeastOverRate),
-      .inputs = {{.name = "rate", .value = absl::StrCat(rule->rate)},
-                 {.name = "burst", .value = absl::StrCat(rule->burst)},
-                 {.name = "pooled", .value = absl::StrCat(grant.fraction)}}};
-}
-
-limits::PermitGrant Ingress::WaitForPermit(const AdmittedRequest& admitted) {
-  limits::PermitPatience::Wait wait{.arrived = admitted.arrived,
-                                    .deadline = admitted.deadline};
-  limits::PermitGrant grant;
-  while (true) {
-    const Instant asked = MonotonicNow();
-    grant = this->options.acquire(admitted.organisation, admitted.service);
-    const Instant now = MonotonicNow();
-    if (grant.granted > 0 && now - asked < grant.life) {
-      break;
-    }
-    grant.granted = 0;
-    ++wait.asks;
-    const auto pause = this->PauseForPermit(admitted, grant, wait);
-    if (!pause.has_value() || admitted.caller->IsCancelled()) {
-      break;
-    }
-    fibers::SleepFor(*pause);
-  }
-  if (wait.waits) {
-    const std::lock_guard lock(this->mutex);
-    this->patience.End(admitted.organisation);
-  }
-  return grant;
-}
-
-std::optional<Duration> Ingress::PauseForPermit(
-    const AdmittedRequest& admitted,
-    const limits::PermitGrant& grant,
-    limits::PermitPatience::Wait& wait) {
-  const std::lock_guard lock(this->mutex);
-  return this->patience.NextAsk(admitted.organisation, grant, wait,
-                                MonotonicNow());
-}
-
-// What upstreams call for is part of requests that were counted.
-void Ingress::NoteUncounted(const AdmittedRequest& admitted) {
-  if (!admitted.route.internal) {
-    const std::lock_guard lock(this->mutex);
-    ++this->uncounted[admitted.service];
-  }
-}
-
-int Ingress::TakeUncounted(const std::string& service) {
-  const std::lock_guard lock(this->mutex);
-  return std::exchange(this->uncounted[service], 0);
+  return this->permits.Take(*rule, admitted);
 }
 
 http::Response Ingress::Run(const AdmittedRequest& admitted) {
   RequestRun run(
       {.board = this->board,
        .runner = this->runner,
-       .may_retry =
-           [this, &admitted] {
-             return this->options.may_retry(
-                 {.organisation = admitted.organisation,
-                  .service = admitted.service,
-                  .uncounted = this->TakeUncounted(admitted.service)});
-           },
+       .may_retry = [this,
+                     &admitted] { return this->permits.MayRetry(admitted); },
        .note_start =
            [&admitted](const std::string& attempt, const Choice& choice,
                        const rpc::SlotAnswer& slot) {
--- a/components/ingress/ingress.h
+++ b/components/ingress/ingress.h
@@ -2,14 +2,12 @@
 #define COMPONENTS_INGRESS_INGRESS_H_
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
 #include <random>
 #include <string>
 
-#include "components/control/rate_keeper.h"
 #include "components/dialect/dialect.h"
 #include "components/events/recorder.h"
 #include "components/guard/crash_watch.h"
@@ -18,7 +16,7 @@
 #include "components/ingress/attempt_runner.h"
 #include "components/ingress/caller_answer.h"
 #include "components/ingress/fleet_board.h"
-#include "components/limits/permit_patience.h"
+#include "components/ingress/permit_desk.h"
 
 namespace kingcupstair::ingress {
 
@@ -30,12 +28,7 @@
   struct Options {
     /// True while this host must take no new work.
     std::function<bool()> isolated;
-    /// Takes one permit for an organisation, wherever its pool is.
-    std::function<limits::PermitGrant(const std::string& organisation,
-                                      const std::string& service)>
-        acquire;
-    /// Leave to send a request once more.
-    std::function<bool(const rpc::RetryCall& call)> may_retry;
+    PermitDesk::Options permits;
     std::shared_ptr<const Dialect> dialect = std::make_shared<const Dialect>();
     /// The service beside which this host stands; may be empty.
     std::string caller_service;
@@ -66,12 +59,6 @@
   http::Headers HeadersForUpstream(const http::Headers& headers) const;
   Duration TimeFor(const AdmittedRequest& admitted) const;
   std::string ChoosePart(const config::RouteRule& route);
-  limits::PermitGrant WaitForPermit(const AdmittedRequest& admitted);
-  std::optional<Duration> PauseForPermit(const AdmittedRequest& admitted,
-                                         const limits::PermitGrant& grant,
-                                         limits::PermitPatience::Wait& wait);
-  void NoteUncounted(const AdmittedRequest& admitted);
-  int TakeUncounted(const std::string& service);
   http::Response Run(const AdmittedRequest& admitted);
   http::Response Refuse(const AdmittedRequest& admitted, Problem problem);
   void NoteOutcome(const AdmittedRequest& admitted,
@@ -84,10 +71,8 @@
   AttemptRunner& runner;
   guard::CrashWatch& crashes;
   events::Recorder& recorder;
+  PermitDesk permits;
   std::mutex mutex;
-  limits::PermitPatience patience;
-  /// Requests by service that needed no permits, since the last retry.
-  std::map<std::string, int> uncounted;
   std::mt19937_64 random{std::random_device{}()};
 };
 
--- a/components/ingress/request_run.cc
+++ b/components/ingress/request_run.cc
@@ -30,11 +30,6 @@
 /// Requests without an objective worth the name may still queue this long.
 constexpr Duration kLeastWait{std::chrono::milliseconds(50)};
 
-Duration PartOf(Duration whole, double part) {
-  return Duration(
-      static_cast<int64_t>(static_cast<double>(whole.count()) * part));
-}
-
 bool IsServed(const once::Outcome& outcome) {
   constexpr int kFirstServerError = 500;
   const auto* ran = std::get_if<once::Ran>(&outcome);
--- a/components/settings/flag_set.cc
+++ b/components/settings/flag_set.cc
@@ -10,6 +10,7 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
+#include "components/base/error.h"
 
 namespace kingcupstair::settings {
 namespace {
@@ -122,9 +123,8 @@
                     const std::string& value) {
   const absl::Status status = flag.set(value);
   if (!status.ok()) {
-    this->faults.push_back(absl::StrCat(
-        source, "='", value,
-        "': ", std::string(status.message().data(), status.message().size())));
+    this->faults.push_back(
+        absl::StrCat(source, "='", value, "': ", MessageOf(status)));
   }
 }
 
--- a/components/store/client.cc
+++ b/components/store/client.cc
@@ -25,8 +25,7 @@
   if (!result.ok()) {
     return ErrorAt(result.failure.status.code(),
                    {.step = step, .peer = ToText(this->options.server)},
-                   std::string(result.failure.status.message().data(),
-                               result.failure.status.message().size()));
+                   MessageOf(result.failure.status));
   }
   return std::move(result.response);
 }
