--- a/apps/upstream_standin/upstream_service.cc
+++ b/apps/upstream_standin/upstream_service.cc
@@ -1,6 +1,7 @@
 #include "apps/upstream_standin/upstream_service.h"
 
 #include <algorithm>
+#include <csignal>
 #include <cstdlib>
 #include <nlohmann/json.hpp>
 
@@ -48,9 +49,15 @@
 }
 
 http::Response UpstreamService::Work(const http::Request& request) {
+  if (this->IsDrawn(this->faults.reject_share)) {
+    return {.status = 500, .body = "not now\n"};
+  }
   const std::string order(http::FindHeader(request.headers, "X-Order"));
   this->LogRun(order);
-  if (!http::FindHeader(request.headers, "X-Crash").empty()) {
+  const std::string_view crash = http::FindHeader(request.headers, "X-Crash");
+  if (crash == "stop") {
+    std::raise(SIGSTOP);
+  } else if (!crash.empty()) {
     std::_Exit(kCrashExitCode);
   }
   const bool has_key =
@@ -69,8 +76,7 @@
   if (this->faults.cut) {
     return {.status = http::kCloseWithoutResponse};
   }
-  std::bernoulli_distribution fails(this->faults.error_share);
-  if (fails(this->random)) {
+  if (this->IsDrawn(this->faults.error_share)) {
     return {.status = 500, .body = "failed\n"};
   }
   ++this->answered;
@@ -81,6 +87,10 @@
                                this->options.id, "\n")};
 }
 
+bool UpstreamService::IsDrawn(double share) {
+  return std::bernoulli_distribution(share)(this->random);
+}
+
 void UpstreamService::LogRun(const std::string& order) {
   if (this->run_log.is_open()) {
     this->run_log << WallClockMillis() << " " << this->options.id << " "
@@ -107,6 +117,7 @@
 
 http::Response UpstreamService::Health() const {
   const bool healthy = !this->faults.hang && this->faults.error_share == 0 &&
+                       this->faults.reject_share == 0 &&
                        this->faults.slow_ms == 0;
   return healthy || this->faults.lie ? http::Response{.body = "ok\n"}
                                      : http::Response{.status = 503};
@@ -119,6 +130,7 @@
   }
   this->faults = {.slow_ms = json.value("slow_ms", 0),
                   .error_share = json.value("error_share", 0.0),
+                  .reject_share = json.value("reject_share", 0.0),
                   .hang = json.value("hang", false),
                   .lie = json.value("lie", false),
                   .cut = json.value("cut", false),
--- a/apps/upstream_standin/upstream_service.h
+++ b/apps/upstream_standin/upstream_service.h
@@ -20,12 +20,15 @@
 ///                    highest number of concurrent requests, requests above
 ///                    the capacity, successful responses
 ///   POST /faults     {"slow_ms":N,"error_share":X,"hang":bool,"lie":bool,
-///                     "cut":bool,"load_lag_ms":N,"cold":bool}
+///                     "cut":bool,"load_lag_ms":N,"cold":bool,
+///                     "reject_share":X}
 ///   anything else    takes the time `work` and returns the request's X-Order
 ///
 /// `hang` delays each request by 30 s, `cut` closes the connection without a
-/// response, `cold` makes the upstream cold again. A request with the header
-/// X-Crash ends the process.
+/// response, `cold` makes the upstream cold again, `reject_share` is the share
+/// of requests that fail with 500 before they run. A request that runs with
+/// `X-Crash: exit` ends the process; with `X-Crash: stop`, the process stops
+/// and its connections stay open.
 class UpstreamService {
  public:
   struct Options {
@@ -52,6 +55,7 @@
   struct Faults {
     int slow_ms = 0;
     double error_share = 0;
+    double reject_share = 0;
     bool hang = false;
     bool lie = false;
     bool cut = false;
@@ -59,6 +63,8 @@
   };
 
   http::Response Work(const http::Request& request);
+  /// Returns true for a fraction `share` of the calls, chosen at random.
+  bool IsDrawn(double share);
   http::Response SetFaults(const std::string& body);
   http::Response Counts() const;
   http::Response Health() const;
