Logs follow crash evidence from the crash to the refusal

Nothing told which host had learnt of a crash, which had dropped the evidence, and what the host knew that sent a request on. Now: events crash_evidence_received and crash_evidence_cleared, the fingerprint on attempts and runs, and the pieces of evidence known where an attempt begins.

No logic changed.

--- a/components/control/gossip_loop.cc
+++ b/components/control/gossip_loop.cc
@@ -228,7 +228,14 @@
   this->fleet.isolation.RecordContact(now);
   this->fleet.directory.Merge(message.updates);
   for (const once::AgedEvidence& crash : message.crashes) {
-    this->fleet.crashes.Add(crash.evidence, crash.age, now);
+    if (this->fleet.crashes.Add(crash.evidence, crash.age, now)) {
+      this->fleet.recorder.Record(
+          {.kind = "crash_evidence_received",
+           .upstream = crash.evidence.upstream,
+           .detail = absl::StrCat("fingerprint ", crash.evidence.fingerprint,
+                                  ", from ", message.host, ", ",
+                                  ToMillisRoundedUp(crash.age), " ms old")});
+    }
   }
   if (message.revision > this->fleet.config.Revision()) {
     const std::lock_guard lock(this->mutex);
--- a/components/guard/crash_watch.h
+++ b/components/guard/crash_watch.h
@@ -19,10 +19,17 @@
     return this->ledger.Add(evidence, now - age, now);
   }
 
-  /// Clears a request that an upstream ran to the end without crashing.
-  void Clear(once::Fingerprint fingerprint, Instant now) {
+  /// Clears a request that an upstream ran to the end without crashing. Returns
+  /// true if there was evidence about it.
+  bool Clear(once::Fingerprint fingerprint, Instant now) {
     const std::lock_guard lock(this->mutex);
-    this->ledger.Clear(fingerprint, now);
+    return this->ledger.Clear(fingerprint, now);
+  }
+
+  /// Returns on how many upstreams that crashed the request was running.
+  size_t CountCrashes(once::Fingerprint fingerprint, Instant now) const {
+    const std::lock_guard lock(this->mutex);
+    return this->ledger.CountCrashes(fingerprint, now);
   }
 
   /// Returns how long the request is still refused; zero if it may run.
--- a/components/guard/guard.cc
+++ b/components/guard/guard.cc
@@ -221,8 +221,12 @@
       "kingcupstair_upstream_runs_total",
       {{.name = "upstream", .value = request.upstream},
        {.name = "result", .value = once::ResultOf(outcome)}});
-  if (std::holds_alternative<once::Ran>(outcome)) {
-    this->crashes.Clear(request.fingerprint, now);
+  if (std::holds_alternative<once::Ran>(outcome) &&
+      this->crashes.Clear(request.fingerprint, now)) {
+    this->RecordUpstreamEvent(
+        "crash_evidence_cleared", upstream.announcement,
+        absl::StrCat("request ", request.request_id, ", fingerprint ",
+                     request.fingerprint));
   }
   if (BrokeConnection(outcome)) {
     this->RecordBrokenConnection(upstream, request);
@@ -248,12 +252,14 @@
       ran != nullptr       ? absl::StrCat("status ", ran->response.status)
       : refusal != nullptr ? once::ToText(refusal->reason)
                            : std::get<once::Unknown>(outcome).detail;
-  logging::Write(logging::Level::kInfo, "a run ended",
-                 {{.name = "attempt", .value = request.request_id},
-                  {.name = "upstream", .value = request.upstream},
-                  {.name = "in_flight", .value = absl::StrCat(in_flight)},
-                  {.name = "outcome", .value = once::ResultOf(outcome)},
-                  {.name = "result", .value = result}});
+  logging::Write(
+      logging::Level::kInfo, "a run ended",
+      {{.name = "attempt", .value = request.request_id},
+       {.name = "upstream", .value = request.upstream},
+       {.name = "fingerprint", .value = absl::StrCat(request.fingerprint)},
+       {.name = "in_flight", .value = absl::StrCat(in_flight)},
+       {.name = "outcome", .value = once::ResultOf(outcome)},
+       {.name = "result", .value = result}});
 }
 
 void Guard::MarkUnreachable(GuardedUpstream& upstream) {
--- a/components/ingress/ingress.cc
+++ b/components/ingress/ingress.cc
@@ -223,9 +223,12 @@
        .try_retry = [this,
                      &admitted] { return this->permits.TryRetry(admitted); },
        .log_attempt_start =
-           [&admitted](const std::string& attempt, const ChosenUpstream& choice,
-                       const rpc::SlotAnswer& slot) {
-             LogAttemptStart(admitted, attempt, choice, slot);
+           [this, &admitted](const std::string& attempt,
+                             const ChosenUpstream& choice,
+                             const rpc::SlotAnswer& slot) {
+             LogAttemptStart(admitted, attempt, choice, slot,
+                             this->crashes.CountCrashes(admitted.fingerprint,
+                                                        MonotonicNow()));
            },
        .log_attempt_end =
            [&admitted](const char* step, const ChosenUpstream& choice,
--- a/components/ingress/request_log.cc
+++ b/components/ingress/request_log.cc
@@ -30,7 +30,8 @@
 void LogAttemptStart(const AdmittedRequest& admitted,
                      const std::string& attempt,
                      const ChosenUpstream& choice,
-                     const rpc::SlotAnswer& slot) {
+                     const rpc::SlotAnswer& slot,
+                     size_t crashes) {
   Fields fields = CommonFields(admitted, "reserve");
   fields.push_back({.name = "attempt", .value = attempt});
   fields.push_back({.name = "peer", .value = choice.host});
@@ -39,6 +40,9 @@
       {.name = "in_flight", .value = absl::StrCat(slot.in_flight)});
   fields.push_back({.name = "queued", .value = absl::StrCat(slot.queued)});
   fields.push_back({.name = "limit", .value = absl::StrCat(slot.report.limit)});
+  fields.push_back(
+      {.name = "fingerprint", .value = absl::StrCat(admitted.fingerprint)});
+  fields.push_back({.name = "crashes", .value = absl::StrCat(crashes)});
   logging::Write(logging::Level::kInfo, "an attempt begins", fields);
 }
 
--- a/components/ingress/request_log.h
+++ b/components/ingress/request_log.h
@@ -22,11 +22,13 @@
 void AddOutcomeFields(const once::Outcome& outcome, Fields& fields);
 
 /// Logs the start of an attempt at `choice`, with the load and the concurrency
-/// limit that the upstream's guard reported.
+/// limit that the upstream's guard reported, and the number of `crashes` known
+/// here under which the request was running.
 void LogAttemptStart(const AdmittedRequest& admitted,
                      const std::string& attempt,
                      const ChosenUpstream& choice,
-                     const rpc::SlotAnswer& slot);
+                     const rpc::SlotAnswer& slot,
+                     size_t crashes);
 
 /// Logs an attempt at `choice` that ended without a response of the upstream,
 /// and the step at which it ended. Logs nothing if the upstream responded.
--- a/components/once/crash_ledger.cc
+++ b/components/once/crash_ledger.cc
@@ -17,7 +17,7 @@
   return this->crash_times.emplace(evidence, at).second;
 }
 
-void CrashLedger::Clear(Fingerprint fingerprint, Instant now) {
+bool CrashLedger::Clear(Fingerprint fingerprint, Instant now) {
   const size_t removed =
       std::erase_if(this->crash_times, [&](const auto& entry) {
         return entry.first.fingerprint == fingerprint;
@@ -25,9 +25,11 @@
   if (removed > 0) {
     this->cleared[fingerprint] = now;
   }
+  return removed > 0;
 }
 
-Duration CrashLedger::RefusedFor(Fingerprint fingerprint, Instant now) const {
+std::vector<Instant> CrashLedger::ExpiryTimes(Fingerprint fingerprint,
+                                              Instant now) const {
   std::vector<Instant> ends;
   const CrashEvidence first{.fingerprint = fingerprint, .upstream = ""};
   for (auto at = this->crash_times.lower_bound(first);
@@ -36,6 +38,15 @@
     ends.push_back(at->second + this->options.lifetime);
   }
   std::erase_if(ends, [&](Instant end) { return end <= now; });
+  return ends;
+}
+
+size_t CrashLedger::CountCrashes(Fingerprint fingerprint, Instant now) const {
+  return this->ExpiryTimes(fingerprint, now).size();
+}
+
+Duration CrashLedger::RefusedFor(Fingerprint fingerprint, Instant now) const {
+  std::vector<Instant> ends = this->ExpiryTimes(fingerprint, now);
   if (ends.size() < this->options.crashes_to_refuse) {
     return {};
   }
--- a/components/once/crash_ledger.h
+++ b/components/once/crash_ledger.h
@@ -54,8 +54,12 @@
   bool Add(const CrashEvidence& evidence, Instant at, Instant now);
 
   /// Records that an upstream ran the request to completion without crashing.
-  /// This clears the request: its evidence is removed.
-  void Clear(Fingerprint fingerprint, Instant now);
+  /// This clears the request: its evidence is removed. Returns true
+  /// if there was any.
+  bool Clear(Fingerprint fingerprint, Instant now);
+
+  /// Returns on how many upstreams that crashed the request was running.
+  size_t CountCrashes(Fingerprint fingerprint, Instant now) const;
 
   /// Returns the time for which the request is still refused, or zero if the
   /// request may run.
@@ -68,6 +72,10 @@
   void Expire(Instant now);
 
  private:
+  /// Returns when each piece of evidence about the request expires, without
+  /// those that have expired.
+  std::vector<Instant> ExpiryTimes(Fingerprint fingerprint, Instant now) const;
+
   Options options;
   std::map<CrashEvidence, Instant> crash_times;
   /// When the evidence about each cleared request was removed.
