Only a success clears a request of crashes, and of earlier ones alone

Callers saw a request that had ended three upstreams being sent to more of them, each of which ended. Cause: any complete answer counted as proof that the request is harmless, also the 500 of an upstream that had not run it. From then on that host took no evidence about the request for ten minutes, while other hosts kept theirs: repeated_crash_test logs one crash_evidence_cleared on each host, after which no crash was recorded and every attempt began with crashes=0.

Now a status below 400 is needed, a clearance covers crashes up to its time and no later ones, and it is told to the other hosts, so that all judge alike whatever order messages arrive in.

The unit test ARequestThatRanWithoutACrashIsCleared asserted the fault: two crashes after a clearance had to be passed over. Two tests take its place, one for each side of the clearance, and one for two hosts that hear of it in different orders.

--- a/components/control/gossip_loop.cc
+++ b/components/control/gossip_loop.cc
@@ -15,6 +15,7 @@
 constexpr Duration kSyncTimeout{std::chrono::seconds(2)};
 constexpr size_t kMaxUpdatesPerMessage = 8;
 constexpr size_t kMaxCrashEvidencePerMessage = 16;
+constexpr size_t kMaxClearancesPerMessage = 16;
 constexpr size_t kMaxIndirectProbes = 3;
 constexpr size_t kMaxSpreadTargets = 3;
 /// One probe in this many goes to any zone; the others stay in the own zone.
@@ -216,17 +217,23 @@
 rpc::GossipMessage GossipLoop::MakeMessage() const {
   auto crashes = this->fleet.crashes.Current(MonotonicNow());
   crashes.resize(std::min(crashes.size(), kMaxCrashEvidencePerMessage));
+  auto clearances = this->fleet.crashes.Clearances(MonotonicNow());
+  clearances.resize(std::min(clearances.size(), kMaxClearancesPerMessage));
   return {.host = this->fleet.settings.host,
           .digest = this->fleet.directory.Digest(),
           .revision = this->fleet.config.Revision(),
           .recent = this->fleet.directory.RecentVersions(),
-          .crashes = std::move(crashes)};
+          .crashes = std::move(crashes),
+          .clearances = std::move(clearances)};
 }
 
 void GossipLoop::MergeMessage(const rpc::GossipMessage& message) {
   const Instant now = MonotonicNow();
   this->fleet.isolation.RecordContact(now);
   this->fleet.directory.Merge(message.updates);
+  for (const once::AgedClearance& clearance : message.clearances) {
+    this->fleet.crashes.AddClearance(clearance.fingerprint, clearance.age, now);
+  }
   for (const once::AgedEvidence& crash : message.crashes) {
     if (this->fleet.crashes.Add(crash.evidence, crash.age, now)) {
       this->fleet.recorder.Record(
--- a/components/guard/crash_watch.h
+++ b/components/guard/crash_watch.h
@@ -19,13 +19,19 @@
     return this->ledger.Add(evidence, now - age, now);
   }
 
-  /// Clears a request that an upstream ran to the end without crashing. Returns
-  /// true if there was evidence about it.
+  /// Clears a request that an upstream has just run successfully. Returns true
+  /// if there was evidence about it.
   bool Clear(once::Fingerprint fingerprint, Instant now) {
     const std::lock_guard lock(this->mutex);
     return this->ledger.Clear(fingerprint, now);
   }
 
+  /// Records a clearance that happened `age` before `now`.
+  void AddClearance(once::Fingerprint fingerprint, Duration age, Instant now) {
+    const std::lock_guard lock(this->mutex);
+    this->ledger.AddClearance(fingerprint, now - age, now);
+  }
+
   /// Returns on how many upstreams that crashed the request was running.
   size_t CountCrashes(once::Fingerprint fingerprint, Instant now) const {
     const std::lock_guard lock(this->mutex);
@@ -44,6 +50,12 @@
     return this->ledger.Current(now);
   }
 
+  /// Returns the clearances that still count, with their age.
+  std::vector<once::AgedClearance> Clearances(Instant now) const {
+    const std::lock_guard lock(this->mutex);
+    return this->ledger.Clearances(now);
+  }
+
   /// Removes evidence that no longer counts.
   void Expire(Instant now) {
     const std::lock_guard lock(this->mutex);
--- a/components/guard/guard.cc
+++ b/components/guard/guard.cc
@@ -221,7 +221,7 @@
       "kingcupstair_upstream_runs_total",
       {{.name = "upstream", .value = request.upstream},
        {.name = "result", .value = once::ResultOf(outcome)}});
-  if (std::holds_alternative<once::Ran>(outcome) &&
+  if (ProvesHarmless(outcome) &&
       this->crashes.Clear(request.fingerprint, now)) {
     this->RecordUpstreamEvent(
         "crash_evidence_cleared", upstream.announcement,
--- a/components/guard/guarded_upstream.cc
+++ b/components/guard/guarded_upstream.cc
@@ -5,6 +5,7 @@
 namespace kingcupstair::guard {
 namespace {
 
+constexpr int kFirstError = 400;
 constexpr int kFirstServerError = 500;
 
 }  // namespace
@@ -52,4 +53,9 @@
   return timed_out ? admission::RunEnd::kTimeout : admission::RunEnd::kFailure;
 }
 
+bool ProvesHarmless(const once::Outcome& outcome) {
+  const auto* ran = std::get_if<once::Ran>(&outcome);
+  return ran != nullptr && ran->response.status < kFirstError;
+}
+
 }  // namespace kingcupstair::guard
--- a/components/guard/guarded_upstream.h
+++ b/components/guard/guarded_upstream.h
@@ -40,6 +40,11 @@
 /// request sent to the upstream.
 admission::RunEnd RunEndOf(const once::Outcome& outcome);
 
+/// Returns whether the outcome proves that a request does not crash its
+/// upstream. An error may come from an upstream, or from a proxy in front of
+/// it, that did not run the request.
+bool ProvesHarmless(const once::Outcome& outcome);
+
 }  // namespace kingcupstair::guard
 
 #endif  // COMPONENTS_GUARD_GUARDED_UPSTREAM_H_
--- a/components/once/crash_ledger.cc
+++ b/components/once/crash_ledger.cc
@@ -10,22 +10,45 @@
 // Otherwise hosts would renew the evidence for each other and it would never
 // expire.
 bool CrashLedger::Add(const CrashEvidence& evidence, Instant at, Instant now) {
+  const auto clearance = this->cleared.find(evidence.fingerprint);
   const bool expired = at + this->options.lifetime <= now;
-  if (expired || this->cleared.contains(evidence.fingerprint)) {
+  const bool cleared =
+      clearance != this->cleared.end() && at <= clearance->second;
+  if (expired || cleared) {
     return false;
   }
   return this->crash_times.emplace(evidence, at).second;
 }
 
-bool CrashLedger::Clear(Fingerprint fingerprint, Instant now) {
-  const size_t removed =
-      std::erase_if(this->crash_times, [&](const auto& entry) {
-        return entry.first.fingerprint == fingerprint;
-      });
-  if (removed > 0) {
-    this->cleared[fingerprint] = now;
+// A request without evidence needs no clearance: requests that succeed are
+// many, and the ledger stays small.
+bool CrashLedger::Clear(Fingerprint fingerprint, Instant at) {
+  const bool removed = this->RemoveEvidence(fingerprint, at);
+  if (removed) {
+    this->RecordClearance(fingerprint, at);
   }
-  return removed > 0;
+  return removed;
+}
+
+// Recorded also without evidence here: it may still arrive from another peer.
+void CrashLedger::AddClearance(Fingerprint fingerprint,
+                               Instant at,
+                               Instant now) {
+  if (at + this->options.lifetime > now) {
+    this->RemoveEvidence(fingerprint, at);
+    this->RecordClearance(fingerprint, at);
+  }
+}
+
+bool CrashLedger::RemoveEvidence(Fingerprint fingerprint, Instant at) {
+  return std::erase_if(this->crash_times, [&](const auto& entry) {
+           return entry.first.fingerprint == fingerprint && entry.second <= at;
+         }) > 0;
+}
+
+void CrashLedger::RecordClearance(Fingerprint fingerprint, Instant at) {
+  Instant& clearance = this->cleared.emplace(fingerprint, at).first->second;
+  clearance = std::max(clearance, at);
 }
 
 std::vector<Instant> CrashLedger::ExpiryTimes(Fingerprint fingerprint,
@@ -64,6 +87,16 @@
   return current;
 }
 
+std::vector<AgedClearance> CrashLedger::Clearances(Instant now) const {
+  std::vector<AgedClearance> current;
+  for (const auto& [fingerprint, at] : this->cleared) {
+    if (at + this->options.lifetime > now) {
+      current.push_back({.fingerprint = fingerprint, .age = now - at});
+    }
+  }
+  return current;
+}
+
 void CrashLedger::Expire(Instant now) {
   const auto expired = [&](const auto& entry) {
     return entry.second + this->options.lifetime <= now;
--- a/components/once/crash_ledger.h
+++ b/components/once/crash_ledger.h
@@ -33,13 +33,20 @@
   bool operator==(const AgedEvidence&) const = default;
 };
 
+/// Clearance of a request with the time since then.
+struct AgedClearance {
+  Fingerprint fingerprint = 0;
+  Duration age{};
+
+  bool operator==(const AgedClearance&) const = default;
+};
+
 /// Record of crash evidence. Distinguishes requests that crash the upstreams
 /// that run them from requests that were only running at the same time.
 class CrashLedger {
  public:
   struct Options {
-    /// Time for which evidence counts, from the crash on. A cleared request
-    /// also stays cleared for this time.
+    /// Time for which evidence and clearances count.
     Duration lifetime{std::chrono::minutes(10)};
     /// Number of different upstreams whose crashes are attributed to a request
     /// before the request is refused.
@@ -49,14 +56,17 @@
   explicit CrashLedger(Options options);
 
   /// Adds evidence of a crash at time `at`, from this host or from a peer.
-  /// Returns false if the evidence is already recorded, has expired, or belongs
-  /// to a request that was cleared.
+  /// Returns false if the evidence is already recorded, has expired, or is
+  /// older than a clearance of the request.
   bool Add(const CrashEvidence& evidence, Instant at, Instant now);
 
-  /// Records that an upstream ran the request to completion without crashing.
-  /// This clears the request: its evidence is removed. Returns true
-  /// if there was any.
-  bool Clear(Fingerprint fingerprint, Instant now);
+  /// Records that an upstream ran the request successfully until `at`. This
+  /// clears the request of all crashes up to then; later crashes count. Returns
+  /// true if evidence was removed.
+  bool Clear(Fingerprint fingerprint, Instant at);
+
+  /// Records a clearance at time `at` that a peer told of.
+  void AddClearance(Fingerprint fingerprint, Instant at, Instant now);
 
   /// Returns on how many upstreams that crashed the request was running.
   size_t CountCrashes(Fingerprint fingerprint, Instant now) const;
@@ -68,17 +78,25 @@
   /// Returns the evidence that has not expired, with its age, for peers.
   std::vector<AgedEvidence> Current(Instant now) const;
 
+  /// Returns the clearances that have not expired, with their age, for peers.
+  std::vector<AgedClearance> Clearances(Instant now) const;
+
   /// Removes expired evidence and expired clearances.
   void Expire(Instant now);
 
  private:
+  /// Removes the evidence of crashes up to `at`. Returns true if there was any.
+  bool RemoveEvidence(Fingerprint fingerprint, Instant at);
+  /// Records a clearance at time `at` unless a later one is recorded.
+  void RecordClearance(Fingerprint fingerprint, Instant at);
   /// Returns when each piece of evidence about the request expires, without
   /// those that have expired.
   std::vector<Instant> ExpiryTimes(Fingerprint fingerprint, Instant now) const;
 
   Options options;
   std::map<CrashEvidence, Instant> crash_times;
-  /// When the evidence about each cleared request was removed.
+  /// Time of the last clearance of each request that had evidence here or at
+  /// the peer that told of the clearance.
   std::map<Fingerprint, Instant> cleared;
 };
 
--- a/components/rpc/convert.cc
+++ b/components/rpc/convert.cc
@@ -98,6 +98,13 @@
     crashes[i].setUpstream(aged.evidence.upstream);
     crashes[i].setAgeMillis(ClampToUint32(ToMillisRoundedUp(aged.age)));
   }
+  auto clearances =
+      out.initClearances(static_cast<unsigned>(message.clearances.size()));
+  for (unsigned i = 0; i < message.clearances.size(); ++i) {
+    clearances[i].setFingerprint(message.clearances[i].fingerprint);
+    clearances[i].setAgeMillis(
+        ClampToUint32(ToMillisRoundedUp(message.clearances[i].age)));
+  }
 }
 
 GossipMessage Read(wire::Gossip::Reader in) {
@@ -113,6 +120,11 @@
                       .upstream = ToString(crash.getUpstream())},
          .age = std::chrono::milliseconds(crash.getAgeMillis())});
   }
+  for (const auto clearance : in.getClearances()) {
+    message.clearances.push_back(
+        {.fingerprint = clearance.getFingerprint(),
+         .age = std::chrono::milliseconds(clearance.getAgeMillis())});
+  }
   return message;
 }
 
--- a/components/rpc/messages.h
+++ b/components/rpc/messages.h
@@ -69,6 +69,7 @@
   std::vector<uint64_t> wanted;
   std::vector<membership::HostUpdate> updates;
   std::vector<once::AgedEvidence> crashes;
+  std::vector<once::AgedClearance> clearances;
 
   bool operator==(const GossipMessage&) const = default;
 };
--- a/components/rpc/peer.capnp
+++ b/components/rpc/peer.capnp
@@ -105,6 +105,7 @@
   crashes @4 :List(Crash);
   recent @5 :List(RecentVersion);
   wanted @6 :List(UInt64);
+  clearances @7 :List(Clearance);
 }
 
 struct RecentVersion {
@@ -150,6 +151,11 @@
   ageMillis @2 :UInt32;
 }
 
+struct Clearance {
+  fingerprint @0 :UInt64;
+  ageMillis @1 :UInt32;
+}
+
 struct Loan {
   fraction @0 :Float64;
   lifeMicros @1 :UInt64;
--- a/components/rpc/peer.capnp.h
+++ b/components/rpc/peer.capnp.h
@@ -60,6 +60,7 @@
 CAPNP_DECLARE_SCHEMA(cacea78627fbf470);
 CAPNP_DECLARE_SCHEMA(dae0bdfdfd002f96);
 CAPNP_DECLARE_SCHEMA(f19b4cd447f6be45);
+CAPNP_DECLARE_SCHEMA(fec2bd230d3f1593);
 CAPNP_DECLARE_SCHEMA(9ae9cc4408bc3d90);
 CAPNP_DECLARE_SCHEMA(919864b95a0a1180);
 CAPNP_DECLARE_SCHEMA(cabf1792afc55f0f);
@@ -649,7 +650,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d9899d4dcf2f46c0, 2, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(d9899d4dcf2f46c0, 2, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -731,6 +732,21 @@
   };
 };
 
+struct Clearance {
+  Clearance() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fec2bd230d3f1593, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Loan {
   Loan() = delete;
 
@@ -4027,6 +4043,9 @@
   inline bool hasWanted() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getWanted() const;
 
+  inline bool hasClearances() const;
+  inline  ::capnp::List< ::kingcupstair::rpc::wire::Clearance,  ::capnp::Kind::STRUCT>::Reader getClearances() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4097,6 +4116,13 @@
   inline void adoptWanted(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownWanted();
 
+  inline bool hasClearances();
+  inline  ::capnp::List< ::kingcupstair::rpc::wire::Clearance,  ::capnp::Kind::STRUCT>::Builder getClearances();
+  inline void setClearances( ::capnp::List< ::kingcupstair::rpc::wire::Clearance,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::kingcupstair::rpc::wire::Clearance,  ::capnp::Kind::STRUCT>::Builder initClearances(unsigned int size);
+  inline void adoptClearances(::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::Clearance,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::Clearance,  ::capnp::Kind::STRUCT>> disownClearances();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4663,6 +4689,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class Clearance::Reader {
+public:
+  typedef Clearance Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getFingerprint() const;
+
+  inline  ::uint32_t getAgeMillis() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Clearance::Builder {
+public:
+  typedef Clearance Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getFingerprint();
+  inline void setFingerprint( ::uint64_t value);
+
+  inline  ::uint32_t getAgeMillis();
+  inline void setAgeMillis( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Clearance::Pipeline {
+public:
+  typedef Clearance Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Loan::Reader {
 public:
   typedef Loan Reads;
@@ -7912,6 +8019,40 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool Gossip::Reader::hasClearances() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool Gossip::Builder::hasClearances() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::kingcupstair::rpc::wire::Clearance,  ::capnp::Kind::STRUCT>::Reader Gossip::Reader::getClearances() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::Clearance,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::kingcupstair::rpc::wire::Clearance,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::getClearances() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::Clearance,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void Gossip::Builder::setClearances( ::capnp::List< ::kingcupstair::rpc::wire::Clearance,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::Clearance,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::kingcupstair::rpc::wire::Clearance,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::initClearances(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::Clearance,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void Gossip::Builder::adoptClearances(
+    ::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::Clearance,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::Clearance,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::Clearance,  ::capnp::Kind::STRUCT>> Gossip::Builder::disownClearances() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::Clearance,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t RecentVersion::Reader::getHostHash() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -8484,6 +8625,34 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Clearance::Reader::getFingerprint() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Clearance::Builder::getFingerprint() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Clearance::Builder::setFingerprint( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Clearance::Reader::getAgeMillis() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Clearance::Builder::getAgeMillis() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Clearance::Builder::setAgeMillis( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline double Loan::Reader::getFraction() const {
   return _reader.getDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/tests/once/crash_ledger_test.cc
+++ b/tests/once/crash_ledger_test.cc
@@ -33,12 +33,37 @@
   CHECK(this->ledger.RefusedFor(7, At(1'000) + refused) == Duration{});
 }
 
-TEST(CrashLedger, ARequestThatRanWithoutACrashIsCleared) {
+TEST(CrashLedger, ARequestThatRanWithoutACrashIsClearedOfEarlierCrashes) {
+  this->AddCrash(7, "a", 0);
+  this->AddCrash(7, "b", 10);
+  CHECK(this->ledger.Clear(7, At(20)));
+  CHECK(this->ledger.RefusedFor(7, At(20)) == Duration{});
+  CHECK_FALSE(
+      this->ledger.Add({.fingerprint = 7, .upstream = "c"}, At(5), At(30)));
+  LONGS_EQUAL(0, this->ledger.CountCrashes(7, At(30)));
+}
+
+TEST(CrashLedger, CrashesAfterAClearanceCount) {
   this->AddCrash(7, "a", 0);
   this->ledger.Clear(7, At(10));
   this->AddCrash(7, "b", 20);
   this->AddCrash(7, "c", 30);
-  CHECK(this->ledger.RefusedFor(7, At(40)) == Duration{});
+  CHECK(this->ledger.RefusedFor(7, At(40)) > Duration{});
+}
+
+TEST(CrashLedger, PeersAgreeOnAClearedRequestInAnyOrderOfMessages) {
+  CrashLedger evidence_first({});
+  CrashLedger clearance_first({});
+  this->AddCrash(7, "a", 0);
+  const auto evidence = this->ledger.Current(At(5)).front();
+  this->ledger.Clear(7, At(10));
+  const auto clearance = this->ledger.Clearances(At(15)).front();
+  evidence_first.Add(evidence.evidence, At(5) - evidence.age, At(15));
+  evidence_first.AddClearance(7, At(15) - clearance.age, At(15));
+  clearance_first.AddClearance(7, At(15) - clearance.age, At(15));
+  clearance_first.Add(evidence.evidence, At(5) - evidence.age, At(15));
+  LONGS_EQUAL(0, evidence_first.CountCrashes(7, At(15)));
+  LONGS_EQUAL(0, clearance_first.CountCrashes(7, At(15)));
 }
 
 TEST(CrashLedger, HostsDoNotRenewEvidenceForEachOther) {
