A crash that leaves its connections silent counts as a crash

Callers saw a request that had ended three upstreams being sent to more of them. Cause: only runs whose connection broke were remembered as suspects of a crash. Where an upstream falls silent its runs end by their deadline, by a hedge or by a caller who leaves; the restart or the lapse of announcements that follows had nobody to lay the crash to. Runs that were still waiting at a restart were laid to the next start instead.

Now all runs of a start that ended without a complete response, and at its end those that still wait, are suspects. They become evidence as before when the upstream refuses connections, restarts or is replaced, and also when it is removed since it announces itself no more.

--- a/components/guard/guard.cc
+++ b/components/guard/guard.cc
@@ -116,7 +116,7 @@
       return this->FinishUnsent(accepted, wakeups);
     }
     GuardedUpstream& upstream = found->second;
-    upstream.running[accepted.ticket] = request.fingerprint;
+    upstream.crash_suspects.OnStart(accepted.ticket, request.fingerprint);
     upstream.failure_detector.OnStart({.request = accepted.ticket,
                                        .objective = request.objective,
                                        .non_idempotent = !request.idempotent},
@@ -214,7 +214,7 @@
     return this->ResultFor(request.upstream, outcome);
   }
   GuardedUpstream& upstream = found->second;
-  upstream.running.erase(ticket);
+  upstream.crash_suspects.OnEnd(ticket, ReplyOf(outcome), now);
   upstream.failure_detector.OnEnd(ticket, DetectorResultOf(outcome), now);
   this->LogRun(request, outcome, upstream.gate->in_flight());
   this->recorder.counters().Add(
@@ -229,7 +229,9 @@
                      request.fingerprint));
   }
   if (BrokeConnection(outcome)) {
-    this->RecordBrokenConnection(upstream, request);
+    this->RecordUpstreamEvent("upstream_broke_connection",
+                              upstream.announcement,
+                              absl::StrCat("request ", request.request_id));
   }
   const auto* not_run = std::get_if<once::NotRun>(&outcome);
   const bool unreachable =
@@ -268,28 +270,24 @@
                               "");
   }
   upstream.unreachable = true;
-  this->AddCrashEvidence(upstream);
+  this->AddCrashEvidence(upstream.announcement,
+                         upstream.crash_suspects.TakeEnded());
 }
 
-void Guard::RecordBrokenConnection(GuardedUpstream& upstream,
-                                   const once::RunRequest& request) {
-  upstream.broken_connections.push_back(request.fingerprint);
-  this->RecordUpstreamEvent("upstream_broke_connection", upstream.announcement,
-                            absl::StrCat("request ", request.request_id));
-}
-
-// A broken connection alone is no evidence of a crash. The requests whose
-// connections broke count as crash evidence only when the upstream then refuses
-// connections, restarts with another incarnation, or is replaced by another
-// upstream at its endpoint.
-void Guard::AddCrashEvidence(GuardedUpstream& upstream) {
-  for (const once::Fingerprint fingerprint : upstream.broken_connections) {
+// A missing response alone is no evidence of a crash. It becomes evidence when
+// the upstream then refuses connections, restarts with another incarnation, is
+// replaced by another upstream at its endpoint, or announces itself no more.
+void Guard::AddCrashEvidence(const Announcement& announcement,
+                             const std::vector<CrashSuspect>& suspects) {
+  const Instant now = MonotonicNow();
+  for (const CrashSuspect& suspect : suspects) {
     const bool is_new_evidence = this->crashes.Add(
-        {.fingerprint = fingerprint, .upstream = upstream.announcement.id}, {},
-        MonotonicNow());
+        {.fingerprint = suspect.fingerprint, .upstream = announcement.id},
+        now - suspect.at, now);
     if (is_new_evidence) {
-      this->RecordUpstreamEvent("upstream_crashed", upstream.announcement,
-                                absl::StrCat("while running ", fingerprint));
+      this->RecordUpstreamEvent(
+          "upstream_crashed", announcement,
+          absl::StrCat("while running ", suspect.fingerprint));
     }
   }
 }
@@ -327,6 +325,10 @@
       this->waiters.Dispatch(
           upstream.gate->RefuseQueued(once::RefusalReason::kUpstreamGone),
           wakeups);
+      if (!upstream.announcement.draining) {
+        this->AddCrashEvidence(upstream.announcement,
+                               upstream.crash_suspects.TakeAll(now));
+      }
       this->RecordUpstreamEvent("upstream_gone", upstream.announcement, "");
       at = this->upstreams.erase(at);
     } else {
--- a/components/guard/guard.h
+++ b/components/guard/guard.h
@@ -158,9 +158,9 @@
                      const once::Outcome& outcome,
                      int in_flight);
   void MarkUnreachable(GuardedUpstream& upstream);
-  void RecordBrokenConnection(GuardedUpstream& upstream,
-                              const once::RunRequest& request);
-  void AddCrashEvidence(GuardedUpstream& upstream);
+  /// Adds the suspects of a crash of the announced upstream to the evidence.
+  void AddCrashEvidence(const Announcement& announcement,
+                        const std::vector<CrashSuspect>& suspects);
   rpc::RunResult ResultFor(const std::string& upstream,
                            const once::Outcome& outcome) const;
   void AddUpstream(const Announcement& announcement);
--- a/components/guard/guard_announcements.cc
+++ b/components/guard/guard_announcements.cc
@@ -30,8 +30,8 @@
     upstream.gate->Reset();
     upstream.failure_detector.Reset();
     this->RecordUpstreamEvent("upstream_restarted", announcement, "");
-    this->AddCrashEvidence(upstream);
-    upstream.broken_connections.clear();
+    this->AddCrashEvidence(previous,
+                           upstream.crash_suspects.TakeAll(MonotonicNow()));
   }
   if (announcement.draining && !previous.draining) {
     this->RecordUpstreamEvent("upstream_draining", announcement, "");
@@ -75,7 +75,8 @@
       ++at;
       continue;
     }
-    this->AddCrashEvidence(upstream);
+    this->AddCrashEvidence(upstream.announcement,
+                           upstream.crash_suspects.TakeAll(MonotonicNow()));
     this->waiters.Dispatch(
         upstream.gate->RefuseQueued(once::RefusalReason::kUpstreamGone),
         wakeups);
--- a/components/guard/guarded_upstream.cc
+++ b/components/guard/guarded_upstream.cc
@@ -53,6 +53,15 @@
   return timed_out ? admission::RunEnd::kTimeout : admission::RunEnd::kFailure;
 }
 
+RunReply ReplyOf(const once::Outcome& outcome) {
+  if (const auto* refusal = std::get_if<once::NotRun>(&outcome)) {
+    return refusal->reason == once::RefusalReason::kShed ? RunReply::kAnswered
+                                                         : RunReply::kNotSent;
+  }
+  return std::holds_alternative<once::Ran>(outcome) ? RunReply::kAnswered
+                                                    : RunReply::kNone;
+}
+
 bool ProvesHarmless(const once::Outcome& outcome) {
   const auto* ran = std::get_if<once::Ran>(&outcome);
   return ran != nullptr && ran->response.status < kFirstError;
--- a/components/guard/guarded_upstream.h
+++ b/components/guard/guarded_upstream.h
@@ -1,15 +1,13 @@
 #ifndef COMPONENTS_GUARD_GUARDED_UPSTREAM_H_
 #define COMPONENTS_GUARD_GUARDED_UPSTREAM_H_
 
-#include <map>
 #include <memory>
-#include <vector>
 
 #include "components/admission/upstream_gate.h"
 #include "components/guard/announcement.h"
+#include "components/guard/crash_suspects.h"
 #include "components/health/upstream_judge.h"
 #include "components/membership/host_record.h"
-#include "components/once/crash_ledger.h"
 #include "components/once/outcome.h"
 
 namespace kingcupstair::guard {
@@ -23,9 +21,8 @@
   /// Set if the upstream refused a connection since its last announcement.
   bool unreachable = false;
   health::FailureDetector failure_detector;
-  std::map<admission::TicketId, once::Fingerprint> running;
-  /// Requests whose connections broke since the last start of the upstream.
-  std::vector<once::Fingerprint> broken_connections;
+  /// Runs of the present start of the upstream that may crash it.
+  CrashSuspects crash_suspects;
 };
 
 /// Returns the load report of the upstream for peers.
@@ -40,6 +37,9 @@
 /// request sent to the upstream.
 admission::RunEnd RunEndOf(const once::Outcome& outcome);
 
+/// Returns what the outcome of a request tells about a crash of its upstream.
+RunReply ReplyOf(const once::Outcome& outcome);
+
 /// Returns whether the outcome proves that a request does not crash its
 /// upstream. An error may come from an upstream, or from a proxy in front of
 /// it, that did not run the request.
