A crash is laid to the runs just before it, not to all of that start

Every run that ever ended without an answer stayed a suspect for as long as its upstream lived, so that a crash minutes later counted against all of them, and two such crashes had a harmless request refused for ten minutes.

Now a suspect is forgotten when the upstream answers a run that was sent later, and 10 s after its end.

--- a/components/guard/crash_suspects.h
+++ b/components/guard/crash_suspects.h
@@ -32,19 +32,34 @@
 /// of which one is the cause.
 class CrashSuspects {
  public:
-  void OnStart(uint64_t ticket, once::Fingerprint fingerprint);
+  struct Options {
+    /// Longest time from the end of a run until a crash that it caused is
+    /// found. Upstreams restart within seconds, and announcements lapse sooner.
+    Duration detection_time{std::chrono::seconds(10)};
+  };
+
+  explicit CrashSuspects(Options options);
+
+  void OnStart(uint64_t ticket, once::Fingerprint fingerprint, Instant now);
 
   /// Ignores runs that are not running on the present start of the upstream.
   void OnEnd(uint64_t ticket, RunReply reply, Instant now);
 
-  /// Returns the suspects among the runs that have ended, and forgets them.
-  std::vector<CrashSuspect> TakeEnded();
+  /// Returns the suspects among the runs that have ended, for a crash found at
+  /// `now`, and forgets them.
+  std::vector<CrashSuspect> TakeEnded(Instant now);
 
   /// Returns all suspects, for a crash found at `now`, and forgets all runs.
   std::vector<CrashSuspect> TakeAll(Instant now);
 
  private:
-  std::map<uint64_t, once::Fingerprint> running;
+  struct ActiveRun {
+    once::Fingerprint fingerprint = 0;
+    Instant started;
+  };
+
+  Options options;
+  std::map<uint64_t, ActiveRun> running;
   std::vector<CrashSuspect> unanswered;
 };
 
--- a/components/guard/guard.cc
+++ b/components/guard/guard.cc
@@ -116,7 +116,8 @@
       return this->FinishUnsent(accepted, wakeups);
     }
     GuardedUpstream& upstream = found->second;
-    upstream.crash_suspects.OnStart(accepted.ticket, request.fingerprint);
+    upstream.crash_suspects.OnStart(accepted.ticket, request.fingerprint,
+                                    MonotonicNow());
     upstream.failure_detector.OnStart({.request = accepted.ticket,
                                        .objective = request.objective,
                                        .non_idempotent = !request.idempotent},
@@ -271,7 +272,7 @@
   }
   upstream.unreachable = true;
   this->AddCrashEvidence(upstream.announcement,
-                         upstream.crash_suspects.TakeEnded());
+                         upstream.crash_suspects.TakeEnded(MonotonicNow()));
 }
 
 // A missing response alone is no evidence of a crash. It becomes evidence when
--- a/components/guard/guarded_upstream.h
+++ b/components/guard/guarded_upstream.h
@@ -22,7 +22,7 @@
   bool unreachable = false;
   health::FailureDetector failure_detector;
   /// Runs of the present start of the upstream that may crash it.
-  CrashSuspects crash_suspects;
+  CrashSuspects crash_suspects{{}};
 };
 
 /// Returns the load report of the upstream for peers.
