News of a crash reaches all hosts at once and is never left out

Evidence was cut to 16 pieces a message, always those with the lowest fingerprints, so that with more about (each crash counts against all that ran) the same ones were left out for ten minutes; and it travelled with the probe of each second alone.

Now the newest evidence fills half of a message of 32 and the rest takes turns, and new evidence is passed on within 100 ms to three hosts, by each host that learns of it.

--- a/apps/kingcupstaird/daemon.cc
+++ b/apps/kingcupstaird/daemon.cc
@@ -232,6 +232,9 @@
     this->PublishOwn();
     this->RefreshBoard();
     this->crashes.Expire(MonotonicNow());
+    if (this->crashes.TakeNews()) {
+      this->fleet.spread_updates();
+    }
     fibers::SleepFor(kRefreshInterval);
   });
   this->SpawnLoop([this] { this->PlanEjections(); });
--- a/components/control/gossip_loop.cc
+++ b/components/control/gossip_loop.cc
@@ -6,6 +6,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "components/fibers/worker_pool.h"
+#include "components/once/rumor_selection.h"
 
 namespace kingcupstair::control {
 namespace {
@@ -14,7 +15,7 @@
 constexpr Duration kProbeTimeout{std::chrono::milliseconds(300)};
 constexpr Duration kSyncTimeout{std::chrono::seconds(2)};
 constexpr size_t kMaxUpdatesPerMessage = 8;
-constexpr size_t kMaxCrashEvidencePerMessage = 16;
+constexpr size_t kMaxCrashEvidencePerMessage = 32;
 constexpr size_t kMaxClearancesPerMessage = 16;
 constexpr size_t kMaxIndirectProbes = 3;
 constexpr size_t kMaxSpreadTargets = 3;
@@ -214,17 +215,17 @@
   return std::exchange(this->peer_with_newer_revision, "");
 }
 
-rpc::GossipMessage GossipLoop::MakeMessage() const {
-  auto crashes = this->fleet.crashes.Current(MonotonicNow());
-  crashes.resize(std::min(crashes.size(), kMaxCrashEvidencePerMessage));
-  auto clearances = this->fleet.crashes.Clearances(MonotonicNow());
-  clearances.resize(std::min(clearances.size(), kMaxClearancesPerMessage));
+rpc::GossipMessage GossipLoop::MakeMessage() {
+  const Instant now = MonotonicNow();
+  const uint64_t round = this->messages_made++;
   return {.host = this->fleet.settings.host,
           .digest = this->fleet.directory.Digest(),
           .revision = this->fleet.config.Revision(),
           .recent = this->fleet.directory.RecentVersions(),
-          .crashes = std::move(crashes),
-          .clearances = std::move(clearances)};
+          .crashes = once::SelectRumors(this->fleet.crashes.Current(now),
+                                        kMaxCrashEvidencePerMessage, round),
+          .clearances = once::SelectRumors(this->fleet.crashes.Clearances(now),
+                                           kMaxClearancesPerMessage, round)};
 }
 
 void GossipLoop::MergeMessage(const rpc::GossipMessage& message) {
--- a/components/control/gossip_loop.h
+++ b/components/control/gossip_loop.h
@@ -1,6 +1,7 @@
 #ifndef COMPONENTS_CONTROL_GOSSIP_LOOP_H_
 #define COMPONENTS_CONTROL_GOSSIP_LOOP_H_
 
+#include <atomic>
 #include <mutex>
 #include <optional>
 #include <set>
@@ -43,7 +44,7 @@
   std::string TakePeerWithNewerRevision();
 
  private:
-  rpc::GossipMessage MakeMessage() const;
+  rpc::GossipMessage MakeMessage();
   /// Merges the updates, the crash evidence and the revision of a peer.
   void MergeMessage(const rpc::GossipMessage& message);
   /// Probes `host` and processes the response. Returns false if `host` did not
@@ -72,6 +73,7 @@
   /// Picks targets among all hosts.
   membership::Prober prober;
   uint64_t rounds = 0;
+  std::atomic<uint64_t> messages_made = 0;
   /// The last peer seen with a higher configuration revision.
   std::string peer_with_newer_revision;
   /// Consecutive probes with an unexplained difference between the directories.
--- a/components/guard/crash_watch.h
+++ b/components/guard/crash_watch.h
@@ -2,6 +2,7 @@
 #define COMPONENTS_GUARD_CRASH_WATCH_H_
 
 #include <mutex>
+#include <utility>
 #include <vector>
 
 #include "components/once/crash_ledger.h"
@@ -16,7 +17,15 @@
   /// if the evidence is already known or no longer counts.
   bool Add(const once::CrashEvidence& evidence, Duration age, Instant now) {
     const std::lock_guard lock(this->mutex);
-    return this->ledger.Add(evidence, now - age, now);
+    const bool is_new = this->ledger.Add(evidence, now - age, now);
+    this->has_news = this->has_news || is_new;
+    return is_new;
+  }
+
+  /// Returns whether evidence was added since the last call.
+  bool TakeNews() {
+    const std::lock_guard lock(this->mutex);
+    return std::exchange(this->has_news, false);
   }
 
   /// Clears a request that an upstream has just run successfully. Returns true
@@ -65,6 +74,7 @@
  private:
   mutable std::mutex mutex;
   once::CrashLedger ledger{{}};
+  bool has_news = false;
 };
 
 }  // namespace kingcupstair::guard
--- a/components/once/crash_ledger.cc
+++ b/components/once/crash_ledger.cc
@@ -84,6 +84,8 @@
       current.push_back({.evidence = evidence, .age = now - at});
     }
   }
+  std::stable_sort(current.begin(), current.end(),
+                   [](const auto& a, const auto& b) { return a.age < b.age; });
   return current;
 }
 
@@ -94,6 +96,8 @@
       current.push_back({.fingerprint = fingerprint, .age = now - at});
     }
   }
+  std::stable_sort(current.begin(), current.end(),
+                   [](const auto& a, const auto& b) { return a.age < b.age; });
   return current;
 }
 
--- a/components/once/crash_ledger.h
+++ b/components/once/crash_ledger.h
@@ -75,10 +75,12 @@
   /// request may run.
   Duration RefusedFor(Fingerprint fingerprint, Instant now) const;
 
-  /// Returns the evidence that has not expired, with its age, for peers.
+  /// Returns the evidence that has not expired, with its age, for peers. The
+  /// newest comes first.
   std::vector<AgedEvidence> Current(Instant now) const;
 
   /// Returns the clearances that have not expired, with their age, for peers.
+  /// The newest comes first.
   std::vector<AgedClearance> Clearances(Instant now) const;
 
   /// Removes expired evidence and expired clearances.
