Each attempt asks anew whether its request crashes upstreams

The verdict was asked for once, when a request was admitted. One that waited for a slot, was hedged or retried after the evidence had come was still sent, and a guard that knew sent what an ingress that did not yet know had handed to it.

Now the ingress asks before each attempt and the guard before it sends.

--- a/components/guard/guard.cc
+++ b/components/guard/guard.cc
@@ -42,6 +42,15 @@
     return this->ResultFor(request.upstream, once::NotRun{.reason = reason});
   }
   const Instant now = MonotonicNow();
+  if (const Duration refused_for =
+          this->crashes.RefusedFor(request.fingerprint, now);
+      refused_for > Duration{}) {
+    this->ReleaseReservation(request.request_id, wakeups);
+    return this->ResultFor(
+        request.upstream,
+        once::NotRun{.reason = once::RefusalReason::kCrashesUpstreams,
+                     .retry_after = refused_for});
+  }
   AcceptedRun accepted{.request = request};
   if (!request.dedupe_key.empty()) {
     const auto earlier = this->keys.Find(request.dedupe_key, now);
--- a/components/ingress/ingress.cc
+++ b/components/ingress/ingress.cc
@@ -222,6 +222,11 @@
        .runner = this->runner,
        .try_retry = [this,
                      &admitted] { return this->permits.TryRetry(admitted); },
+       .refused_for =
+           [this, &admitted] {
+             return this->crashes.RefusedFor(admitted.fingerprint,
+                                             MonotonicNow());
+           },
        .log_attempt_start =
            [this, &admitted](const std::string& attempt,
                              const ChosenUpstream& choice,
--- a/components/ingress/request_run.cc
+++ b/components/ingress/request_run.cc
@@ -176,7 +176,18 @@
   return !this->results->ended.empty();
 }
 
+// Evidence that the request crashes upstreams may have come since the request
+// was admitted.
 bool RequestRun::StartAttempt(bool may_wait) {
+  if (const Duration refused_for = this->context.refused_for();
+      refused_for > Duration{}) {
+    if (std::holds_alternative<once::NotRun>(this->last_outcome)) {
+      this->last_outcome =
+          once::NotRun{.reason = once::RefusalReason::kCrashesUpstreams,
+                       .retry_after = refused_for};
+    }
+    return false;
+  }
   const auto choice = this->FindSlot(may_wait);
   if (!choice.has_value()) {
     return false;
--- a/components/ingress/request_run.h
+++ b/components/ingress/request_run.h
@@ -28,6 +28,8 @@
     AttemptRunner& runner;
     /// Takes a retry token. Returns false if the retry budget is used up.
     std::function<bool()> try_retry;
+    /// Returns how long the request is refused because it crashes upstreams.
+    std::function<Duration()> refused_for;
     /// Logs the start of an attempt at `choice`, with the load reported there.
     std::function<void(const std::string& attempt,
                        const ChosenUpstream& choice,
--- a/components/once/outcome.cc
+++ b/components/once/outcome.cc
@@ -34,6 +34,8 @@
       return "shed";
     case RefusalReason::kBusierThanOthers:
       return "busier_than_others";
+    case RefusalReason::kCrashesUpstreams:
+      return "crashes_upstreams";
   }
   return "none";
 }
--- a/components/once/outcome.h
+++ b/components/once/outcome.h
@@ -26,6 +26,7 @@
   kMisdirected,
   kShed,
   kBusierThanOthers,
+  kCrashesUpstreams,
 };
 
 /// Returns the text of `reason` as used in responses, logs and counters.
--- a/components/retry/retry_policy.cc
+++ b/components/retry/retry_policy.cc
@@ -16,7 +16,10 @@
     return this->RetryIf(failed && this->CanRepeat());
   }
 
-  NextStep operator()(const once::NotRun&) const { return this->RetryIf(true); }
+  NextStep operator()(const once::NotRun& refusal) const {
+    return this->RetryIf(refusal.reason !=
+                         once::RefusalReason::kCrashesUpstreams);
+  }
 
   NextStep operator()(const once::Unknown&) const {
     return this->RetryIf(this->CanRepeat());
--- a/components/retry/retry_policy.h
+++ b/components/retry/retry_policy.h
@@ -36,7 +36,8 @@
 };
 
 /// Returns the step that follows an attempt. A non-idempotent request is
-/// retried only if the attempt is proved not to have run.
+/// retried only if the attempt is proved not to have run, and a request that
+/// crashes upstreams is not retried at all.
 NextStep DecideNextStep(const AttemptResult& result);
 
 }  // namespace kingcupstair::retry
--- a/tests/retry/retry_test.cc
+++ b/tests/retry/retry_test.cc
@@ -39,6 +39,12 @@
       IsRetried(ResultOfAttempt(shed, config::Idempotency::kNonIdempotent)));
 }
 
+TEST(Retry, ARequestThatCrashesUpstreamsIsNotRetried) {
+  CHECK_FALSE(IsRetried(ResultOfAttempt(
+      once::NotRun{.reason = once::RefusalReason::kCrashesUpstreams},
+      config::Idempotency::kIdempotent)));
+}
+
 TEST(Retry, StopsAfterTwoBrokenUpstreams) {
   auto result = ResultOfAttempt(once::Unknown{.upstream_broke = true},
                                 config::Idempotency::kIdempotent);
