A request that may have run is not said to be not run

Callers of a request that may be repeated could be told "not run" (503) after its first attempt had ended without an answer and the second was refused: the last outcome won.

The outcomes of the attempts are now combined in one place, where an attempt that may have run counts for more than one that has not. ARequestThatMayHaveRunIsNotSaidToBeNotRun is the rule; the code before had no such function, so the test was not run against it.

--- a/components/ingress/request_run.cc
+++ b/components/ingress/request_run.cc
@@ -127,11 +127,12 @@
   const auto* unknown = std::get_if<once::Unknown>(&ended.outcome);
   this->upstreams_broken +=
       unknown != nullptr && unknown->upstream_broke ? 1 : 0;
-  this->last_outcome = std::move(ended.outcome);
+  this->last_outcome =
+      retry::CombineOutcomes(this->last_outcome, ended.outcome);
   if (!this->running.empty()) {
     return false;
   }
-  this->has_final_outcome = !this->RetryIfAllowed(this->last_outcome);
+  this->has_final_outcome = !this->RetryIfAllowed(ended.outcome);
   return this->has_final_outcome;
 }
 
@@ -181,11 +182,10 @@
 bool RequestRun::StartAttempt(bool may_wait) {
   if (const Duration refused_for = this->context.refused_for();
       refused_for > Duration{}) {
-    if (std::holds_alternative<once::NotRun>(this->last_outcome)) {
-      this->last_outcome =
-          once::NotRun{.reason = once::RefusalReason::kCrashesUpstreams,
-                       .retry_after = refused_for};
-    }
+    this->last_outcome = retry::CombineOutcomes(
+        this->last_outcome,
+        once::NotRun{.reason = once::RefusalReason::kCrashesUpstreams,
+                     .retry_after = refused_for});
     return false;
   }
   const auto choice = this->FindSlot(may_wait);
@@ -219,12 +219,8 @@
       return granted;
     }
   }
-  // An outcome other than "not run" says more to the caller than the refusal of
-  // the last slot request, so it is kept.
-  if (this->attempts == 0 ||
-      std::holds_alternative<once::NotRun>(this->last_outcome)) {
-    this->last_outcome = search.last_refusal();
-  }
+  this->last_outcome =
+      retry::CombineOutcomes(this->last_outcome, search.last_refusal());
   return std::nullopt;
 }
 
--- a/components/retry/retry_policy.cc
+++ b/components/retry/retry_policy.cc
@@ -49,4 +49,11 @@
   return std::visit(NextStepVisitor(result), result.outcome);
 }
 
+once::Outcome CombineOutcomes(const once::Outcome& earlier,
+                              const once::Outcome& later) {
+  const bool later_ran_not = std::holds_alternative<once::NotRun>(later);
+  const bool earlier_ran_not = std::holds_alternative<once::NotRun>(earlier);
+  return later_ran_not && !earlier_ran_not ? earlier : later;
+}
+
 }  // namespace kingcupstair::retry
--- a/components/retry/retry_policy.h
+++ b/components/retry/retry_policy.h
@@ -40,6 +40,11 @@
 /// crashes upstreams is not retried at all.
 NextStep DecideNextStep(const AttemptResult& result);
 
+/// Returns the outcome of a request whose attempts ended with `earlier` and
+/// then `later`. If an attempt may have run, so may the request.
+once::Outcome CombineOutcomes(const once::Outcome& earlier,
+                              const once::Outcome& later);
+
 }  // namespace kingcupstair::retry
 
 #endif  // COMPONENTS_RETRY_RETRY_POLICY_H_
--- a/tests/retry/retry_test.cc
+++ b/tests/retry/retry_test.cc
@@ -45,6 +45,16 @@
       config::Idempotency::kIdempotent)));
 }
 
+TEST(Retry, ARequestThatMayHaveRunIsNotSaidToBeNotRun) {
+  const once::Outcome not_run = once::NotRun{};
+  const once::Outcome unknown = once::Unknown{};
+  const once::Outcome failed = once::Ran{.response = {.status = 500}};
+  CHECK(CombineOutcomes(unknown, not_run) == unknown);
+  CHECK(CombineOutcomes(failed, not_run) == failed);
+  CHECK(CombineOutcomes(not_run, unknown) == unknown);
+  CHECK(CombineOutcomes(unknown, failed) == failed);
+}
+
 TEST(Retry, StopsAfterTwoBrokenUpstreams) {
   auto result = ResultOfAttempt(once::Unknown{.upstream_broke = true},
                                 config::Idempotency::kIdempotent);
