A response without end is given up, in bounded memory and by its deadline

An upstream in trouble may send bytes that are no answer until the caller closes.

Cause: a response was read by one composed operation with a growing buffer; only whole heads and data of bodies counted against limits, 64 MB for each of any number of requests.

Now ResponseReader reads piece by piece: heads, chunk framing and trailers have limits, interim responses are passed over and count too, a body may have 16 MB, and unfinished responses of one server share 16 MB, beyond which one at a time may grow, so that large answers wait for each other instead of failing.

EndlessResponse: fourteen forms, twelve callers at once, at full speed and in drips; other servers are answered meanwhile.

--- a/CI/mutants.sh
+++ b/CI/mutants.sh
@@ -64,6 +64,7 @@
 mutant zone_at_guard components/guard/guard.cc 's/return current->IsZoneOutOfService(this->options.zone) ||/return false \&\&/' process zone
 mutant drain_at_guard components/guard/guard.cc 's/return found->second.announcement.draining ?/return false ?/' process zone
 mutant whole_answer components/http/client.cc 's/if (read.error) {/if (false) {/' io
+mutant endless_answer components/http/response_reader.cc 's/return this->framing_bytes > allowed/return false/' io
 mutant late_answer components/http/client.cc 's/connection->buffer.size() == 0;/true;/' io
 mutant fence components/once/run_ledger.cc 's/    at->second = Fence{};/    ;/' unit RunLedger
 mutant once_retry components/retry/retry_policy.cc 's/return this->result.idempotency == config::Idempotency::kIdempotent \&\&/return true \&\&/' process once
--- a/components/http/client.cc
+++ b/components/http/client.cc
@@ -11,7 +11,6 @@
 #include <algorithm>
 #include <map>
 #include <memory>
-#include <optional>
 #include <vector>
 
 #include "absl/strings/numbers.h"
@@ -19,6 +18,7 @@
 #include "components/fibers/await.h"
 #include "components/fibers/worker_pool.h"
 #include "components/http/beast_convert.h"
+#include "components/http/response_reader.h"
 
 namespace kingcupstair::http {
 namespace {
@@ -33,7 +33,6 @@
 /// Time before the server's idle timeout at which a connection is no longer
 /// reused.
 constexpr Duration kIdleMargin{std::chrono::seconds(1)};
-constexpr uint64_t kMaxBodyBytes = 64 * 1024 * 1024;
 /// Responses to earlier requests that one exchange discards at most.
 constexpr int kMaxDiscardedResponses = 3;
 
@@ -159,37 +158,28 @@
       .error;
 }
 
-using Parser = beast::http::response_parser<beast::http::string_body>;
-
-bool IsResponseTo(const Call& call, const Parser& parser) {
+bool IsResponseTo(const Call& call, const ReadResult& response) {
   if (!call.expected_echo.has_value()) {
     return true;
   }
-  const auto found = parser.get().find(call.expected_echo->name);
-  return found == parser.get().end() ||
+  const auto found = response.fields.find(call.expected_echo->name);
+  return found == response.fields.end() ||
          found->value() == call.expected_echo->value;
 }
 
 /// Reads responses until one to this request is complete.
-beast::error_code Receive(const Call& call,
-                          Connection& connection,
-                          std::optional<Parser>& parser) {
+ReadResult Receive(const Call& call, Connection& connection, Instant deadline) {
+  ResponseReader reader({.server = call.server,
+                         .without_body = call.request.method == "HEAD",
+                         .deadline = deadline},
+                        connection.stream, connection.buffer);
   for (int discarded = 0; discarded <= kMaxDiscardedResponses; ++discarded) {
-    parser.emplace();
-    parser->body_limit(kMaxBodyBytes);
-    parser->skip(call.request.method == "HEAD");
-    const auto read = fibers::Await([&](auto handler) {
-      beast::http::async_read(connection.stream, connection.buffer, *parser,
-                              handler);
-    });
-    if (read.error) {
-      return read.error;
-    }
-    if (IsResponseTo(call, *parser)) {
-      return {};
+    ReadResult response = reader.ReadNext();
+    if (response.error || IsResponseTo(call, response)) {
+      return response;
     }
   }
-  return beast::http::error::bad_value;
+  return {.error = beast::http::error::bad_value};
 }
 
 /// Closes the connection when the call is cancelled. Cancellation may come from
@@ -236,22 +226,20 @@
   if ((ec = Send(call, *connection))) {
     return MakeFailure(call, Stage::kSend, ec);
   }
-  std::optional<Parser> parser;
-  if ((ec = Receive(call, *connection, parser))) {
-    return MakeFailure(call, Stage::kReceive, ec);
+  ReadResult read = Receive(call, *connection, deadline);
+  if (read.error) {
+    return MakeFailure(call, Stage::kReceive, read.error);
   }
   if (call.cancellation != nullptr) {
     call.cancellation->OnCancel(nullptr);
   }
-  const bool reusable = !parser->need_eof() && parser->keep_alive() &&
-                        connection->buffer.size() == 0;
-  auto message = parser->release();
-  Result result{.response = {.status = static_cast<int>(message.result_int()),
-                             .headers = FromBeast(message),
-                             .body = std::move(message.body())}};
+  const bool reusable = read.keep_alive && connection->buffer.size() == 0;
+  Result result{.response = {.status = read.status,
+                             .headers = FromBeast(read.fields),
+                             .body = std::move(read.body)}};
   if (reusable) {
     connection->stream.expires_never();
-    StoreIdle(call.server, connection, AllowedIdleTime(message));
+    StoreIdle(call.server, connection, AllowedIdleTime(read.fields));
   }
   return result;
 }
--- /dev/null
+++ b/components/http/response_reader.h
@@ -0,0 +1,62 @@
+#ifndef COMPONENTS_HTTP_RESPONSE_READER_H_
+#define COMPONENTS_HTTP_RESPONSE_READER_H_
+
+#include <string>
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/fields.hpp>
+
+#include "components/base/endpoint.h"
+#include "components/base/time.h"
+
+namespace kingcupstair::http {
+
+/// A complete final response, or the error that ended the read.
+struct ReadResult {
+  boost::beast::error_code error;
+  int status = 0;
+  boost::beast::http::fields fields;
+  std::string body;
+  /// The server keeps the connection open after the response.
+  bool keep_alive = false;
+};
+
+/// Reads responses from one connection. Whatever the server sends, reads end by
+/// the deadline, and the memory of all unfinished responses of one server is
+/// bounded, see ResponseMemory.
+class ResponseReader {
+ public:
+  struct Options {
+    Endpoint server;
+    /// The responses have no body, whatever their heads say.
+    bool without_body = false;
+    Instant deadline;
+  };
+
+  ResponseReader(Options options,
+                 boost::beast::tcp_stream& stream,
+                 boost::beast::flat_buffer& buffer);
+
+  /// Reads the next final response and skips interim ones (1xx). Suspends the
+  /// calling fiber.
+  ReadResult ReadNext();
+
+ private:
+  ReadResult ReadOne();
+  /// Receives more bytes into the buffer.
+  boost::beast::error_code Receive();
+  /// Adds to the bytes that belong to no body. Returns an error if they are too
+  /// many for `body_bytes` of body.
+  boost::beast::error_code CountFraming(size_t bytes, size_t body_bytes);
+
+  Options options;
+  boost::beast::tcp_stream& stream;
+  boost::beast::flat_buffer& buffer;
+  /// Bytes of all responses read here that are not part of a body.
+  size_t framing_bytes = 0;
+};
+
+}  // namespace kingcupstair::http
+
+#endif  // COMPONENTS_HTTP_RESPONSE_READER_H_
--- a/tests/http/raw_server.cc
+++ b/tests/http/raw_server.cc
@@ -1,32 +1,22 @@
 #include "tests/http/raw_server.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <stdexcept>
+#include "tests/http/listener.h"
 
 namespace kingcupstair {
 namespace {
 
+constexpr int kBacklog = 8;
 constexpr useconds_t kResetDelayMicros = 20'000;
 
 }  // namespace
 
 RawServer::RawServer(std::vector<Reply> replies) : replies(std::move(replies)) {
-  this->listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof(address);
-  if (bind(this->listener, reinterpret_cast<sockaddr*>(&address), size) != 0 ||
-      listen(this->listener, 8) != 0) {
-    throw std::runtime_error(
-        "RawServer: can't bind or listen on a loopback port");
-  }
-  getsockname(this->listener, reinterpret_cast<sockaddr*>(&address), &size);
-  this->endpoint = {.address = "127.0.0.1", .port = ntohs(address.sin_port)};
+  const Listener listening = ListenOnLoopback(kBacklog);
+  this->listener = listening.socket;
+  this->endpoint = listening.endpoint;
   this->thread = std::thread([this] { this->Run(); });
 }
 
