A request without end is rejected before it fills memory

The buffer now holds one head and 64 KB. ARequestWithoutEndIsRejected fails without it (no answer to 8 MB of a chunk extension).

--- a/components/http/server.cc
+++ b/components/http/server.cc
@@ -38,6 +38,9 @@
 constexpr std::chrono::milliseconds kLingerTime{1000};
 /// Requests of one connection that are handled concurrently.
 constexpr size_t kMaxPipelined = 8;
+/// Bytes beyond a head that are buffered before they are parsed. The rest of a
+/// chunk's framing or a trailer can't be longer.
+constexpr size_t kMaxReadAhead = size_t{64} * 1024;
 constexpr int kBadRequest = 400;
 constexpr int kPayloadTooLarge = 413;
 constexpr int kHeaderTooLarge = 431;
@@ -123,6 +126,8 @@
     }
     const ServerLimits limits = this->server->Limits();
     Parser parser;
+    this->buffer.max_size(static_cast<size_t>(limits.header_bytes) +
+                          kMaxReadAhead);
     parser.header_limit(static_cast<uint32_t>(limits.header_bytes));
     parser.body_limit(static_cast<uint64_t>(limits.body_bytes));
     this->StartIdleTimer(limits.idle_timeout);
--- a/tests/http/server_test.cc
+++ b/tests/http/server_test.cc
@@ -169,6 +169,18 @@
   CHECK(large_body.ReadUntil("{}").rfind("HTTP/1.1 413", 0) == 0);
 }
 
+TEST(HttpServer, ARequestWithoutEndIsRejected) {
+  const std::string head = "POST / HTTP/1.1\r\nHost: a\r\n";
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string endless(8 * 1024 * 1024, 'a');
+  for (const std::string& begin :
+       {head + "X-Field: ", chunked + "5;", chunked + "0\r\nX-Trailer: "}) {
+    const RawClient client(this->server.address);
+    client.Send(begin + endless);
+    STRCMP_CONTAINS("HTTP/1.1 4", client.ReadUntil("\r\n").c_str());
+  }
+}
+
 TEST(HttpServer, AHandlerIsCancelledWhenItsClientDisconnects) {
   {
     const RawClient client(this->server.address);
