The soak sends a request that crashes upstreams

A request that ends each upstream that runs it comes to one host after the other through the middle of each plan, beside all other faults; at most three runs may come later than 3 s after the third. New fault: upstreams that reject that request with an error for a while.

--- a/apps/upstream_standin/upstream_service.h
+++ b/apps/upstream_standin/upstream_service.h
@@ -26,9 +26,9 @@
 ///
 /// `hang` delays each request by 30 s, `cut` closes the connection without a
 /// response, `cold` makes the upstream cold again, `reject_share` is the share
-/// of requests that fail with 500 before they run. A request that runs with
-/// `X-Crash: exit` ends the process; with `X-Crash: stop`, the process stops
-/// and its connections stay open.
+/// of requests with X-Crash that fail with 500 before they run. One that runs
+/// with `X-Crash: exit` ends the process; with `X-Crash: stop`, the process
+/// stops and its connections stay open.
 class UpstreamService {
  public:
   struct Options {
--- a/soak/faults.sh
+++ b/soak/faults.sh
@@ -32,6 +32,19 @@
 upstream_fault() { site_faults "lote-$1" "$2"; }
 path_fault() { site_relay_faults "$1" "$2"; }
 store_fault() { site_store_faults "$2"; }
+# Sends the request that crashes upstreams to host $1. $2 makes its order known.
+crash_request() {
+  curl -s -o /dev/null --max-time 4 -X POST -H 'Authorization: Bearer packer-key' \
+    -H 'X-Crash: exit' -H "X-Order: crash.$2" \
+    "http://127.0.0.1:$(site_caller_port "$1")/lote/dispatch/crash" &
+}
+restart_crashed() {
+  local number
+  for ((number = 1; number <= hosts; number++)); do
+    [ -n "${site_pids[lote-$number]:-}" ] || continue
+    kill -0 "${site_pids[lote-$number]}" 2>/dev/null || upstream_back "$number"
+  done
+}
 change_rules() {
   { cat "$dir/rules"; organisation "guest$2" 10 10 "guest-key-$2"; } >"$dir/rules.$2"
   site_ctl apply "$dir/rules.$2" >>"$dir/ctl.log" 2>&1 || true
@@ -71,6 +84,7 @@
     upstream_pause) first_and_then pause_process resume_process "lote-$host" ;;
     upstream_hang) set_and_clear upstream_fault "$host" '{"hang":true}' ;;
     upstream_fail) set_and_clear upstream_fault "$host" '{"error_share":0.6}' ;;
+    upstream_reject) set_and_clear upstream_fault "$host" '{"reject_share":0.7,"lie":true}' ;;
     upstream_cut) set_and_clear upstream_fault "$host" '{"cut":true}' ;;
     store_down) set_and_clear store_fault - '{"down":true}' ;;
     store_slow) set_and_clear store_fault - '{"delay_ms":400}' ;;
@@ -80,12 +94,23 @@
   esac
 }
 
+# crash_steps FROM UNTIL HOSTS: a request that crashes upstreams comes to one host
+# after the other.
+crash_steps() {
+  local at host=0
+  for ((at = $1; at < $2; at += 400)); do
+    host=$((host % $3 + 1))
+    echo "$at crash_request $host $at"
+    echo "$((at + 1000)) restart_crashed -"
+  done
+}
+
 # make_plan SECONDS HOSTS: lines of "MS ACTION TARGET DETAIL", by time, of the
 # state of RANDOM. All that
 # is begun ends a second or more before the callers do.
 make_plan() {
   local kinds=(kill term pause pause_relay cut_in cut_out refuse silence reset delay
-    upstream_kill upstream_pause upstream_hang upstream_fail upstream_cut
+    upstream_kill upstream_pause upstream_hang upstream_fail upstream_cut upstream_reject
     store_down store_slow store_loses store_pause rules)
   local latest=$(($1 * 1000 - 8500)) count=$(($1 / 2)) i at length host kind steps=""
   # Drawn in this shell: bash seeds RANDOM anew in each subshell.
@@ -96,6 +121,7 @@
     kind="${kinds[RANDOM % ${#kinds[@]}]}"
     steps+="$(fault_steps "$at" "$length" "$host" "$kind")"$'\n'
   done
+  steps+="$(crash_steps $((latest / 4)) "$latest" "$2")"$'\n'
   sort -n <<<"${steps%$'\n'}"
 }
 
--- a/soak/soak.sh
+++ b/soak/soak.sh
@@ -69,6 +69,8 @@
 expect "each order said to be run was run" "$false_ran" = 0
 expect "no window of $window_ms ms above $most_in_window runs at the rate of $capped_rate" \
   "$(busiest_window capped "$window_ms")" -le "$most_in_window"
+late=$(late_crash_runs crash.)
+expect "a request that crashes upstreams runs at most three times later than 3 s after the third ($late)" "$late" -le 3
 expect "something was served meanwhile" "$(jq '.status["200"] // 0' "$dir/orders.json")" -gt 0
 served=$(jq '.status["200"] // 0' "$dir/after.json")
 sent=$(jq .sent "$dir/after.json")
--- a/tests/process/lib.sh
+++ b/tests/process/lib.sh
@@ -91,3 +91,10 @@
   false_not_run=$(awk '$2 == "not-run" && $3 > 0' "$dir/joined" | wc -l)
   false_ran=$(awk '$2 == "ran" && $3 != 1' "$dir/joined" | wc -l)
 }
+
+# late_crash_runs PREFIX: the runs of such orders, of a request that crashes
+# upstreams, later than 3 s after the third.
+late_crash_runs() {
+  awk -v p="$1" 'index($3, p) == 1 {print $1}' "$dir/runs.log" | sort -n |
+    awk 'NR == 3 {third = $1} NR > 3 && $1 > third + 3000 {late++} END {print late + 0}'
+}
