Postmortem, proofs and mutants of the crash and endless-bytes fixes

A first form of endless_framing was not noticed, since the deadline ends such responses too; AtFullSpeedIsGivenUpBeforeTheDeadline now shows what the limit is for. crash_clearance was not noticed by repeated_crash_test, since later crashes count anyway; OnlyASuccessProvesThatARequestIsHarmless guards it.

--- a/CI/mutants.sh
+++ b/CI/mutants.sh
@@ -64,11 +64,16 @@
 mutant zone_at_guard components/guard/guard.cc 's/return current->IsZoneOutOfService(this->options.zone) ||/return false \&\&/' process zone
 mutant drain_at_guard components/guard/guard.cc 's/return found->second.announcement.draining ?/return false ?/' process zone
 mutant whole_answer components/http/client.cc 's/if (read.error) {/if (false) {/' io
-mutant endless_answer components/http/response_reader.cc 's/return this->framing_bytes > allowed/return false/' io
+mutant endless_framing components/http/response_reader.cc 's/return this->framing_bytes > allowed/return this->framing_bytes > allowed + (size_t{1} << 40)/' io
+mutant endless_bodies components/http/response_memory.cc 's/growth == 0 || this->used + growth <= this->options.pool_bytes/true/' io
 mutant late_answer components/http/client.cc 's/connection->buffer.size() == 0;/true;/' io
 mutant fence components/once/run_ledger.cc 's/    at->second = Fence{};/    ;/' unit RunLedger
 mutant once_retry components/retry/retry_policy.cc 's/return this->result.idempotency == config::Idempotency::kIdempotent \&\&/return true \&\&/' process once
 mutant crash_refusal components/once/crash_ledger.cc 's/if (ends.size() < this->options.crashes_to_refuse)/if (true)/' process crash_request
+mutant crash_clearance components/guard/guarded_upstream.cc 's/return ran != nullptr \&\& ran->response.status < kFirstError;/return ran != nullptr;/' io
+mutant crash_silence components/guard/crash_suspects.cc 's/} else if (reply == RunReply::kNone) {/} else if (false) {/' unit CrashSuspects
+mutant crash_at_guard components/guard/guard.cc 's/      refused_for > Duration{}) {/      false) {/' io
+mutant crash_rumors components/once/rumor_selection.h 's/(round \* (room - newest) + i)/(0 * round + i)/' unit RumorSelection
 mutant leave_time apps/kingcupstaird/daemon.cc 's/std::this_thread::sleep_for(this->settings.leave_time);/;/' process shutdown
 mutant never_reverts components/config/replica.cc 's/if (offered.revision < this->head.revision)/if (false)/; s/if (offered.revision == this->head.revision)/if (false)/' unit Replica
 mutant write_id components/store/publisher.cc 's/if (current->head.write_id == head.write_id)/if (false)/' process config
--- a/tests/guard/guard_test.cc
+++ b/tests/guard/guard_test.cc
@@ -67,5 +67,13 @@
   CHECK(std::holds_alternative<AcceptedRun>(this->Accept("a")));
 }
 
+TEST(Guard, OnlyASuccessProvesThatARequestIsHarmless) {
+  CHECK(ProvesHarmless(once::Ran{.response = {.status = 200}}));
+  CHECK_FALSE(ProvesHarmless(once::Ran{.response = {.status = 500}}));
+  CHECK_FALSE(ProvesHarmless(once::Ran{.response = {.status = 429}}));
+  CHECK_FALSE(ProvesHarmless(once::Unknown{}));
+  CHECK_FALSE(ProvesHarmless(once::NotRun{}));
+}
+
 }  // namespace
 }  // namespace kingcupstair::guard
--- a/tests/http/endless_response_test.cc
+++ b/tests/http/endless_response_test.cc
@@ -119,6 +119,15 @@
   this->CheckForms(std::chrono::milliseconds(10));
 }
 
+TEST(EndlessResponse, AtFullSpeedIsGivenUpBeforeTheDeadline) {
+  for (const EndlessForm& form : EndlessForms()) {
+    const EndlessServer server({.begin = form.begin, .repeat = form.repeat});
+    const Result result = StartExchange(server.Address(), Millis(20'000)).get();
+    CHECK_FALSE(result.ok());
+    CHECK_TEXT(!result.failure.timed_out, form.name);
+  }
+}
+
 TEST(EndlessResponse, OtherServersAnswerMeanwhile) {
   const EndlessServer endless(
       {.begin = "HTTP/1.1 200 OK\r\n\r\n", .repeat = std::string(1'000, 'a')});
