--- a/components/guard/crash_suspects.cc
+++ b/components/guard/crash_suspects.cc
@@ -24,15 +24,20 @@
       return suspect.at < run.mapped().started;
     });
   } else if (reply == RunReply::kNone) {
+    this->ForgetOld(now);
     this->unanswered.push_back(
         {.fingerprint = run.mapped().fingerprint, .at = now});
   }
 }
 
-std::vector<CrashSuspect> CrashSuspects::TakeEnded(Instant now) {
+void CrashSuspects::ForgetOld(Instant now) {
   std::erase_if(this->unanswered, [&](const CrashSuspect& suspect) {
     return now - suspect.at > this->options.detection_time;
   });
+}
+
+std::vector<CrashSuspect> CrashSuspects::TakeEnded(Instant now) {
+  this->ForgetOld(now);
   return std::exchange(this->unanswered, {});
 }
 
--- a/components/guard/crash_suspects.h
+++ b/components/guard/crash_suspects.h
@@ -58,6 +58,9 @@
     Instant started;
   };
 
+  /// Drops suspects whose crash would have been found by now.
+  void ForgetOld(Instant now);
+
   Options options;
   std::map<uint64_t, ActiveRun> running;
   std::vector<CrashSuspect> unanswered;
--- a/components/http/client.h
+++ b/components/http/client.h
@@ -59,7 +59,8 @@
 
 /// Sends a request and reads the complete response. A truncated body is a
 /// failure. A body without a length ends where the server closes the connection
-/// without a reset.
+/// without a reset. Interim responses (1xx) are skipped, and a response without
+/// end is a failure.
 Result Exchange(const Call& call);
 
 }  // namespace kingcupstair::http
