--- a/components/control/fleet.h
+++ b/components/control/fleet.h
@@ -9,7 +9,7 @@
 #include "components/control/directory_keeper.h"
 #include "components/control/rate_keeper.h"
 #include "components/events/recorder.h"
-#include "components/guard/crash_watch.h"
+#include "components/guard/shared_crash_ledger.h"
 #include "components/membership/isolation.h"
 #include "components/rpc/peer_clients.h"
 #include "components/site/site_interface.h"
--- a/components/guard/crash_watch.h
+++ b/components/guard/shared_crash_ledger.h
@@ -1,5 +1,5 @@
-#ifndef COMPONENTS_GUARD_CRASH_WATCH_H_
-#define COMPONENTS_GUARD_CRASH_WATCH_H_
+#ifndef COMPONENTS_GUARD_SHARED_CRASH_LEDGER_H_
+#define COMPONENTS_GUARD_SHARED_CRASH_LEDGER_H_
 
 #include <mutex>
 #include <utility>
@@ -79,4 +79,4 @@
 
 }  // namespace kingcupstair::guard
 
-#endif  // COMPONENTS_GUARD_CRASH_WATCH_H_
+#endif  // COMPONENTS_GUARD_SHARED_CRASH_LEDGER_H_
--- a/components/ingress/ingress.h
+++ b/components/ingress/ingress.h
@@ -10,7 +10,7 @@
 
 #include "components/dialect/dialect.h"
 #include "components/events/recorder.h"
-#include "components/guard/crash_watch.h"
+#include "components/guard/shared_crash_ledger.h"
 #include "components/http/message.h"
 #include "components/ingress/admitted_request.h"
 #include "components/ingress/attempt_runner.h"
