--- a/soak/faults.sh
+++ b/soak/faults.sh
@@ -16,7 +16,7 @@
 }
 
 host_kill() { end_process "host$1"; }
-host_term() { kill -TERM "${site_pids[host$1]:-0}" 2>/dev/null || true; }
+host_term() { [ -n "${site_pids[host$1]:-}" ] && kill -TERM "${site_pids[host$1]}" 2>/dev/null || true; }
 host_back() {
   end_process "host$1"
   end_process "relay$1"
