--- a/soak/faults.sh
+++ b/soak/faults.sh
@@ -84,7 +84,6 @@
     upstream_pause) first_and_then pause_process resume_process "lote-$host" ;;
     upstream_hang) set_and_clear upstream_fault "$host" '{"hang":true}' ;;
     upstream_fail) set_and_clear upstream_fault "$host" '{"error_share":0.6}' ;;
-    upstream_reject) set_and_clear upstream_fault "$host" '{"reject_share":0.7,"lie":true}' ;;
     upstream_cut) set_and_clear upstream_fault "$host" '{"cut":true}' ;;
     store_down) set_and_clear store_fault - '{"down":true}' ;;
     store_slow) set_and_clear store_fault - '{"delay_ms":400}' ;;
@@ -95,9 +94,14 @@
 }
 
 # crash_steps FROM UNTIL HOSTS: a request that crashes upstreams comes to one host
-# after the other.
+# after the other, and upstreams reject it for a while.
 crash_steps() {
-  local at host=0
+  local at host=0 until=$((($1 + $2) / 2))
+  for ((at = $1; host < $3; at += 100)); do
+    host=$((host + 1))
+    set_and_clear upstream_fault "$host" '{"reject_share":0.7,"lie":true}'
+  done
+  host=0
   for ((at = $1; at < $2; at += 400)); do
     host=$((host % $3 + 1))
     echo "$at crash_request $host $at"
@@ -110,7 +114,7 @@
 # is begun ends a second or more before the callers do.
 make_plan() {
   local kinds=(kill term pause pause_relay cut_in cut_out refuse silence reset delay
-    upstream_kill upstream_pause upstream_hang upstream_fail upstream_cut upstream_reject
+    upstream_kill upstream_pause upstream_hang upstream_fail upstream_cut
     store_down store_slow store_loses store_pause rules)
   local latest=$(($1 * 1000 - 8500)) count=$(($1 / 2)) i at length host kind steps=""
   # Drawn in this shell: bash seeds RANDOM anew in each subshell.
