Logs tell on what the response to a pipelined request waits, and how a host ended

It now has the number of requests ahead of it, and a host that ends by itself records what was left in progress.

--- a/apps/kingcupstaird/daemon.cc
+++ b/apps/kingcupstaird/daemon.cc
@@ -4,6 +4,7 @@
 #include <thread>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "components/base/hash.h"
 #include "components/logging/log.h"
 
@@ -444,6 +445,12 @@
           this->caller_server.InFlight() > 0 || this->guard.InFlight() > 0)) {
     std::this_thread::sleep_for(kDrainPollInterval);
   }
+  this->recorder.Record(
+      {.kind = "host_stopped",
+       .zone = this->settings.zone,
+       .detail = absl::StrCat(
+           "requests without a response: ", this->caller_server.InFlight(),
+           ", runs: ", this->guard.InFlight())});
   // The RPC thread sends the responses to peers and needs some time for the
   // last of them after the guard has no request in flight.
   std::this_thread::sleep_for(kDrainPollInterval * 5);
--- a/components/http/message.h
+++ b/components/http/message.h
@@ -1,6 +1,7 @@
 #ifndef COMPONENTS_HTTP_MESSAGE_H_
 #define COMPONENTS_HTTP_MESSAGE_H_
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -32,6 +33,9 @@
   std::string target = "/";
   Headers headers;
   std::string body;
+  /// Of a received request: the number of earlier requests of its connection
+  /// that had no response when it was read. Its response waits for theirs.
+  size_t requests_ahead = 0;
 
   bool operator==(const Request&) const = default;
 };
--- a/components/http/server_connection.cc
+++ b/components/http/server_connection.cc
@@ -152,7 +152,8 @@
   Request request{.method = std::string(message.method_string()),
                   .target = std::string(message.target()),
                   .headers = FromBeast(message),
-                  .body = std::move(message.body())};
+                  .body = std::move(message.body()),
+                  .requests_ahead = this->queue.size() - 1};
   boost::fibers::fiber([self = this->shared_from_this(), pending,
                         request = std::move(request)] {
     pending->response = self->server->handler(request, pending->cancellation);
--- a/components/ingress/ingress.cc
+++ b/components/ingress/ingress.cc
@@ -269,6 +269,8 @@
   const bool served =
       ran != nullptr && ran->response.status < kFirstServerError;
   Fields fields = CommonFields(admitted, "answer");
+  fields.push_back({.name = "requests_ahead",
+                    .value = absl::StrCat(admitted.request.requests_ahead)});
   AddOutcomeFields(outcome, fields);
   logging::Write(served ? logging::Level::kInfo : logging::Level::kWarning,
                  served ? "a request was served" : "a request was not served",
