A stopping server takes no request behind one in progress

Reading went on for as long as the first had no response, since only an idle connection ended.

A stopping server closes a connection with its next response, so what comes behind it is left unread, and its caller sends it again elsewhere. AStoppingServerHandlesNoRequestBehindAnUnansweredOne failed before (2 handled instead of 1).

--- a/components/http/server_connection.cc
+++ b/components/http/server_connection.cc
@@ -133,14 +133,19 @@
 
 // Only safe requests (GET, HEAD) run concurrently on a connection: if a
 // response closes the connection, the client repeats the requests that it
-// sent after the one answered.
+// sent after the one answered. A server that stops closes the connection with
+// the next response, so it takes none behind a request in progress.
 void ServerConnection::WaitForPipelineSlot(beast::http::verb method) {
-  const size_t max_concurrent = IsSafe(method) ? kMaxPipelined : 1;
-  while (this->queue.size() >= max_concurrent && !this->sending_finished) {
+  while (!this->sending_finished &&
+         this->queue.size() >= this->MaxConcurrent(method)) {
     fibers::SleepFor(kPipelinePollInterval);
   }
 }
 
+size_t ServerConnection::MaxConcurrent(beast::http::verb method) const {
+  return IsSafe(method) && !this->server->stopping ? kMaxPipelined : 1;
+}
+
 bool ServerConnection::StartRequest(Parser& parser) {
   auto pending = std::make_shared<PendingResponse>();
   auto message = parser.release();
--- a/components/http/server_connection.h
+++ b/components/http/server_connection.h
@@ -55,6 +55,9 @@
 
   void WaitForPipelineSlot(boost::beast::http::verb method);
 
+  /// Returns how many requests may be in progress, one with `method` included.
+  size_t MaxConcurrent(boost::beast::http::verb method) const;
+
   bool StartRequest(Parser& parser);
 
   void Reject(int status);
--- a/tests/http/server_test.cc
+++ b/tests/http/server_test.cc
@@ -220,6 +220,20 @@
   LONGS_EQUAL(1, this->server.handled);
 }
 
+// A stopping host took requests behind one that hung, and was killed with their
+// responses.
+TEST(HttpServer, AStoppingServerHandlesNoRequestBehindAnUnansweredOne) {
+  const RawClient client(this->server.address);
+  client.Send(Get("/slow"));
+  usleep(50'000);
+  this->server.server.BeginShutdown();
+  client.Send(Get("/behind"));
+  const std::string text = client.ReadUntil("</behind>");
+  STRCMP_CONTAINS("Connection: close", text.c_str());
+  STRCMP_CONTAINS("</slow>", text.c_str());
+  LONGS_EQUAL(1, this->server.handled);
+}
+
 // A leaving host took requests on kept connections until its process ended, and
 // the last ones were cut.
 TEST(HttpServer, IdleConnectionsAreClosedWhenNoNewOnesAreAccepted) {
