A connection on which a request is being received is not idle

When a stopping host closed its port it ended connections without a request in progress, also those on which a request had arrived in part: the parser takes what has come out of the buffer that was looked at. The caller lost the upload. ARequestBeingReceivedIsHandledWhenNoNewOnesAreAccepted failed before.

--- a/components/http/server_connection.cc
+++ b/components/http/server_connection.cc
@@ -63,9 +63,11 @@
 void ServerConnection::EndIfIdle() {
   asio::post(this->stream.get_executor(), [self = this->shared_from_this()] {
     beast::error_code error;
-    const bool has_input =
-        self->buffer.size() > 0 || self->stream.socket().available(error) > 0;
-    if (self->queue.empty() && !has_input && !self->sending_finished) {
+    const bool is_receiving =
+        self->buffer.size() > 0 ||
+        (self->parser.has_value() && self->parser->got_some()) ||
+        self->stream.socket().available(error) > 0;
+    if (self->queue.empty() && !is_receiving && !self->sending_finished) {
       self->FinishSending();
     }
   });
@@ -89,7 +91,7 @@
     return ReaderStep::kDiscardInput;
   }
   const ServerLimits limits = this->server->Limits();
-  Parser parser;
+  Parser& parser = this->parser.emplace();
   this->buffer.max_size(static_cast<size_t>(limits.header_bytes) +
                         kMaxReadAhead);
   parser.header_limit(static_cast<uint32_t>(limits.header_bytes));
--- a/components/http/server_connection.h
+++ b/components/http/server_connection.h
@@ -3,6 +3,7 @@
 
 #include <deque>
 #include <memory>
+#include <optional>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -81,6 +82,8 @@
   boost::asio::steady_timer idle_timer;
   boost::asio::steady_timer write_timer;
   boost::beast::flat_buffer buffer;
+  /// Parser of the request that is received now or was received last.
+  std::optional<Parser> parser;
   std::deque<std::shared_ptr<PendingResponse>> queue;
   bool writing = false;
   bool last_response_reached = false;
--- a/tests/http/server_test.cc
+++ b/tests/http/server_test.cc
@@ -252,6 +252,18 @@
   LONGS_EQUAL(2, this->server.handled);
 }
 
+// A connection whose request was being received was closed as idle.
+TEST(HttpServer, ARequestBeingReceivedIsHandledWhenNoNewOnesAreAccepted) {
+  const RawClient client(this->server.address);
+  client.Send("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n12");
+  usleep(50'000);
+  this->server.server.BeginShutdown();
+  this->server.server.StopAccepting();
+  usleep(50'000);
+  client.Send("34");
+  STRCMP_CONTAINS("</a>", client.ReadUntil("</a>").c_str());
+}
+
 TEST(HttpServer, AnIdleConnectionIsClosedAndItsNextRequestIsNotHandled) {
   const RawClient client(this->server.address);
   client.Send(Get("/a"));
