A stopping host responds to all requests before it is killed

Waits were bounded by the time of the request, 12 s and more on the users' larger sites, and by 60 s for the drain; nothing knew of the grace. Whatever delayed a response, a hanging upstream, a queue, a result that did not come back, ended in the kill, and responses that were ready behind it on the connection were lost with it.

StopSchedule says once, at the first signal, until when connections are accepted, from when requests are refused as not run, when all that is in progress gets the response that is true without its result, and when the process ends. Requests, queues, the guard's runs for other hosts and the drain follow it. The grace is a setting; a site's bound replaces it.

--- a/apps/kingcupstaird/daemon.cc
+++ b/apps/kingcupstaird/daemon.cc
@@ -1,5 +1,6 @@
 #include "apps/kingcupstaird/daemon.h"
 
+#include <algorithm>
 #include <random>
 #include <thread>
 #include <utility>
@@ -23,7 +24,7 @@
 constexpr Duration kEjectionInterval{std::chrono::milliseconds(50)};
 constexpr Duration kPeerFetchInterval{std::chrono::milliseconds(20)};
 constexpr Duration kDrainPollInterval{std::chrono::milliseconds(20)};
-constexpr Duration kMaxDrainTime{std::chrono::seconds(60)};
+constexpr Duration kLastResultsTime{std::chrono::milliseconds(100)};
 /// Hosts that start together need some rounds of gossip to find each other.
 constexpr Duration kShareGatheringTime{std::chrono::milliseconds(2500)};
 constexpr int kRandomIncarnationBits = 16;
@@ -131,6 +132,7 @@
              this->registry,
              this->recorder),
       ingress({.isolated = [this] { return this->IsIsolated(); },
+               .stop = this->settings.stop,
                .permits = {.acquire =
                                [this](const std::string& organisation,
                                       const std::string& service) {
@@ -152,6 +154,7 @@
                      return probability;
                    }},
               this->config.snapshot(),
+              this->stop_schedule,
               this->registry,
               this->runner,
               this->crashes,
@@ -426,8 +429,12 @@
 
 // New work is directed to other hosts first, and the requests that run here
 // finish. The caller port closes last, once its accept queue is empty, so that
-// no connection is lost.
+// no connection is lost. Whoever stops this host kills it at the end of the
+// grace, so all that is in progress then gets a response before.
 void Daemon::Leave() {
+  const membership::StopSchedule schedule =
+      membership::MakeStopSchedule(this->settings.stop, MonotonicNow());
+  this->stop_schedule.Publish(schedule);
   this->recorder.Record({.kind = "host_leaving", .zone = this->settings.zone});
   this->leaving = true;
   this->guard.BeginDrain();
@@ -437,14 +444,11 @@
     this->loan_loop.Leave();
     this->gossip_loop.SpreadNow();
   });
-  std::this_thread::sleep_for(this->settings.leave_time);
+  std::this_thread::sleep_for(schedule.accept_until - MonotonicNow());
   this->caller_server.StopAccepting();
-  const Instant deadline = MonotonicNow() + kMaxDrainTime;
-  while (MonotonicNow() < deadline &&
-         (this->caller_server.ActiveAcceptLoops() > 0 ||
-          this->caller_server.InFlight() > 0 || this->guard.InFlight() > 0)) {
-    std::this_thread::sleep_for(kDrainPollInterval);
-  }
+  this->WaitUntilIdle(schedule.respond_by);
+  this->guard.EndRuns();
+  this->WaitUntilIdle(schedule.exit_by);
   this->recorder.Record(
       {.kind = "host_stopped",
        .zone = this->settings.zone,
@@ -453,7 +457,16 @@
            ", runs: ", this->guard.InFlight())});
   // The RPC thread sends the responses to peers and needs some time for the
   // last of them after the guard has no request in flight.
-  std::this_thread::sleep_for(kDrainPollInterval * 5);
+  std::this_thread::sleep_for(
+      std::min(kLastResultsTime, schedule.exit_by - MonotonicNow()));
+}
+
+void Daemon::WaitUntilIdle(Instant until) const {
+  while (MonotonicNow() < until &&
+         (this->caller_server.ActiveAcceptLoops() > 0 ||
+          this->caller_server.InFlight() > 0 || this->guard.InFlight() > 0)) {
+    std::this_thread::sleep_for(kDrainPollInterval);
+  }
 }
 
 }  // namespace kingcupstair
--- a/apps/kingcupstaird/daemon.h
+++ b/apps/kingcupstaird/daemon.h
@@ -59,12 +59,15 @@
   /// Fetches the configuration from a peer that has a higher revision.
   void FetchNewerConfiguration();
   bool IsIsolated() const;
+  /// Waits until no request and no run is in progress, at most until `until`.
+  void WaitUntilIdle(Instant until) const;
 
   DaemonSettings settings;
   site::SiteInterface interface;
   std::shared_ptr<const HeaderNames> header_names;
   uint64_t incarnation;
   std::atomic<bool> leaving{false};
+  Snapshot<membership::StopSchedule> stop_schedule;
   std::atomic<bool> stopping{false};
   std::atomic<int> loops_running{0};
 
--- a/apps/kingcupstaird/daemon_settings.cc
+++ b/apps/kingcupstaird/daemon_settings.cc
@@ -8,6 +8,8 @@
 constexpr size_t kMinFleetKeyLength = 16;
 constexpr int kMaxThreads = 64;
 constexpr int64_t kMaxLeaveMillis = 60'000;
+constexpr int64_t kMinStopGraceMillis = 100;
+constexpr int64_t kMaxStopGraceMillis = 600'000;
 /// Used fraction of the rate that the site tolerates at a cold upstream. The
 /// rest is a reserve for requests that a host short of processor time sends
 /// closer together than it started them.
@@ -83,7 +85,7 @@
              .set = settings::SetText(settings.site_interface)});
   flags.Add({.name = "site-bounds",
              .help = "bounds of the site in the form of its interface; they "
-                     "replace retry-ratio and retry-slack",
+                     "replace retry-ratio, retry-slack and stop-grace-ms",
              .set = settings::SetText(settings.site_bounds)});
   flags.Add({.name = "caller-service",
              .help = "service of the upstream on this host; sent to "
@@ -106,11 +108,17 @@
   flags.Add({.name = "watchers-per-zone",
              .help = "hosts of each availability zone that watch the store",
              .set = settings::SetInteger(settings.watchers_per_zone, 1, 100)});
+  flags.Add({.name = "leave-ms",
+             .help = "milliseconds for which a leaving host still accepts "
+                     "requests, 0 to 60000; half of stop-grace-ms at most",
+             .set = settings::SetMillis(settings.stop.accept_time, 0,
+                                        kMaxLeaveMillis)});
   flags.Add(
-      {.name = "leave-ms",
-       .help = "milliseconds for which a leaving host still accepts "
-               "requests, 0 to 60000",
-       .set = settings::SetMillis(settings.leave_time, 0, kMaxLeaveMillis)});
+      {.name = "stop-grace-ms",
+       .help = "milliseconds from SIGTERM until the platform kills the "
+               "process, 100 to 600000",
+       .set = settings::SetMillis(settings.stop.grace, kMinStopGraceMillis,
+                                  kMaxStopGraceMillis)});
   return flags;
 }
 
@@ -121,6 +129,7 @@
   retries.ratio = bounds.retry_ratio.value_or(retries.ratio);
   retries.slack = bounds.retry_slack.value_or(retries.slack);
   retries.window = bounds.retry_window.value_or(retries.window);
+  settings.stop.grace = bounds.stop_grace.value_or(settings.stop.grace);
   admission::RateLimitedWarmUp& warm_up = settings.warm_up;
   if (bounds.cold_rate_factor.has_value()) {
     warm_up.warm_factor = kUsedColdRate * *bounds.cold_rate_factor;
--- a/apps/kingcupstaird/daemon_settings.h
+++ b/apps/kingcupstaird/daemon_settings.h
@@ -6,6 +6,7 @@
 
 #include "components/admission/upstream_gate.h"
 #include "components/base/endpoint.h"
+#include "components/membership/stop_schedule.h"
 #include "components/retry/retry_budget.h"
 #include "components/settings/flag_set.h"
 #include "components/site/site_bounds.h"
@@ -49,9 +50,9 @@
   /// rate and burst, and a number of requests on top of the burst.
   double rate_tolerance = 0;
   double rate_slack = 0;
-  /// How long a leaving host still accepts callers' requests, which then run on
-  /// other hosts.
-  Duration leave_time{std::chrono::seconds(2)};
+  /// How long this host may take to stop. The requests that it still accepts
+  /// run on other hosts.
+  membership::StopSchedule::Options stop;
 };
 
 /// Replaces the settings for which the site sets bounds of its own.
--- a/apps/kingcupstaird/main.cc
+++ b/apps/kingcupstaird/main.cc
@@ -48,6 +48,8 @@
       logging::Level::kInfo, "serving",
       {{.name = "peer", .value = ToText(settings.peer_listen)},
        {.name = "zone", .value = settings.zone},
+       {.name = "stop_grace_ms",
+        .value = absl::StrCat(ToMillisRoundedUp(settings.stop.grace))},
        {.name = "retry_slack", .value = absl::StrCat(settings.retries.slack)},
        {.name = "warm_slack",
         .value = absl::StrCat(settings.warm_up.warm_slack)}});
--- a/components/guard/guard.cc
+++ b/components/guard/guard.cc
@@ -135,13 +135,15 @@
         accepted.ticket,
         {.idempotent = request.idempotent, .objective = request.objective},
         request.repeat_probability);
-    if (request.idempotent) {
-      this->cancellable[request.request_id] = cancellation;
-    }
+    this->running_calls[request.request_id] = {
+        .cancellation = cancellation, .idempotent = request.idempotent};
     target.endpoint = upstream.announcement.endpoint;
   }
-  const once::Outcome outcome =
-      CallUpstream(target, request, deadline, cancellation);
+  once::Outcome outcome = CallUpstream(target, request, deadline, cancellation);
+  if (this->runs_ended && std::holds_alternative<once::Unknown>(outcome)) {
+    outcome = once::Unknown{.detail = "the host of the upstream stopped",
+                            .cancelled = true};
+  }
   const bool crashed =
       BrokeConnection(outcome) && !AcceptsConnections(target.endpoint);
   return this->FinishRun(request, accepted.ticket, outcome, crashed);
@@ -173,9 +175,9 @@
     const std::lock_guard lock(this->mutex);
     this->ReleaseReservation(request_id, wakeups);
     this->ledger.Resolve(request_id, MonotonicNow());
-    const auto found = this->cancellable.find(request_id);
-    if (found != this->cancellable.end()) {
-      cancelled = found->second;
+    const auto found = this->running_calls.find(request_id);
+    if (found != this->running_calls.end() && found->second.idempotent) {
+      cancelled = found->second.cancellation;
     }
   }
   if (cancelled != nullptr) {
@@ -221,7 +223,7 @@
   const std::lock_guard lock(this->mutex);
   const Instant now = MonotonicNow();
   this->ledger.Finish(request.request_id, outcome, now);
-  this->cancellable.erase(request.request_id);
+  this->running_calls.erase(request.request_id);
   for (auto& [service, attribution] : this->call_attributions) {
     attribution.OnRunEnd(ticket);
   }
@@ -362,6 +364,20 @@
   this->Tick();
 }
 
+void Guard::EndRuns() {
+  this->runs_ended = true;
+  std::vector<CancellationPtr> calls;
+  {
+    const std::lock_guard lock(this->mutex);
+    for (const auto& [id, call] : this->running_calls) {
+      calls.push_back(call.cancellation);
+    }
+  }
+  for (const CancellationPtr& call : calls) {
+    call->Cancel();
+  }
+}
+
 std::vector<membership::UpstreamRecord> Guard::Upstreams() const {
   const std::lock_guard lock(this->mutex);
   const Instant now = MonotonicNow();
--- a/components/guard/guard.h
+++ b/components/guard/guard.h
@@ -50,6 +50,12 @@
   Instant expires_at;
 };
 
+/// A request that is running at an upstream.
+struct RunningCall {
+  CancellationPtr cancellation;
+  bool idempotent = false;
+};
+
 /// Result of accepting an attempt: the accepted run, or the final result if the
 /// attempt is refused.
 using AcceptAnswer = std::variant<AcceptedRun, rpc::RunResult>;
@@ -122,6 +128,10 @@
   /// Refuses all new requests from now on.
   void BeginDrain();
 
+  /// Ends all runs in progress with an unknown outcome. To be called shortly
+  /// before the process ends.
+  void EndRuns();
+
   /// Records a call that an upstream of `service` on this host makes, and
   /// returns the probability that a retry makes it.
   double AttributeCall(const std::string& service);
@@ -184,6 +194,7 @@
   events::Recorder& recorder;
   std::atomic<int> in_flight{0};
   std::atomic<bool> draining{false};
+  std::atomic<bool> runs_ended{false};
 
   mutable std::mutex mutex;
   std::map<std::string, GuardedUpstream> upstreams;
@@ -191,9 +202,8 @@
   once::KeyIndex keys;
   Waiters waiters;
   std::map<std::string, SlotReservation> reservations;
-  /// Cancellations of the idempotent requests that are running at an upstream,
-  /// by request id.
-  std::map<std::string, CancellationPtr> cancellable;
+  /// Requests that are running at an upstream, by request id.
+  std::map<std::string, RunningCall> running_calls;
   /// Times at which upstreams withdrew, by upstream id followed by incarnation.
   /// Announcements sent before the withdrawal may still arrive afterwards.
   std::map<std::string, Instant> withdrawn;
--- a/components/http/server_connection.cc
+++ b/components/http/server_connection.cc
@@ -9,6 +9,7 @@
 #include "components/fibers/await.h"
 #include "components/fibers/worker_pool.h"
 #include "components/http/beast_convert.h"
+#include "components/http/last_request_time.h"
 #include "components/http/request_check.h"
 
 namespace kingcupstair::http {
@@ -24,9 +25,6 @@
 /// a connection with unread input would reset it and could destroy that
 /// response.
 constexpr std::chrono::milliseconds kLingerTime{1000};
-/// How long a connection may be idle once no new ones are accepted: a request
-/// that was sent before then arrives in this time.
-constexpr std::chrono::milliseconds kLastRequestTime{200};
 /// Requests of one connection that are handled concurrently.
 constexpr size_t kMaxPipelined = 8;
 /// Bytes beyond a head that are buffered before they are parsed. The rest of a
@@ -286,10 +284,9 @@
   if (!this->queue.empty()) {
     return;
   }
-  this->idle_timer.expires_after(
-      this->server->accept_stopped
-          ? std::min<Duration>(idle_time, kLastRequestTime)
-          : idle_time);
+  this->idle_timer.expires_after(this->server->accept_stopped
+                                     ? std::min(idle_time, kLastRequestTime)
+                                     : idle_time);
   this->idle_timer.async_wait(
       [weak = this->weak_from_this()](beast::error_code ec) {
         const auto self = weak.lock();
--- a/components/ingress/ingress.cc
+++ b/components/ingress/ingress.cc
@@ -23,18 +23,22 @@
 /// Retry-After of a host that is not in service. A host that has just started
 /// receives its configuration within seconds.
 constexpr Duration kNotInServiceRetryAfter{std::chrono::seconds(1)};
+/// Retry-After of a host that stops. Other hosts can serve the request now.
+constexpr Duration kStoppingRetryAfter{std::chrono::milliseconds(60)};
 constexpr int64_t kMaxDeadlineMillis = 600'000;
 
 }  // namespace
 
 Ingress::Ingress(Options options,
                  const Snapshot<config::Configuration>& configuration,
+                 const Snapshot<membership::StopSchedule>& stop_schedule,
                  UpstreamRegistry& registry,
                  AttemptRunner& runner,
                  guard::SharedCrashLedger& crashes,
                  events::Recorder& recorder)
     : options(std::move(options)),
       configuration(configuration),
+      stop_schedule(stop_schedule),
       registry(registry),
       runner(runner),
       crashes(crashes),
@@ -93,11 +97,14 @@
 
 std::optional<Problem> Ingress::CheckInService(
     const config::Configuration& current) {
-  const auto refuse = [](const char* reason) {
-    return Problem{.status = kUnavailable,
-                   .reason = reason,
-                   .retry_after = kNotInServiceRetryAfter};
+  const auto refuse = [](const char* reason,
+                         Duration retry_after = kNotInServiceRetryAfter) {
+    return Problem{
+        .status = kUnavailable, .reason = reason, .retry_after = retry_after};
   };
+  if (MonotonicNow() >= this->stop_schedule.Read()->refuse_from) {
+    return refuse("host_stopping", kStoppingRetryAfter);
+  }
   if (current.revision() == 0) {
     return refuse("no_configuration_yet");
   }
@@ -245,7 +252,9 @@
                        const once::Outcome& outcome) {
              LogAttemptFailure(admitted, step, choice, outcome);
            },
-       .caller_service = this->options.caller_service},
+       .caller_service = this->options.caller_service,
+       .respond_by = [this] { return this->stop_schedule.Read()->respond_by; },
+       .max_wait = membership::TimeToRespond(this->options.stop)},
       admitted);
   const auto outcome = run.Execute();
   if (!outcome.has_value()) {
--- a/components/ingress/ingress.h
+++ b/components/ingress/ingress.h
@@ -17,6 +17,7 @@
 #include "components/ingress/caller_response.h"
 #include "components/ingress/fleet_board.h"
 #include "components/ingress/permit_client.h"
+#include "components/membership/stop_schedule.h"
 
 namespace kingcupstair::ingress {
 
@@ -28,6 +29,8 @@
   struct Options {
     /// Returns true while this host is isolated and must refuse new requests.
     std::function<bool()> isolated;
+    /// How long this host may take to stop.
+    membership::StopSchedule::Options stop;
     PermitClient::Options permits;
     std::shared_ptr<const HeaderNames> header_names =
         std::make_shared<const HeaderNames>();
@@ -41,6 +44,7 @@
 
   Ingress(Options options,
           const Snapshot<config::Configuration>& configuration,
+          const Snapshot<membership::StopSchedule>& stop_schedule,
           UpstreamRegistry& registry,
           AttemptRunner& runner,
           guard::SharedCrashLedger& crashes,
@@ -79,6 +83,7 @@
 
   Options options;
   const Snapshot<config::Configuration>& configuration;
+  const Snapshot<membership::StopSchedule>& stop_schedule;
   UpstreamRegistry& registry;
   AttemptRunner& runner;
   guard::SharedCrashLedger& crashes;
--- a/components/ingress/request_run.cc
+++ b/components/ingress/request_run.cc
@@ -86,8 +86,8 @@
       this->CancelAttempts();
       return std::nullopt;
     }
-    if (now >= this->admitted.deadline) {
-      this->MarkAttemptsUnknown("no answer before the deadline");
+    if (now >= this->Deadline()) {
+      this->EndAtDeadline();
       break;
     }
     if (this->IsHedgeDue(now)) {
@@ -103,6 +103,17 @@
   return this->last_outcome;
 }
 
+// The caller may send the request again elsewhere after the response of a host
+// that stops, so work on it is no longer needed.
+void RequestRun::EndAtDeadline() {
+  if (MonotonicNow() >= this->admitted.deadline) {
+    this->MarkAttemptsUnknown("no answer before the deadline");
+    return;
+  }
+  this->MarkAttemptsUnknown("no answer before this host stopped");
+  this->CancelAttempts();
+}
+
 void RequestRun::Hedge() {
   this->hedged = this->StartRetry(/*may_wait=*/false);
   this->next_hedge_at = MonotonicNow() + kHedgeRetryInterval;
@@ -172,7 +183,7 @@
 }
 
 Instant RequestRun::NextWakeTime(Instant now) const {
-  return std::min(this->admitted.deadline, now + kCallerCheckInterval);
+  return std::min(this->Deadline(), now + kCallerCheckInterval);
 }
 
 bool RequestRun::WaitForResult(Instant until) {
@@ -221,7 +232,7 @@
   this->next_attempt_id = RandomId();
   SlotSearch search({.may_wait = may_wait, .may_use_unhealthy = may_wait});
   while (!this->admitted.caller->IsCancelled() &&
-         MonotonicNow() < this->admitted.deadline) {
+         MonotonicNow() < this->Deadline()) {
     const SlotStep step = search.Next();
     if (step.kind == SlotStep::Kind::kGiveUp) {
       break;
@@ -310,14 +321,13 @@
 // remaining time, and so end late. If it were refused earlier, the request that
 // it is part of would fail, and the work done for that request would be lost.
 Duration RequestRun::MaxQueueWait() const {
-  if (this->admitted.route.internal) {
-    return std::max(this->RemainingTime() - this->admitted.route.objective,
-                    kMinQueueWait);
-  }
   const Instant latest =
-      this->admitted.arrived +
-      FractionOf(this->admitted.route.objective, kQueueWaitFraction);
-  return std::max(latest - MonotonicNow(), kMinQueueWait);
+      this->admitted.route.internal
+          ? this->Deadline() - this->admitted.route.objective
+          : this->admitted.arrived +
+                FractionOf(this->admitted.route.objective, kQueueWaitFraction);
+  return std::min(std::max(latest - MonotonicNow(), kMinQueueWait),
+                  this->context.max_wait);
 }
 
 void RequestRun::MarkAttemptsUnknown(const char* reason) {
@@ -357,7 +367,11 @@
 }
 
 Duration RequestRun::RemainingTime() const {
-  return this->admitted.deadline - MonotonicNow();
+  return this->Deadline() - MonotonicNow();
+}
+
+Instant RequestRun::Deadline() const {
+  return std::min(this->admitted.deadline, this->context.respond_by());
 }
 
 }  // namespace kingcupstair::ingress
--- a/components/ingress/request_run.h
+++ b/components/ingress/request_run.h
@@ -43,6 +43,10 @@
                        const once::Outcome& outcome)>
         log_attempt_end;
     std::string caller_service;
+    /// Returns the time by which this host responds to all its requests.
+    std::function<Instant()> respond_by;
+    /// Longest wait that can't be interrupted.
+    Duration max_wait;
   };
 
   RequestRun(Context context, const AdmittedRequest& admitted);
@@ -84,6 +88,10 @@
   bool IsHedgeDue(Instant now) const;
   Instant NextWakeTime(Instant now) const;
   void CancelAttempts();
+  /// Returns the time by which the request has its response.
+  Instant Deadline() const;
+  /// Ends the request at its deadline.
+  void EndAtDeadline();
   /// Sets the outcome to unknown, with `reason`, if attempts still run.
   void MarkAttemptsUnknown(const char* reason);
   once::RunRequest MakeRunRequest(const ChosenUpstream& choice) const;
--- a/components/site/site_bounds.h
+++ b/components/site/site_bounds.h
@@ -15,6 +15,8 @@
   std::optional<double> retry_slack;
   /// Time over which retries are counted.
   std::optional<Duration> retry_window;
+  /// Time from the signal to stop until a host is killed.
+  std::optional<Duration> stop_grace;
   /// Requests a second that a cold upstream bears, as a multiple of the rate of
   /// its warm-up and a number on top.
   std::optional<double> cold_rate_factor;
--- a/tests/platform/site_bounds_test.cc
+++ b/tests/platform/site_bounds_test.cc
@@ -9,12 +9,14 @@
 
 TEST(SiteBounds, KnownBoundsAreReadAndOthersIgnored) {
   const auto bounds = ReadSiteBounds(
-      "seedLag=3s,strictRevoke=false,retryBudgetRatio=0.1,retryWindow=10s,"
+      "seedLag=3s,grace=6s,strictRevoke=false,retryBudgetRatio=0.1,retryWindow="
+      "10s,"
       "budgetSlack=630,coldOver=1.5,coldSlack=10,new=1=2,empty");
   CHECK(bounds.ok());
   CHECK(*bounds == (site::SiteBounds{.retry_ratio = 0.1,
                                      .retry_slack = 630,
                                      .retry_window = std::chrono::seconds(10),
+                                     .stop_grace = std::chrono::seconds(6),
                                      .cold_rate_factor = 1.5,
                                      .cold_rate_slack = 10}));
 }
@@ -23,12 +25,13 @@
 // them was known, and the fleet kept to bounds of its own.
 TEST(SiteBounds, ATableIsReadLikeAList) {
   const auto bounds = ReadSiteBounds(
-      R"({"seedLag":"3s","strictRevoke":false,"retryBudgetRatio":0.1,)"
+      R"({"seedLag":"3s","grace":"6s","strictRevoke":false,"retryBudgetRatio":0.1,)"
       R"("retryWindow":"10s","budgetSlack":630,"coldOver":1.5,"coldSlack":10})");
   CHECK(bounds.ok());
   CHECK(*bounds == (site::SiteBounds{.retry_ratio = 0.1,
                                      .retry_slack = 630,
                                      .retry_window = std::chrono::seconds(10),
+                                     .stop_grace = std::chrono::seconds(6),
                                      .cold_rate_factor = 1.5,
                                      .cold_rate_slack = 10}));
 }
@@ -40,7 +43,8 @@
 TEST(SiteBounds, AnInvalidValueOfAKnownBoundIsAnError) {
   for (const char* text :
        {"budgetSlack=many", "retryBudgetRatio=-1", "retryWindow=10",
-        "coldOver=fast", "coldSlack=-1", "{", R"({"retryWindow":10})"}) {
+        "coldOver=fast", "coldSlack=-1", "grace=0s", "grace=6", "{",
+        R"({"retryWindow":10})"}) {
     CHECK_FALSE(ReadSiteBounds(text).ok());
   }
 }
