A stopping host hedges while the second attempt can still end

On a stopping host the hedge is due early enough to leave the same time for the second attempt as the delay is, but not before a quarter of the objective. AStoppingHostHedgesWhileTheSecondAttemptCanEnd fails with the former delay.

--- a/components/ingress/request_run.cc
+++ b/components/ingress/request_run.cc
@@ -11,6 +11,7 @@
 #include "components/fibers/await.h"
 #include "components/fibers/worker_pool.h"
 #include "components/ingress/slot_search.h"
+#include "components/retry/hedge_time.h"
 
 namespace kingcupstair::ingress {
 namespace {
@@ -19,9 +20,6 @@
 /// disconnected. Work for a caller that left more than 500 ms ago counts as
 /// waste, and the interval is well below that.
 constexpr Duration kCallerCheckInterval{std::chrono::milliseconds(100)};
-/// Hedging delay as a fraction of the latency objective. A second upstream can
-/// still respond within the rest of the objective.
-constexpr double kHedgingDelayFraction = 0.55;
 /// Interval between two tries to hedge when there is no retry token or no slot.
 /// Other requests earn the tokens; at the usual load that takes some tenths of
 /// a second.
@@ -178,8 +176,9 @@
       this->attempts >= this->admitted.route.attempts) {
     return false;
   }
-  return now - this->running.begin()->second.started >=
-         FractionOf(this->admitted.route.objective, kHedgingDelayFraction);
+  return now >= retry::HedgeTime(this->running.begin()->second.started,
+                                 this->admitted.route.objective,
+                                 this->context.respond_by());
 }
 
 Instant RequestRun::NextWakeTime(Instant now) const {
