No wait of a request outlasts the host that it waits on

A review of the stop schedule found waits that it did not bound: a request that waits for a permit while the pools move (1.5 s), one that asks a silent host for a slot (0.3 s past the last responses), and with a grace under 0.6 s requests were taken after the last responses. Waits in a queue were bounded by the grace on all hosts, also on those that don't stop, where an internal request was refused early.

A wait in a queue now ends when its request does; a slot that is granted later is released. Permits and calls for slots keep to the deadline.

--- a/apps/kingcupstaird/daemon.cc
+++ b/apps/kingcupstaird/daemon.cc
@@ -132,7 +132,6 @@
              this->registry,
              this->recorder),
       ingress({.isolated = [this] { return this->IsIsolated(); },
-               .stop = this->settings.stop,
                .permits = {.acquire =
                                [this](const std::string& organisation,
                                       const std::string& service) {
@@ -142,6 +141,10 @@
                            .try_retry =
                                [this](const rpc::RetryTokenRequest& call) {
                                  return this->permits.TryRetry(call);
+                               },
+                           .respond_by =
+                               [this] {
+                                 return this->stop_schedule.Read()->respond_by;
                                }},
                .header_names = this->header_names,
                .caller_service = this->settings.caller_service,
--- a/components/ingress/attempt_runner.cc
+++ b/components/ingress/attempt_runner.cc
@@ -38,8 +38,9 @@
   if (choice.host == this->options.own_host) {
     answer = this->guard.Reserve(request);
   } else {
-    const auto reply = this->peers.Reserve(choice.host, request,
-                                           request.max_wait + kAcceptTimeout);
+    const auto reply = this->peers.Reserve(
+        choice.host, request,
+        std::min(request.max_wait + kAcceptTimeout, request.remaining_time));
     if (!reply.ok()) {
       this->RecordPathLost(choice.host);
       return {.refusal = {.reason = once::RefusalReason::kConnectFailed}};
--- a/components/ingress/ingress.cc
+++ b/components/ingress/ingress.cc
@@ -253,8 +253,7 @@
              LogAttemptFailure(admitted, step, choice, outcome);
            },
        .caller_service = this->options.caller_service,
-       .respond_by = [this] { return this->stop_schedule.Read()->respond_by; },
-       .max_wait = membership::TimeToRespond(this->options.stop)},
+       .respond_by = [this] { return this->stop_schedule.Read()->respond_by; }},
       admitted);
   const auto outcome = run.Execute();
   if (!outcome.has_value()) {
--- a/components/ingress/ingress.h
+++ b/components/ingress/ingress.h
@@ -29,8 +29,6 @@
   struct Options {
     /// Returns true while this host is isolated and must refuse new requests.
     std::function<bool()> isolated;
-    /// How long this host may take to stop.
-    membership::StopSchedule::Options stop;
     PermitClient::Options permits;
     std::shared_ptr<const HeaderNames> header_names =
         std::make_shared<const HeaderNames>();
--- a/components/ingress/permit_client.cc
+++ b/components/ingress/permit_client.cc
@@ -49,7 +49,8 @@
     grant.granted = 0;
     ++wait.failed_permit_requests;
     const auto delay = this->DelayBeforeNextAsk(admitted, grant, wait);
-    if (!delay.has_value() || admitted.caller->IsCancelled()) {
+    if (!delay.has_value() || admitted.caller->IsCancelled() ||
+        MonotonicNow() + *delay >= this->options.respond_by()) {
       break;
     }
     fibers::SleepFor(*delay);
--- a/components/ingress/permit_client.h
+++ b/components/ingress/permit_client.h
@@ -27,6 +27,8 @@
         acquire;
     /// Takes a retry token. Returns false if the retry budget is used up.
     std::function<bool(const rpc::RetryTokenRequest& call)> try_retry;
+    /// Returns the time by which this host responds to all its requests.
+    std::function<Instant()> respond_by = [] { return Instant::max(); };
   };
 
   explicit PermitClient(Options options);
--- a/components/ingress/request_run.cc
+++ b/components/ingress/request_run.cc
@@ -67,6 +67,16 @@
   std::deque<EndedAttempt> ended;
 };
 
+/// A request for a slot that waits in a queue. Shared, since it may outlive its
+/// request. All fibers that use it run on one thread.
+struct RequestRun::QueueWait {
+  QueueWait() : timer(*fibers::CurrentIoContext()) {}
+
+  boost::asio::steady_timer timer;
+  std::optional<rpc::SlotAnswer> answer;
+  bool abandoned = false;
+};
+
 RequestRun::RequestRun(Context context, const AdmittedRequest& admitted)
     : context(std::move(context)),
       admitted(admitted),
@@ -187,16 +197,19 @@
 
 bool RequestRun::WaitForResult(Instant until) {
   if (this->results->ended.empty()) {
-    this->results->timer.expires_after(
-        std::max(until - MonotonicNow(), Duration(1)));
-    fibers::Await([&](auto handler) {
-      this->results->timer.async_wait(
-          [handler](boost::system::error_code ec) mutable { handler(ec); });
-    });
+    WaitOnTimer(this->results->timer, until);
   }
   return !this->results->ended.empty();
 }
 
+void RequestRun::WaitOnTimer(boost::asio::steady_timer& timer, Instant until) {
+  timer.expires_after(std::max(until - MonotonicNow(), Duration(1)));
+  fibers::Await([&](auto handler) {
+    timer.async_wait(
+        [handler](boost::system::error_code ec) mutable { handler(ec); });
+  });
+}
+
 // Evidence that the request crashes upstreams may have come since the request
 // was admitted.
 bool RequestRun::StartAttempt(bool may_wait) {
@@ -256,24 +269,26 @@
     return std::nullopt;
   }
   const bool waits = step.kind == SlotStep::Kind::kQueue;
-  const rpc::SlotAnswer answer = this->context.runner.Reserve(
-      *choice,
-      {.request_id = this->next_attempt_id,
-       .incarnation = choice->incarnation,
-       .organisation = this->admitted.organisation,
-       .upstream = choice->upstream,
-       .priority = this->admitted.priority,
-       .internal = this->admitted.route.internal,
-       .non_retryable = this->IsNonRetryable(),
-       .accept_unhealthy = step.kind == SlotStep::Kind::kLastResort ||
-                           step.kind == SlotStep::Kind::kTryDoubtful,
-       .objective = this->admitted.route.objective,
-       .max_in_flight = step.kind == SlotStep::Kind::kTryIdle
-                            ? this->context.registry.HalfMeanInFlight(
-                                  this->admitted.service, MonotonicNow())
-                            : once::kUnlimitedInFlight,
-       .max_wait = waits ? this->MaxQueueWait() : Duration{},
-       .remaining_time = this->RemainingTime()});
+  const once::SlotRequest request{
+      .request_id = this->next_attempt_id,
+      .incarnation = choice->incarnation,
+      .organisation = this->admitted.organisation,
+      .upstream = choice->upstream,
+      .priority = this->admitted.priority,
+      .internal = this->admitted.route.internal,
+      .non_retryable = this->IsNonRetryable(),
+      .accept_unhealthy = step.kind == SlotStep::Kind::kLastResort ||
+                          step.kind == SlotStep::Kind::kTryDoubtful,
+      .objective = this->admitted.route.objective,
+      .max_in_flight = step.kind == SlotStep::Kind::kTryIdle
+                           ? this->context.registry.HalfMeanInFlight(
+                                 this->admitted.service, MonotonicNow())
+                           : once::kUnlimitedInFlight,
+      .max_wait = waits ? this->MaxQueueWait() : Duration{},
+      .remaining_time = this->RemainingTime()};
+  const rpc::SlotAnswer answer =
+      waits ? this->WaitInQueue(*choice, request)
+            : this->context.runner.Reserve(*choice, request);
   if (answer.granted) {
     this->context.log_attempt_start(this->next_attempt_id, *choice, answer);
     return choice;
@@ -285,6 +300,29 @@
   return std::nullopt;
 }
 
+// The host may be told to stop, or the caller may disconnect, while the request
+// is in the queue. The slot is then released when it is granted.
+rpc::SlotAnswer RequestRun::WaitInQueue(const ChosenUpstream& choice,
+                                        const once::SlotRequest& request) {
+  const auto wait = std::make_shared<QueueWait>();
+  boost::fibers::fiber([wait, &runner = this->context.runner, choice, request] {
+    wait->answer = runner.Reserve(choice, request);
+    if (wait->abandoned && wait->answer->granted) {
+      runner.Cancel(choice, request.request_id);
+    }
+    wait->timer.cancel();
+  }).detach();
+  while (!wait->answer.has_value() && MonotonicNow() < this->Deadline() &&
+         !this->admitted.caller->IsCancelled()) {
+    WaitOnTimer(wait->timer, this->NextWakeTime(MonotonicNow()));
+  }
+  if (wait->answer.has_value()) {
+    return *wait->answer;
+  }
+  wait->abandoned = true;
+  return {.refusal = {.reason = once::RefusalReason::kQueueTimeout}};
+}
+
 std::optional<ChosenUpstream> RequestRun::ChooseUpstream(
     const SlotStep& step,
     const SlotSearch& search) {
@@ -325,8 +363,7 @@
           ? this->Deadline() - this->admitted.route.objective
           : this->admitted.arrived +
                 FractionOf(this->admitted.route.objective, kQueueWaitFraction);
-  return std::min(std::max(latest - MonotonicNow(), kMinQueueWait),
-                  this->context.max_wait);
+  return std::max(latest - MonotonicNow(), kMinQueueWait);
 }
 
 void RequestRun::MarkAttemptsUnknown(const char* reason) {
--- a/components/ingress/request_run.h
+++ b/components/ingress/request_run.h
@@ -8,6 +8,8 @@
 #include <set>
 #include <string>
 
+#include <boost/asio/steady_timer.hpp>
+
 #include "components/ingress/admitted_request.h"
 #include "components/ingress/attempt_runner.h"
 #include "components/ingress/fleet_board.h"
@@ -45,8 +47,6 @@
     std::string caller_service;
     /// Returns the time by which this host responds to all its requests.
     std::function<Instant()> respond_by;
-    /// Longest wait that can't be interrupted.
-    Duration max_wait;
   };
 
   RequestRun(Context context, const AdmittedRequest& admitted);
@@ -61,12 +61,17 @@
     Instant started;
   };
   struct Results;
+  struct QueueWait;
 
   std::optional<ChosenUpstream> FindSlot(bool may_wait);
   std::optional<ChosenUpstream> RequestSlot(const SlotStep& step,
                                             SlotSearch& search);
   std::optional<ChosenUpstream> ChooseUpstream(const SlotStep& step,
                                                const SlotSearch& search);
+  /// Requests a slot and waits for the answer, at most until the deadline and
+  /// while the caller is there.
+  rpc::SlotAnswer WaitInQueue(const ChosenUpstream& choice,
+                              const once::SlotRequest& request);
   /// Returns true if the next attempt can't be repeated, or is a repeat itself.
   bool IsNonRetryable() const;
   /// Returns how long the request may wait in the queue of an upstream.
@@ -76,6 +81,8 @@
   /// Waits for the end of an attempt, at most until `until`. Returns true if
   /// there is a result.
   bool WaitForResult(Instant until);
+  /// Waits until `timer` is cancelled, at most until `until`.
+  static void WaitOnTimer(boost::asio::steady_timer& timer, Instant until);
   /// Handles the result of one attempt. Returns true if its outcome is final.
   bool HandleResult();
   /// Starts another attempt if the retry policy allows it after `outcome`.
--- a/components/membership/stop_schedule.cc
+++ b/components/membership/stop_schedule.cc
@@ -26,14 +26,13 @@
       now + std::min(options.accept_time, options.grace / 2);
   const Instant killed_at = now + options.grace;
   const Duration response_time = ResponseTime(options);
+  const Instant respond_by = killed_at - response_time;
   return {.accept_until = accept_until,
-          .refuse_from = accept_until + http::kLastRequestTime,
-          .respond_by = killed_at - response_time,
+          .refuse_from =
+              accept_until +
+              std::min(http::kLastRequestTime, (respond_by - accept_until) / 2),
+          .respond_by = respond_by,
           .exit_by = killed_at - response_time / kExitReserveDivisor};
 }
 
-Duration TimeToRespond(const StopSchedule::Options& options) {
-  return options.grace - ResponseTime(options);
-}
-
 }  // namespace kingcupstair::membership
--- a/components/membership/stop_schedule.h
+++ b/components/membership/stop_schedule.h
@@ -36,10 +36,6 @@
 StopSchedule MakeStopSchedule(const StopSchedule::Options& options,
                               Instant now);
 
-/// Returns the time from the signal to stop to `respond_by`. A wait that can't
-/// be interrupted must be no longer, since the signal may come as it begins.
-Duration TimeToRespond(const StopSchedule::Options& options);
-
 }  // namespace kingcupstair::membership
 
 #endif  // COMPONENTS_MEMBERSHIP_STOP_SCHEDULE_H_
--- a/tests/membership/stop_schedule_test.cc
+++ b/tests/membership/stop_schedule_test.cc
@@ -20,11 +20,19 @@
       CHECK(schedule.accept_until < schedule.refuse_from);
       CHECK(schedule.respond_by < schedule.exit_by);
       CHECK(schedule.exit_by < At(grace));
-      CHECK(schedule.respond_by == At(0) + TimeToRespond(options));
     }
   }
 }
 
+// None is passed on later than its upstream can be waited for.
+TEST(StopSchedule, RequestsAreRefusedBeforeTheLastResponses) {
+  for (const int64_t grace : {100, 400, 500, 600, 1'000, 2'000, 6'000}) {
+    const StopSchedule schedule =
+        MakeStopSchedule({.grace = Millis(grace)}, At(0));
+    CHECK(schedule.refuse_from < schedule.respond_by);
+  }
+}
+
 TEST(StopSchedule, AnUpstreamAtWorkGetsMostOfTheGrace) {
   const StopSchedule schedule =
       MakeStopSchedule({.grace = Millis(6'000)}, At(0));
