A host without a request in progress may still receive one

A host that stops ended as soon as nothing was in progress after its port had closed. A request that was just being received was complete a moment later, was passed on, and was lost with the process. The host now stays until requests are refused. last_upload_test failed before.

--- a/apps/kingcupstaird/daemon.cc
+++ b/apps/kingcupstaird/daemon.cc
@@ -449,6 +449,8 @@
   });
   std::this_thread::sleep_for(schedule.accept_until - MonotonicNow());
   this->caller_server.StopAccepting();
+  // Until then, a connection without a request in progress may receive one.
+  std::this_thread::sleep_for(schedule.refuse_from - MonotonicNow());
   this->WaitUntilIdle(schedule.respond_by);
   this->guard.EndRuns();
   this->WaitUntilIdle(schedule.exit_by);
