A departed upstream stays departed over a restart of its host

Peers keep departures of an earlier incarnation for a minute after its successor's first record.

Departures travel as entries without a service among the record's upstreams, so the wire has no new fields; an older host files them under a service that no route names. Draining is final for a start of an upstream, where an announcement without sequence could take it back before.

--- a/apps/kingcupstaird/admin_pages.cc
+++ b/apps/kingcupstaird/admin_pages.cc
@@ -81,10 +81,13 @@
     return http::JsonResponse(kBadRequest,
                               nlohmann::json{{"error", text}}.dump() + "\n");
   }
-  if (const auto* departure = std::get_if<site::Departure>(&*call)) {
-    this->guard.Withdraw(departure->id);
-  } else {
-    this->guard.Announce(std::get<guard::Announcement>(*call));
+  const auto* departure = std::get_if<site::Departure>(&*call);
+  const bool departs =
+      departure != nullptr
+          ? this->guard.Withdraw(departure->id)
+          : this->guard.Announce(std::get<guard::Announcement>(*call));
+  if (departs) {
+    this->fleet.secure_departure();
   }
   return http::JsonResponse(kOk, "{}\n");
 }
--- a/apps/kingcupstaird/daemon.cc
+++ b/apps/kingcupstaird/daemon.cc
@@ -105,12 +105,22 @@
               [this] {
                 this->workers.Spawn([this] { this->gossip_loop.SpreadNow(); });
               },
+          .secure_departure =
+              [this] {
+                this->directory.PublishOwn(this->OwnRecord());
+                this->departures.InformWitnesses();
+              },
           .on_reached =
               [this](const std::string& host) {
                 this->registry.OnPathReached(host);
               }},
       config_loop(this->fleet),
       gossip_loop(this->fleet, this->incarnation),
+      departures(this->fleet,
+                 this->gossip_loop,
+                 [this](const std::vector<std::string>& departures) {
+                   this->guard.LearnDepartures(departures);
+                 }),
       loan_loop(this->fleet),
       share_loop(this->fleet),
       host_loop(this->fleet, this->gossip_loop),
@@ -119,6 +129,7 @@
              .warm_up = this->settings.warm_up,
              .incarnation = [this] { return this->directory.OwnIncarnation(); },
              .isolated = [this] { return this->IsIsolated(); },
+             .departures_known = [this] { return this->departures.Known(); },
              .header_names = this->header_names},
             this->config.snapshot(),
             this->crashes,
@@ -231,6 +242,7 @@
 void Daemon::StartLoops() {
   this->SpawnLoop([this] { this->config_loop.Step(); });
   this->SpawnLoop([this] { this->gossip_loop.Step(); });
+  this->SpawnLoop([this] { this->departures.Step(); });
   this->SpawnLoop([this] { this->loan_loop.Step(); });
   this->SpawnLoop([this] { this->share_loop.Step(); });
   if (this->interface.hosts_in_store) {
@@ -267,6 +279,7 @@
   record.leaving = this->leaving;
   record.pools = this->loan_loop.EstablishedPools();
   record.upstreams = this->guard.Upstreams();
+  record.departures = this->guard.KnownDepartures();
   return record;
 }
 
--- a/apps/kingcupstaird/daemon.h
+++ b/apps/kingcupstaird/daemon.h
@@ -10,6 +10,7 @@
 #include "apps/kingcupstaird/daemon_settings.h"
 #include "components/control/config_keeper.h"
 #include "components/control/config_loop.h"
+#include "components/control/departure_loop.h"
 #include "components/control/directory_keeper.h"
 #include "components/control/fleet.h"
 #include "components/control/gossip_loop.h"
@@ -81,6 +82,7 @@
   control::Fleet fleet;
   control::ConfigLoop config_loop;
   control::GossipLoop gossip_loop;
+  control::DepartureLoop departures;
   control::LoanLoop loan_loop;
   control::ShareLoop share_loop;
   control::HostLoop host_loop;
--- a/components/control/fleet.h
+++ b/components/control/fleet.h
@@ -54,6 +54,9 @@
   Duration share_gathering_time{};
   /// Sends pending updates to a few peers at once instead of at the next probe.
   std::function<void()> spread_updates;
+  /// Called after an upstream has said that it leaves, before that is
+  /// acknowledged. Suspends the calling fiber.
+  std::function<void()> secure_departure;
   /// Called when a peer has responded to a probe from this host.
   std::function<void(const std::string& host)> on_reached;
 };
--- a/components/control/gossip_loop.cc
+++ b/components/control/gossip_loop.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "components/base/hash.h"
 #include "components/fibers/worker_pool.h"
 #include "components/once/rumor_selection.h"
 
@@ -182,6 +183,13 @@
   }
 }
 
+bool GossipLoop::SendOwnRecord(const std::string& host, Duration timeout) {
+  rpc::GossipMessage message = this->MakeMessage();
+  message.updates =
+      this->fleet.directory.FindByHash({StableHash(this->fleet.settings.host)});
+  return this->fleet.peers.Gossip(host, message, timeout).ok();
+}
+
 bool GossipLoop::CanReach(const std::string& host) {
   return this->fleet.peers.Gossip(host, this->MakeMessage(), kProbeTimeout)
       .ok();
--- a/components/control/gossip_loop.h
+++ b/components/control/gossip_loop.h
@@ -35,6 +35,9 @@
   /// known here yet.
   void ContactNewHost(const std::string& host);
 
+  /// Sends the record of this host to `host`. Returns true if `host` has it.
+  bool SendOwnRecord(const std::string& host, Duration timeout);
+
   /// Returns true if `host` responds to a probe from this host.
   bool CanReach(const std::string& host);
 
--- a/components/guard/guard.cc
+++ b/components/guard/guard.cc
@@ -12,8 +12,6 @@
 namespace {
 
 constexpr Duration kEarlierAttemptPollInterval{std::chrono::milliseconds(20)};
-/// Longer than an announcement can be delayed on its way.
-constexpr Duration kWithdrawnRetention{std::chrono::seconds(60)};
 
 }  // namespace
 
@@ -92,7 +90,8 @@
     return once::RefusalReason::kIsolated;
   }
   const auto found = this->upstreams.find(upstream);
-  if (found == this->upstreams.end() || found->second.unreachable) {
+  if (found == this->upstreams.end() || found->second.unreachable ||
+      !this->options.departures_known()) {
     return once::RefusalReason::kUpstreamGone;
   }
   if (this->IsWithdrawn(found->second)) {
@@ -325,9 +324,7 @@
   const Instant now = MonotonicNow();
   this->ledger.Expire(now);
   this->ExpireReservations(now, wakeups);
-  std::erase_if(this->withdrawn, [&](const auto& entry) {
-    return now - entry.second > kWithdrawnRetention;
-  });
+  this->departures.Expire(now);
   const bool refuse_all = this->draining || this->options.isolated();
   for (auto at = this->upstreams.begin(); at != this->upstreams.end();) {
     GuardedUpstream& upstream = at->second;
@@ -366,6 +363,9 @@
   const std::lock_guard lock(this->mutex);
   const Instant now = MonotonicNow();
   std::vector<membership::UpstreamRecord> records;
+  if (!this->options.departures_known()) {
+    return records;
+  }
   for (const auto& [id, upstream] : this->upstreams) {
     if (!upstream.announcement.draining && !upstream.unreachable) {
       records.push_back(LoadReportOf(upstream, now));
--- a/components/guard/guard.h
+++ b/components/guard/guard.h
@@ -18,6 +18,7 @@
 #include "components/dialect/dialect.h"
 #include "components/events/recorder.h"
 #include "components/guard/announcement.h"
+#include "components/guard/departures.h"
 #include "components/guard/guarded_upstream.h"
 #include "components/guard/shared_crash_ledger.h"
 #include "components/guard/waiters.h"
@@ -72,6 +73,9 @@
     std::function<uint64_t()> incarnation;
     /// Returns true while this host must not take new requests.
     std::function<bool()> isolated;
+    /// Returns true once this host knows the departures that its earlier
+    /// incarnations acknowledged. Its upstreams are not used before.
+    std::function<bool()> departures_known = [] { return true; };
     /// Names of the header fields exchanged with upstreams.
     std::shared_ptr<const HeaderNames> header_names =
         std::make_shared<const HeaderNames>();
@@ -83,12 +87,19 @@
         events::Recorder& recorder);
 
   /// Adds or updates an upstream of this host. Ignores announcements that are
-  /// out of date.
-  void Announce(const Announcement& announcement);
+  /// out of date. Returns true if the announcement says that the upstream
+  /// leaves and this was not known.
+  bool Announce(const Announcement& announcement);
 
   /// Marks an upstream that has left as draining and refuses its waiting
-  /// requests.
-  void Withdraw(const std::string& id);
+  /// requests. Returns true if its departure was not known.
+  bool Withdraw(const std::string& id);
+
+  /// Adds departures that an earlier incarnation of this host acknowledged.
+  void LearnDepartures(const std::vector<std::string>& starts);
+
+  /// Returns the starts of upstreams whose departure is known, in order.
+  std::vector<std::string> KnownDepartures() const;
 
   /// Reserves a slot for a request that is submitted right after, or refuses
   /// the request. Suspends the calling fiber while it waits for a slot.
@@ -172,6 +183,10 @@
   rpc::RunResult ResultFor(const std::string& upstream,
                            const once::Outcome& outcome) const;
   void AddUpstream(const Announcement& announcement);
+  /// Refuses new requests of an upstream from now on.
+  void Drain(GuardedUpstream& upstream,
+             const char* event,
+             DeferredWakeups& wakeups);
   /// Returns the warm-up rate of a service according to its rules.
   double WarmUpRate(const std::string& service) const;
   void RecordUpstreamEvent(const char* kind,
@@ -194,9 +209,7 @@
   /// Cancellations of the idempotent requests that are running at an upstream,
   /// by request id.
   std::map<std::string, CancellationPtr> cancellable;
-  /// Times at which upstreams withdrew, by upstream id followed by incarnation.
-  /// Announcements sent before the withdrawal may still arrive afterwards.
-  std::map<std::string, Instant> withdrawn;
+  Departures departures;
   admission::TicketId last_ticket = 0;
   /// By service.
   std::map<std::string, retry::CallAttribution> call_attributions;
--- a/components/guard/guard_announcements.cc
+++ b/components/guard/guard_announcements.cc
@@ -10,19 +10,26 @@
 /// service.
 constexpr double kWarmUpRateOfUnknownService = 1;
 
+std::string StartNameOf(const Announcement& announcement) {
+  return Departures::StartName(announcement.id, announcement.incarnation);
+}
+
 }  // namespace
 
-void Guard::Announce(const Announcement& announcement) {
+bool Guard::Announce(const Announcement& announcement) {
   DeferredWakeups wakeups;
   const std::lock_guard lock(this->mutex);
   if (this->IsStale(announcement)) {
-    return;
+    return false;
   }
+  const bool departs =
+      announcement.draining &&
+      this->departures.Add(StartNameOf(announcement), MonotonicNow());
   this->RemovePredecessors(announcement, wakeups);
   const auto found = this->upstreams.find(announcement.id);
   if (found == this->upstreams.end()) {
     this->AddUpstream(announcement);
-    return;
+    return departs;
   }
   GuardedUpstream& upstream = found->second;
   const Announcement previous =
@@ -39,16 +46,25 @@
   }
   upstream.gate->SetCold(announcement.cold);
   if (announcement.draining && !previous.draining) {
-    this->RecordUpstreamEvent("upstream_draining", announcement, "");
-    this->waiters.Dispatch(
-        upstream.gate->RefuseQueued(once::RefusalReason::kDraining), wakeups);
+    this->Drain(upstream, "upstream_draining", wakeups);
   }
+  return departs;
+}
+
+void Guard::Drain(GuardedUpstream& upstream,
+                  const char* event,
+                  DeferredWakeups& wakeups) {
+  upstream.announcement.draining = true;
+  this->RecordUpstreamEvent(event, upstream.announcement, "");
+  this->waiters.Dispatch(
+      upstream.gate->RefuseQueued(once::RefusalReason::kDraining), wakeups);
 }
 
 // An announcement may be delayed until after its sender has left, crashed, or
 // been replaced by another upstream at the same endpoint.
 bool Guard::IsStale(const Announcement& announcement) const {
-  if (this->withdrawn.contains(announcement.id + announcement.incarnation)) {
+  if (!announcement.draining &&
+      this->departures.Contains(StartNameOf(announcement))) {
     return true;
   }
   for (const auto& [id, upstream] : this->upstreams) {
@@ -91,19 +107,35 @@
   }
 }
 
-void Guard::Withdraw(const std::string& id) {
+bool Guard::Withdraw(const std::string& id) {
   DeferredWakeups wakeups;
   const std::lock_guard lock(this->mutex);
   const auto found = this->upstreams.find(id);
   if (found == this->upstreams.end()) {
-    return;
+    return false;
   }
-  GuardedUpstream& upstream = found->second;
-  this->withdrawn[id + upstream.announcement.incarnation] = MonotonicNow();
-  upstream.announcement.draining = true;
-  this->RecordUpstreamEvent("upstream_left", upstream.announcement, "");
-  this->waiters.Dispatch(
-      upstream.gate->RefuseQueued(once::RefusalReason::kDraining), wakeups);
+  this->Drain(found->second, "upstream_left", wakeups);
+  return this->departures.Add(StartNameOf(found->second.announcement),
+                              MonotonicNow());
+}
+
+void Guard::LearnDepartures(const std::vector<std::string>& starts) {
+  DeferredWakeups wakeups;
+  const std::lock_guard lock(this->mutex);
+  for (const std::string& start : starts) {
+    this->departures.Add(start, MonotonicNow());
+  }
+  for (auto& [id, upstream] : this->upstreams) {
+    if (!upstream.announcement.draining &&
+        this->departures.Contains(StartNameOf(upstream.announcement))) {
+      this->Drain(upstream, "upstream_left", wakeups);
+    }
+  }
+}
+
+std::vector<std::string> Guard::KnownDepartures() const {
+  const std::lock_guard lock(this->mutex);
+  return this->departures.Starts();
 }
 
 // Other hosts may know the service before this host does.
--- a/components/membership/directory.cc
+++ b/components/membership/directory.cc
@@ -1,6 +1,7 @@
 #include "components/membership/directory.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include "absl/strings/str_cat.h"
 #include "components/base/hash.h"
@@ -14,6 +15,14 @@
           .liveness = update.liveness};
 }
 
+std::vector<std::string> Union(const std::vector<std::string>& left,
+                               const std::vector<std::string>& right) {
+  std::vector<std::string> both;
+  std::set_union(left.begin(), left.end(), right.begin(), right.end(),
+                 std::back_inserter(both));
+  return both;
+}
+
 }  // namespace
 
 Directory::Directory(Options options, HostRecord own, Instant now)
@@ -47,8 +56,17 @@
       VersionOf(update) <= VersionOf(found->second.update)) {
     return false;
   }
-  this->members[host] = {
-      .update = update, .hash = StableHash(host), .changed_at = now};
+  Member member{.update = update, .hash = StableHash(host), .changed_at = now};
+  if (found != this->members.end()) {
+    Member& before = found->second;
+    const HostRecord& record = before.update.record;
+    const bool restarted = record.incarnation < update.record.incarnation;
+    member.former_departures =
+        restarted ? Union(before.former_departures, record.departures)
+                  : std::move(before.former_departures);
+    member.restarted_at = restarted ? now : before.restarted_at;
+  }
+  this->members[host] = std::move(member);
   return true;
 }
 
@@ -99,6 +117,9 @@
 std::vector<std::string> Directory::Tick(Instant now) {
   std::vector<std::string> newly_dead;
   for (auto& [host, member] : this->members) {
+    if (now - member.restarted_at >= this->options.departure_retention) {
+      member.former_departures.clear();
+    }
     if (member.update.liveness == Liveness::kSuspect &&
         now - member.changed_at >= this->options.suspicion_timeout) {
       member.update.liveness = Liveness::kDead;
@@ -222,8 +243,13 @@
   std::vector<HostUpdate> newer;
   for (const auto& [host, member] : this->members) {
     const auto known = versions.find(host);
-    if (known == versions.end() || known->second < VersionOf(member.update)) {
-      newer.push_back(member.update);
+    if (known != versions.end() && known->second >= VersionOf(member.update)) {
+      continue;
+    }
+    newer.push_back(member.update);
+    if (known == versions.end()) {
+      auto& departures = newer.back().record.departures;
+      departures = Union(departures, member.former_departures);
     }
   }
   return newer;
--- a/components/membership/directory.h
+++ b/components/membership/directory.h
@@ -45,6 +45,9 @@
     size_t max_recent_versions = 16;
     /// Time for which the record of a dead host is kept.
     Duration dead_retention{std::chrono::hours(1)};
+    /// Time for which departures of a host's earlier incarnation are kept after
+    /// a record of its next incarnation has arrived.
+    Duration departure_retention{std::chrono::seconds(60)};
   };
 
   Directory(Options options, HostRecord own, Instant now);
@@ -101,7 +104,9 @@
   std::map<std::string, RecordVersion> Versions() const;
 
   /// Returns the updates that are missing or older in `versions`, the versions
-  /// of all records of a peer.
+  /// of all records of a peer. A record that is missing there comes with the
+  /// departures of the host's earlier incarnations: the peer may be that host,
+  /// which has restarted.
   std::vector<HostUpdate> UpdatesNewerThan(
       const std::map<std::string, RecordVersion>& versions) const;
 
@@ -130,6 +135,10 @@
     uint64_t hash = 0;
     /// Time at which the record or the liveness last changed here.
     Instant changed_at;
+    /// Departures in records of earlier incarnations, in order.
+    std::vector<std::string> former_departures;
+    /// Time at which the first record of the present incarnation arrived.
+    Instant restarted_at;
   };
 
   /// Raises the version of this host's record above that of `update`, if the
--- a/components/membership/host_record.cc
+++ b/components/membership/host_record.cc
@@ -31,6 +31,12 @@
          -error_change > kSignificantErrorShareChange;
 }
 
+// That a departure is forgotten is no news.
+bool HasNewDeparture(const HostRecord& before, const HostRecord& after) {
+  return !std::includes(before.departures.begin(), before.departures.end(),
+                        after.departures.begin(), after.departures.end());
+}
+
 }  // namespace
 
 bool HasSignificantChange(const HostRecord& before, const HostRecord& after) {
@@ -38,7 +44,7 @@
                                  before.region == after.region &&
                                  before.admin == after.admin;
   if (!has_same_location || before.leaving != after.leaving ||
-      before.pools != after.pools ||
+      before.pools != after.pools || HasNewDeparture(before, after) ||
       before.upstreams.size() != after.upstreams.size()) {
     return true;
   }
@@ -50,15 +56,15 @@
   return false;
 }
 
-bool HasSameUpstreams(const HostRecord& left, const HostRecord& right) {
+bool HasSameUpstreams(const HostRecord& after, const HostRecord& before) {
   const auto same = [](const UpstreamRecord& one, const UpstreamRecord& other) {
     return one.id == other.id && one.service == other.service &&
            one.slots == other.slots;
   };
-  return left.host == right.host && left.leaving == right.leaving &&
-         left.pools == right.pools &&
-         std::equal(left.upstreams.begin(), left.upstreams.end(),
-                    right.upstreams.begin(), right.upstreams.end(), same);
+  return after.host == before.host && after.leaving == before.leaving &&
+         after.pools == before.pools && !HasNewDeparture(before, after) &&
+         std::equal(after.upstreams.begin(), after.upstreams.end(),
+                    before.upstreams.begin(), before.upstreams.end(), same);
 }
 
 const char* ToText(Liveness liveness) {
--- a/components/membership/host_record.h
+++ b/components/membership/host_record.h
@@ -44,6 +44,9 @@
   /// Permit pools that this host keeps. Bit n stands for pool n.
   uint32_t pools = 0;
   std::vector<UpstreamRecord> upstreams;
+  /// Starts of upstreams whose departure this host has acknowledged, in order.
+  /// Peers return them to the host when it restarts.
+  std::vector<std::string> departures;
 
   bool operator==(const HostRecord&) const = default;
 };
@@ -55,8 +58,9 @@
 bool HasSignificantChange(const HostRecord& before, const HostRecord& after);
 
 /// Returns true if both records have the same host, leaving state, pools and
-/// upstreams with the same slots. Limit, latency and errors are not compared.
-bool HasSameUpstreams(const HostRecord& left, const HostRecord& right);
+/// upstreams with the same slots, and `after` has no departure that `before`
+/// lacks. Limit, latency and errors are not compared.
+bool HasSameUpstreams(const HostRecord& after, const HostRecord& before);
 
 /// State of a host in the failure detection. At the same incarnation and
 /// version, a later value of this list replaces an earlier one.
--- a/components/rpc/convert.cc
+++ b/components/rpc/convert.cc
@@ -32,11 +32,15 @@
   out.setZone(record.zone);
   out.setRegion(record.region);
   out.setAdmin(record.admin);
-  auto upstreams =
-      out.initUpstreams(static_cast<unsigned>(record.upstreams.size()));
-  for (unsigned i = 0; i < record.upstreams.size(); ++i) {
+  const size_t present = record.upstreams.size();
+  auto upstreams = out.initUpstreams(
+      static_cast<unsigned>(present + record.departures.size()));
+  for (unsigned i = 0; i < present; ++i) {
     Write(record.upstreams[i], upstreams[i]);
   }
+  for (size_t i = 0; i < record.departures.size(); ++i) {
+    upstreams[static_cast<unsigned>(present + i)].setId(record.departures[i]);
+  }
 }
 
 membership::HostUpdate ReadHostUpdate(wire::HostUpdate::Reader in) {
@@ -50,8 +54,13 @@
                                            .pools = in.getPools()},
                                 .liveness = ToLiveness(in.getLiveness())};
   for (const auto upstream : in.getUpstreams()) {
-    update.record.upstreams.push_back(Read(upstream));
+    if (upstream.getService().size() == 0) {
+      update.record.departures.push_back(ToString(upstream.getId()));
+    } else {
+      update.record.upstreams.push_back(Read(upstream));
+    }
   }
+  std::sort(update.record.departures.begin(), update.record.departures.end());
   return update;
 }
 
--- a/components/rpc/peer.capnp
+++ b/components/rpc/peer.capnp
@@ -146,6 +146,8 @@
   region @6 :Text;
   admin @7 :Text;
   upstreams @8 :List(Upstream);
+  # An entry without a service is the departure of an upstream: its id names the
+  # start of the upstream that has left. No route leads to it.
   pools @9 :UInt32;
 }
 
--- a/tests/guard/guard_test.cc
+++ b/tests/guard/guard_test.cc
@@ -16,8 +16,10 @@
   Snapshot<config::Configuration> configuration;
   SharedCrashLedger crashes;
   events::Recorder recorder{{.revision = [] { return 1; }}};
+  bool departures_known = true;
   Guard guard{{.incarnation = [] { return kIncarnation; },
-               .isolated = [] { return false; }},
+               .isolated = [] { return false; },
+               .departures_known = [this] { return this->departures_known; }},
               this->configuration,
               this->crashes,
               this->recorder};
@@ -134,6 +136,50 @@
   CHECK_FALSE(reserve("e"));
 }
 
+// A departed upstream was in use again after a restart of its host, when an
+// earlier announcement of it arrived late.
+TEST(Guard, AnUpstreamWhoseDepartureIsLearnedIsNotTakenUp) {
+  const Announcement late{
+      .id = "lote-2", .service = "lote", .endpoint = {.port = 2}};
+  this->guard.LearnDepartures({"lote-2/"});
+  this->guard.Announce(late);
+  LONGS_EQUAL(1, this->guard.Upstreams().size());
+  Announcement next_start = late;
+  next_start.incarnation = "@2";
+  this->guard.Announce(next_start);
+  LONGS_EQUAL(2, this->guard.Upstreams().size());
+}
+
+TEST(Guard, AnUpstreamInUseIsDrainedWhenItsDepartureIsLearned) {
+  this->guard.LearnDepartures({"lote-1/"});
+  CHECK(this->guard.Upstreams().empty());
+}
+
+TEST(Guard, NoUpstreamIsUsedBeforeDeparturesAreKnown) {
+  this->departures_known = false;
+  CHECK(this->guard.Upstreams().empty());
+  CHECK_FALSE(this->guard
+                  .Reserve({.request_id = "a",
+                            .incarnation = kIncarnation,
+                            .upstream = "lote-1",
+                            .remaining_time = Millis(1'000)})
+                  .granted);
+  this->departures_known = true;
+  LONGS_EQUAL(1, this->guard.Upstreams().size());
+  this->ReserveSlot("a");
+}
+
+TEST(Guard, ADepartureIsNewsOnceAndFinalForItsStart) {
+  Announcement leaving{.id = "lote-1", .service = "lote", .draining = true};
+  CHECK(this->guard.Announce(leaving));
+  CHECK_FALSE(this->guard.Announce(leaving));
+  CHECK_FALSE(this->guard.Withdraw("lote-1"));
+  leaving.draining = false;
+  CHECK_FALSE(this->guard.Announce(leaving));
+  CHECK(this->guard.Upstreams().empty());
+  LONGS_EQUAL(1, this->guard.KnownDepartures().size());
+}
+
 TEST(Guard, OnlyASuccessProvesThatARequestIsHarmless) {
   CHECK(ProvesHarmless(once::Ran{.response = {.status = 200}}));
   CHECK_FALSE(ProvesHarmless(once::Ran{.response = {.status = 500}}));
--- a/tests/membership/directory_test.cc
+++ b/tests/membership/directory_test.cc
@@ -105,6 +105,68 @@
   CHECK(this->directory.RecentVersions(At(30'000)).empty());
 }
 
+TEST_GROUP(DepartureRecords) {
+  Directory directory{{}, MakeRecord("own", 10), At(0)};
+
+  void Receive(uint64_t incarnation, std::vector<std::string> departures,
+               int64_t at_ms = 0) {
+    HostRecord record = MakeRecord("a", incarnation);
+    record.departures = std::move(departures);
+    this->directory.Merge({.record = record}, At(at_ms));
+  }
+
+  /// What host a is told if it asks without a version of its own.
+  std::vector<std::string> Returned() const {
+    for (const HostUpdate& update : this->directory.UpdatesNewerThan({})) {
+      if (update.record.host == "a") {
+        return update.record.departures;
+      }
+    }
+    return {};
+  }
+};
+
+// A departed upstream was in use again after a restart of its host.
+TEST(DepartureRecords, OutliveTheRecordOfTheEarlierIncarnation) {
+  const std::vector<std::string> first{"lote-1/1"};
+  const std::vector<std::string> both{"lote-1/1", "lote-1/2"};
+  this->Receive(5, first);
+  CHECK(first == this->Returned());
+  this->Receive(6, {});
+  CHECK(first == this->Returned());
+  this->Receive(7, {"lote-1/2"});
+  CHECK(both == this->Returned());
+}
+
+TEST(DepartureRecords, AreForgottenAMinuteAfterTheRestart) {
+  this->Receive(5, {"lote-1/1"});
+  this->Receive(6, {}, 1'000);
+  this->directory.Tick(At(60'999));
+  LONGS_EQUAL(1, this->Returned().size());
+  this->directory.Tick(At(61'000));
+  CHECK(this->Returned().empty());
+}
+
+TEST(DepartureRecords, OnlyAHostWithoutTheRecordIsToldOfFormerOnes) {
+  this->Receive(5, {"lote-1/1"});
+  this->Receive(6, {});
+  const auto versions = std::map<std::string, RecordVersion>{
+      {"a", {.incarnation = 5, .version = 1}}};
+  for (const HostUpdate& update : this->directory.UpdatesNewerThan(versions)) {
+    CHECK(update.record.departures.empty());
+  }
+}
+
+TEST(DepartureRecords, ArePublishedAtOnceAndExpireSilently) {
+  const HostRecord before = MakeRecord("a", 5);
+  HostRecord after = before;
+  after.departures = {"lote-1/1"};
+  CHECK(HasSignificantChange(before, after));
+  CHECK_FALSE(HasSameUpstreams(after, before));
+  CHECK_FALSE(HasSignificantChange(after, before));
+  CHECK(HasSameUpstreams(before, after));
+}
+
 TEST_GROUP(Prober){};
 
 TEST(Prober, ReturnsEveryHostOnceARound) {
--- a/tests/process/departed_upstream_test.sh
+++ b/tests/process/departed_upstream_test.sh
@@ -14,10 +14,11 @@
 site_ctl apply "$dir/rules" >/dev/null
 site_wait_revision 1 1 2
 
-# announce DRAINING
+# announce DRAINING [INCARNATION]
 announce() {
   jq -n --arg endpoint "127.0.0.1:${site_upstream_ports[lote-1]}" --argjson draining "$1" \
-    '{id: "lote-1", service: "lote", endpoint: $endpoint, incarnation: "1", slots: 7, draining: $draining}' |
+    --arg incarnation "${2:-1}" \
+    '{id: "lote-1", service: "lote", endpoint: $endpoint, incarnation: $incarnation, slots: 7, draining: $draining}' |
     curl -s -o /dev/null -w '%{http_code}' --max-time 2 -X POST --data @- \
       "http://127.0.0.1:$(site_admin_port 1)/announce"
 }
@@ -42,4 +43,9 @@
 sleep 1
 load
 expect "the upstream that left gets nothing" "$(runs_after "$dir/runs.log" "$left" lote-1)" = 0
+announce false 2 >/dev/null
+site_wait_upstreams 2 2
+announce false 2 >/dev/null
+load
+expect "its next start is in use" "$(runs_after "$dir/runs.log" "$left" lote-1)" -gt 0
 finish
--- a/tests/rpc/peer_clients_test.cc
+++ b/tests/rpc/peer_clients_test.cc
@@ -131,5 +131,37 @@
   CHECK(long_call.get_future().get());
 }
 
+// The departures of a record travel among its upstreams, which older hosts
+// know.
+TEST(PeerClients, ARecordKeepsItsDepartures) {
+  static auto* workers = new fibers::WorkerPool(1);
+  static auto* loop = new EventLoop;
+  constexpr char kKey[] = "a key for this test";
+  constexpr uint16_t kPort = kServerPort + 1;
+  membership::HostUpdate update{
+      .record = {.host = "a",
+                 .incarnation = 5,
+                 .version = 1,
+                 .upstreams = {{.id = "lote-2", .service = "lote"}},
+                 .departures = {"lote-1/1", "lote-1/2"}}};
+  static auto* server = new PeerServer(
+      *loop,
+      {.listen = {.address = "127.0.0.1", .port = kPort}, .fleet_key = kKey},
+      {.sync = [update](const auto&) {
+        return SyncAnswer{.updates = {update}};
+      }});
+  CHECK(server->Start().ok());
+  static auto* peers = new PeerClients(
+      *loop, {.own_host = "127.0.0.1:1", .incarnation = 1, .fleet_key = kKey});
+  std::promise<absl::StatusOr<SyncAnswer>> answer;
+  workers->Spawn([&] {
+    answer.set_value(
+        peers->Sync("127.0.0.1:" + std::to_string(kPort), {}, Millis(3'000)));
+  });
+  const auto received = answer.get_future().get();
+  CHECK(received.ok());
+  CHECK(received->updates == std::vector{update});
+}
+
 }  // namespace
 }  // namespace kingcupstair::rpc
