A request cancelled while its connection opens is not sent

Cause: a guard opens the connection to its upstream first and sends then, without looking whether the run was cancelled in between; and a run that is not idempotent could not be cancelled once it was marked as forwarded, though not a byte of it had been sent. Change: the cancellation is looked at between connecting and sending, for all runs. A run that was cancelled there ends as not run (fenced), and is no evidence about its upstream. The connection attempt itself is not aborted, so that an upstream that can't be reached is still found out. Once a request that may run once is being sent, its cancellation has no effect, as before. Result: HttpClient, ACallThatIsCancelledBefore... and Guard, ARequestThatIsCancelledWhile... fail before and pass now.

--- a/components/guard/guard.cc
+++ b/components/guard/guard.cc
@@ -114,7 +114,7 @@
     return this->WaitForEarlierAttempt(accepted);
   }
   const Instant deadline = MonotonicNow() + request.remaining_time;
-  const auto cancellation = std::make_shared<Cancellation>();
+  const RunningCall call{.idempotent = request.idempotent};
   UpstreamTarget target{.header_names = this->options.header_names};
   {
     DeferredWakeups wakeups;
@@ -135,11 +135,10 @@
         accepted.ticket,
         {.idempotent = request.idempotent, .objective = request.objective},
         request.repeat_probability);
-    this->running_calls[request.request_id] = {
-        .cancellation = cancellation, .idempotent = request.idempotent};
+    this->running_calls[request.request_id] = call;
     target.endpoint = upstream.announcement.endpoint;
   }
-  once::Outcome outcome = CallUpstream(target, request, deadline, cancellation);
+  once::Outcome outcome = CallUpstream(target, request, deadline, call);
   if (this->runs_ended && std::holds_alternative<once::Unknown>(outcome)) {
     outcome = once::Unknown{.detail = "the host of the upstream stopped",
                             .cancelled = true};
@@ -169,19 +168,23 @@
   if (incarnation != this->options.incarnation()) {
     return;
   }
-  CancellationPtr cancelled;
+  std::optional<RunningCall> cancelled;
   {
     DeferredWakeups wakeups;
     const std::lock_guard lock(this->mutex);
     this->ReleaseReservation(request_id, wakeups);
     this->ledger.Resolve(request_id, MonotonicNow());
     const auto found = this->running_calls.find(request_id);
-    if (found != this->running_calls.end() && found->second.idempotent) {
-      cancelled = found->second.cancellation;
+    if (found != this->running_calls.end()) {
+      cancelled = found->second;
     }
   }
-  if (cancelled != nullptr) {
-    cancelled->Cancel();
+  if (!cancelled.has_value()) {
+    return;
+  }
+  cancelled->cancellation_before_sending->Cancel();
+  if (cancelled->idempotent) {
+    cancelled->cancellation->Cancel();
   }
 }
 
--- a/components/guard/guard.h
+++ b/components/guard/guard.h
@@ -12,7 +12,6 @@
 #include <vector>
 
 #include "components/admission/upstream_gate.h"
-#include "components/base/cancellation.h"
 #include "components/base/snapshot.h"
 #include "components/config/configuration.h"
 #include "components/dialect/dialect.h"
@@ -20,6 +19,7 @@
 #include "components/guard/announcement.h"
 #include "components/guard/guarded_upstream.h"
 #include "components/guard/shared_crash_ledger.h"
+#include "components/guard/upstream_call.h"
 #include "components/guard/waiters.h"
 #include "components/membership/host_record.h"
 #include "components/once/key_index.h"
@@ -50,12 +50,6 @@
   Instant expires_at;
 };
 
-/// A request that is running at an upstream.
-struct RunningCall {
-  CancellationPtr cancellation;
-  bool idempotent = false;
-};
-
 /// Result of accepting an attempt: the accepted run, or the final result if the
 /// attempt is refused.
 using AcceptAnswer = std::variant<AcceptedRun, rpc::RunResult>;
@@ -102,7 +96,8 @@
 
   /// Cancels a request whose response is no longer waited for, and releases a
   /// slot reserved for the request. Fences the request if it has not been sent
-  /// to its upstream, and aborts it if it is idempotent and already running.
+  /// to its upstream, also while the connection to the upstream is opened, and
+  /// aborts it if it is idempotent and already running.
   /// Does nothing if `incarnation` is not that of this host.
   void Cancel(const std::string& request_id, uint64_t incarnation);
 
--- a/components/guard/guarded_upstream.cc
+++ b/components/guard/guarded_upstream.cc
@@ -10,6 +10,15 @@
 /// Weight of one response in the share of shed requests.
 constexpr double kShedWeight = 0.2;
 
+/// Returns whether the request was cancelled, before it was sent or after.
+bool IsCancelled(const once::Outcome& outcome) {
+  const auto* refusal = std::get_if<once::NotRun>(&outcome);
+  const auto* unknown = std::get_if<once::Unknown>(&outcome);
+  return (refusal != nullptr &&
+          refusal->reason == once::RefusalReason::kFenced) ||
+         (unknown != nullptr && unknown->cancelled);
+}
+
 }  // namespace
 
 // The guard uses its failure detector for upstreams that report when they are
@@ -43,7 +52,7 @@
 // evidence that the next one will be lost. Where all upstreams of a service
 // shed, each of them would look as if it failed most requests.
 health::RequestResult DetectorResultOf(const once::Outcome& outcome) {
-  if (IsShed(outcome)) {
+  if (IsShed(outcome) || IsCancelled(outcome)) {
     return health::RequestResult::kNoEvidence;
   }
   if (const auto* ran = std::get_if<once::Ran>(&outcome)) {
@@ -51,10 +60,7 @@
                ? health::RequestResult::kSuccess
                : health::RequestResult::kFailure;
   }
-  const auto* unknown = std::get_if<once::Unknown>(&outcome);
-  return unknown != nullptr && unknown->cancelled
-             ? health::RequestResult::kNoEvidence
-             : health::RequestResult::kFailure;
+  return health::RequestResult::kFailure;
 }
 
 admission::RunEnd RunEndOf(const once::Outcome& outcome) {
@@ -63,10 +69,10 @@
                ? admission::RunEnd::kSuccess
                : admission::RunEnd::kFailure;
   }
-  const auto* unknown = std::get_if<once::Unknown>(&outcome);
-  if (unknown != nullptr && unknown->cancelled) {
+  if (IsCancelled(outcome)) {
     return admission::RunEnd::kCancelled;
   }
+  const auto* unknown = std::get_if<once::Unknown>(&outcome);
   const bool timed_out = unknown != nullptr && !unknown->upstream_broke;
   return timed_out ? admission::RunEnd::kTimeout : admission::RunEnd::kFailure;
 }
--- a/components/guard/upstream_call.cc
+++ b/components/guard/upstream_call.cc
@@ -33,14 +33,15 @@
 http::Call BuildCall(const UpstreamTarget& target,
                      const once::RunRequest& request,
                      Duration remaining,
-                     const CancellationPtr& cancellation) {
+                     const RunningCall& running) {
   const HeaderNames& header_names = *target.header_names;
   http::Call call{
       .server = target.endpoint,
       .request = request.request,
       .timeout = std::max(remaining, Duration(1)),
       .max_idle_time = request.idempotent ? kMaxIdle : kMaxIdleNonIdempotent,
-      .cancellation = cancellation};
+      .cancellation = running.cancellation,
+      .cancellation_before_sending = running.cancellation_before_sending};
   http::Headers& headers = call.request.headers;
   if (http::FindHeader(headers, header_names.request_id).empty()) {
     AddHeader(headers, header_names.request_id, request.request_id);
@@ -84,14 +85,16 @@
 once::Outcome CallUpstream(const UpstreamTarget& target,
                            const once::RunRequest& request,
                            Instant deadline,
-                           const CancellationPtr& cancellation) {
+                           const RunningCall& call) {
   http::Result result = http::Exchange(
-      BuildCall(target, request, deadline - MonotonicNow(), cancellation));
+      BuildCall(target, request, deadline - MonotonicNow(), call));
   if (result.ok()) {
     return OutcomeOf(*target.header_names, std::move(result.response));
   }
   if (result.failure.stage == http::Stage::kConnect) {
-    return once::NotRun{.reason = once::RefusalReason::kConnectFailed};
+    return once::NotRun{.reason = result.failure.cancelled
+                                      ? once::RefusalReason::kFenced
+                                      : once::RefusalReason::kConnectFailed};
   }
   const auto message = result.failure.status.message();
   return once::Unknown{
--- a/components/guard/upstream_call.h
+++ b/components/guard/upstream_call.h
@@ -18,13 +18,23 @@
   std::shared_ptr<const HeaderNames> header_names;
 };
 
+/// A request that is running at an upstream, or about to be sent to it.
+struct RunningCall {
+  /// Ends the call and closes the connection.
+  CancellationPtr cancellation = std::make_shared<Cancellation>();
+  /// Keeps the request from being sent, and has no effect afterwards.
+  CancellationPtr cancellation_before_sending =
+      std::make_shared<Cancellation>();
+  bool idempotent = false;
+};
+
 /// Sends a request to an upstream and returns the outcome once the whole
 /// response has arrived, the deadline has passed or the call has failed.
-/// Suspends the calling fiber. A cancellation closes the connection.
+/// Suspends the calling fiber.
 once::Outcome CallUpstream(const UpstreamTarget& target,
                            const once::RunRequest& request,
                            Instant deadline,
-                           const CancellationPtr& cancellation);
+                           const RunningCall& call);
 
 /// Returns whether a server accepts connections at `endpoint`. Suspends the
 /// calling fiber.
--- a/components/http/client.cc
+++ b/components/http/client.cc
@@ -114,14 +114,20 @@
   kept.push_back(std::move(connection));
 }
 
+bool IsCancelled(const CancellationPtr& cancellation) {
+  return cancellation != nullptr && cancellation->IsCancelled();
+}
+
+// A cancellation does not abort a connection attempt, so that an attempt that
+// fails shows that the server is unreachable.
 Result MakeFailure(const Call& call, Stage stage, const beast::error_code& ec) {
   constexpr const char* kSteps[] = {"connect", "send", "receive"};
   const bool timed_out = ec == beast::error::timeout;
   return {.failure = {
               .stage = stage,
               .timed_out = timed_out,
-              .cancelled = call.cancellation != nullptr &&
-                           call.cancellation->IsCancelled(),
+              .cancelled =
+                  stage != Stage::kConnect && IsCancelled(call.cancellation),
               .status = ErrorAt(timed_out ? absl::StatusCode::kDeadlineExceeded
                                           : absl::StatusCode::kUnavailable,
                                 {.step = kSteps[static_cast<int>(stage)],
@@ -129,6 +135,16 @@
                                 ec.message())}};
 }
 
+/// Result of a call that was cancelled before a byte of its request was sent.
+Result MakeCancelledUnsent(const Call& call) {
+  return {.failure = {.stage = Stage::kConnect,
+                      .cancelled = true,
+                      .status = ErrorAt(
+                          absl::StatusCode::kCancelled,
+                          {.step = "connect", .peer = ToText(call.server)},
+                          "cancelled before it was sent")}};
+}
+
 beast::error_code Connect(const Call& call, Connection& connection) {
   connection.stream.expires_after(std::min(call.connect_timeout, call.timeout));
   const auto result = fibers::Await([&](auto handler) {
@@ -220,6 +236,10 @@
   if (ec) {
     return MakeFailure(call, Stage::kConnect, ec);
   }
+  if (IsCancelled(call.cancellation) ||
+      IsCancelled(call.cancellation_before_sending)) {
+    return MakeCancelledUnsent(call);
+  }
   connection->stream.expires_after(
       std::max(deadline - MonotonicNow(), Duration(1)));
   CloseOnCancel(call, connection);
--- a/components/http/client.h
+++ b/components/http/client.h
@@ -49,8 +49,13 @@
   /// Longest time that a reused connection may have been idle. A shorter
   /// timeout in the server's Keep-Alive header takes precedence.
   Duration max_idle_time{std::chrono::seconds(4)};
-  /// Cancels the exchange and closes its connection; may be null.
+  /// Cancels the exchange and closes its connection; may be null. A request
+  /// that is cancelled before its connection is open is not sent.
   CancellationPtr cancellation;
+  /// Keeps the request from being sent, and has no effect afterwards. For
+  /// requests that must not be aborted once the server may run them. May be
+  /// null.
+  CancellationPtr cancellation_before_sending;
   /// Header field that the server may echo in its response. A response with
   /// another value of this field belongs to an earlier request and is
   /// discarded; a response without the field is accepted.
--- a/tests/guard/guard_test.cc
+++ b/tests/guard/guard_test.cc
@@ -1,9 +1,16 @@
 #include "components/guard/guard.h"
 
 #include <CppUTest/TestHarness.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include <boost/fiber/fiber.hpp>
+
+#include <future>
 #include <thread>
 
+#include "components/fibers/worker_pool.h"
+#include "tests/http/listener.h"
 #include "tests/support/times.h"
 
 namespace kingcupstair::guard {
@@ -134,6 +141,47 @@
   CHECK_FALSE(reserve("e"));
 }
 
+// A request that may run once was sent although its caller had left while the
+// connection to its upstream was opened.
+TEST(Guard, ARequestThatIsCancelledWhileItsConnectionOpensIsNotSent) {
+  const Listener upstream = ListenOnLoopback(1);
+  this->guard.Announce({.id = "lote-2",
+                        .service = "lote",
+                        .endpoint = upstream.endpoint,
+                        .slots = 1});
+  static auto* workers = new fibers::WorkerPool(1);
+  for (const bool idempotent : {true, false}) {
+    const once::RunRequest request{
+        .request_id = idempotent ? "lookup" : "order",
+        .incarnation = kIncarnation,
+        .upstream = "lote-2",
+        .fingerprint = kFingerprint,
+        .idempotent = idempotent,
+        .remaining_time = Millis(1'000)};
+    const auto slot = this->guard.Reserve({.request_id = request.request_id,
+                                           .incarnation = kIncarnation,
+                                           .upstream = "lote-2",
+                                           .remaining_time = Millis(1'000)});
+    CHECK(slot.granted);
+    const AcceptAnswer accepted = this->guard.Accept(request);
+    std::promise<rpc::RunResult> ended;
+    workers->Spawn([&] {
+      boost::fibers::fiber(boost::fibers::launch::dispatch, [&] {
+        ended.set_value(this->guard.Run(std::get<AcceptedRun>(accepted)));
+      }).detach();
+      this->guard.Cancel(request.request_id, kIncarnation);
+    });
+    const rpc::RunResult result = ended.get_future().get();
+    CHECK(result.outcome ==
+          once::Outcome(once::NotRun{.reason = once::RefusalReason::kFenced}));
+    const int connection = accept(upstream.socket, nullptr, nullptr);
+    char byte = 0;
+    LONGS_EQUAL(0, recv(connection, &byte, 1, 0));
+    close(connection);
+  }
+  close(upstream.socket);
+}
+
 TEST(Guard, OnlyASuccessProvesThatARequestIsHarmless) {
   CHECK(ProvesHarmless(once::Ran{.response = {.status = 200}}));
   CHECK_FALSE(ProvesHarmless(once::Ran{.response = {.status = 500}}));
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -13,16 +13,18 @@
 
 /// Runs one exchange in a fiber. The pool is never destroyed, since idle
 /// connections belong to its thread.
-Result RunExchange(const Endpoint& server, bool reuse = false) {
+Result RunExchange(const Call& call) {
   static auto* workers = new fibers::WorkerPool(1);
   std::promise<Result> result;
-  workers->Spawn([&] {
-    result.set_value(Exchange(
-        {.server = server, .timeout = Millis(300), .reuse_connection = reuse}));
-  });
+  workers->Spawn([&] { result.set_value(Exchange(call)); });
   return result.get_future().get();
 }
 
+Result RunExchange(const Endpoint& server, bool reuse = false) {
+  return RunExchange(
+      {.server = server, .timeout = Millis(300), .reuse_connection = reuse});
+}
+
 RawServer::Reply CompleteReply(const std::string& body) {
   return {.text = "HTTP/1.1 200 OK\r\nContent-Length: " +
                   std::to_string(body.size()) + "\r\n\r\n" + body};
@@ -84,6 +86,19 @@
                RunExchange(server.Address(), true).response.body.c_str());
 }
 
+// The connection was opened after the caller had left, and the request was
+// sent.
+TEST(HttpClient, ACallThatIsCancelledBeforeItsConnectionIsOpenIsNotSent) {
+  RawServer server({CompleteReply("unwanted")});
+  const auto cancellation = std::make_shared<Cancellation>();
+  cancellation->Cancel();
+  const Result result =
+      RunExchange({.server = server.Address(), .cancellation = cancellation});
+  CHECK_FALSE(result.ok());
+  CHECK(result.failure.stage == Stage::kConnect);
+  CHECK(result.failure.cancelled);
+}
+
 TEST(HttpClient, ARefusedConnectionFailsAtTheConnectStageWithStepAndPeer) {
   const Endpoint nowhere{.address = "127.0.0.1", .port = 1};
   const Result result = RunExchange(nowhere);
