A disconnect is noticed while a request waits behind another on its connection

Cause: the next request of a connection is read and then waits until it may start (a POST until all before it have ended, a GET for one of eight places). Nothing reads meanwhile, so a disconnect was noticed only when the wait had ended: the requests in progress ran on, and the one that waited was started. Change: the wait asks the socket whether the client has disconnected, which it tells also while input is unread. Result: HttpServer, ADisconnectIsNoticedWhile... fails before (2 requests handled instead of 1) and passes now.

--- a/components/http/server_connection.cc
+++ b/components/http/server_connection.cc
@@ -1,5 +1,7 @@
 #include "components/http/server_connection.h"
 
+#include <poll.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -46,6 +48,13 @@
   return method == beast::http::verb::get || method == beast::http::verb::head;
 }
 
+/// Returns whether the client has disconnected, also if input that it sent
+/// before has not been read.
+bool HasDisconnected(tcp::socket& socket) {
+  pollfd watched{.fd = socket.native_handle(), .events = POLLRDHUP};
+  return poll(&watched, 1, 0) > 0;
+}
+
 constexpr std::chrono::milliseconds kPipelinePollInterval{2};
 constexpr size_t kDiscardChunkBytes = 4096;
 
@@ -108,7 +117,9 @@
     this->Reject(kBadRequest);
     return ReaderStep::kDiscardInput;
   }
-  this->WaitForPipelineSlot(parser.get().method());
+  if (!this->WaitForPipelineSlot(parser.get().method())) {
+    return ReaderStep::kStop;
+  }
   if (this->sending_finished || this->last_response_reached) {
     return ReaderStep::kDiscardInput;
   }
@@ -135,11 +146,15 @@
 // response closes the connection, the client repeats the requests that it
 // sent after the one answered. A server that stops closes the connection with
 // the next response, so it takes none behind a request in progress.
-void ServerConnection::WaitForPipelineSlot(beast::http::verb method) {
+bool ServerConnection::WaitForPipelineSlot(beast::http::verb method) {
   while (!this->sending_finished &&
          this->queue.size() >= this->MaxConcurrent(method)) {
+    if (HasDisconnected(this->stream.socket())) {
+      return false;
+    }
     fibers::SleepFor(kPipelinePollInterval);
   }
+  return true;
 }
 
 size_t ServerConnection::MaxConcurrent(beast::http::verb method) const {
--- a/components/http/server_connection.h
+++ b/components/http/server_connection.h
@@ -54,7 +54,8 @@
   ReaderStep HandleReadError(const Parser& parser,
                              const boost::beast::error_code& error);
 
-  void WaitForPipelineSlot(boost::beast::http::verb method);
+  /// Returns false if the client disconnects while its request waits.
+  bool WaitForPipelineSlot(boost::beast::http::verb method);
 
   /// Returns how many requests may be in progress, one with `method` included.
   size_t MaxConcurrent(boost::beast::http::verb method) const;
--- a/tests/http/server_test.cc
+++ b/tests/http/server_test.cc
@@ -116,6 +116,10 @@
   return "GET " + target + " HTTP/1.1\r\nHost: a\r\n\r\n";
 }
 
+std::string Post(const std::string& target) {
+  return "POST " + target + " HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n";
+}
+
 TEST_GROUP(HttpServer) {
   /// Never destroyed: its port stays open until the process ends.
   TestServer& server = *new TestServer;
@@ -205,6 +209,22 @@
   LONGS_EQUAL(1, this->server.cancelled);
 }
 
+// Nothing was read while a request waited for the ones before it, and so the
+// disconnect was noticed only after they had ended.
+TEST(HttpServer, ADisconnectIsNoticedWhileARequestWaitsForAnEarlierOne) {
+  {
+    const RawClient client(this->server.address);
+    client.Send(Post("/slow/1") + Post("/slow/2") + Post("/slow/3"));
+    usleep(50'000);
+  }
+  for (int i = 0; i < 50 && this->server.cancelled == 0; ++i) {
+    usleep(10'000);
+  }
+  usleep(200'000);
+  LONGS_EQUAL(1, this->server.handled);
+  LONGS_EQUAL(1, this->server.cancelled);
+}
+
 // A request that arrives while the last response of a connection is being
 // written can't be answered any more. It must not be handled, since its client
 // sends it again.
