A hanging attempt is hedged again when its hedge has failed

What callers saw: a request that may be repeated waited until its deadline and got "unknown", although it had attempts left, a retry token was to be had and a healthy upstream had a free slot.

Cause: a request hedges once. When the hedge or the first attempt ends badly while the other one hangs, nothing starts a further attempt: a retry needs that no attempt is running, and a hedge that none was made before. The same holds for the hedge of a retry after an earlier hedge.

Evidence: io_tests HangingAttempt, AnotherHedgeFollowsOneThatFails: no response 700 ms after a healthy upstream had started before, 200 after it now. NoHedgeFollowsTwoBrokenConnections is green before and after.

Why it works: an attempt that ends badly allows one more hedge if the retry policy allows another attempt: the limits of attempts and of broken connections hold, the hedge needs a token as before, and no more than two attempts run at a time.

--- a/components/ingress/request_run.cc
+++ b/components/ingress/request_run.cc
@@ -158,6 +158,8 @@
       unknown != nullptr && unknown->upstream_broke ? 1 : 0;
   this->last_outcome =
       retry::CombineOutcomes(this->last_outcome, ended.outcome);
+  // The attempt that still runs may hang, and is then hedged in its turn.
+  this->hedged = !this->IsRetryAllowed(ended.outcome);
   if (!this->running.empty()) {
     return false;
   }
@@ -165,7 +167,7 @@
   return this->has_final_outcome;
 }
 
-bool RequestRun::RetryIfAllowed(const once::Outcome& outcome) {
+bool RequestRun::IsRetryAllowed(const once::Outcome& outcome) const {
   const bool again = std::holds_alternative<retry::RetryElsewhere>(
       retry::DecideNextStep({.outcome = outcome,
                              .idempotency = this->admitted.route.idempotency,
@@ -173,7 +175,11 @@
                              .max_attempts = this->admitted.route.attempts,
                              .upstreams_broken = this->upstreams_broken,
                              .remaining_time = this->RemainingTime()}));
-  if (!again || !this->admitted.dedupe_key.empty()) {
+  return again && this->admitted.dedupe_key.empty();
+}
+
+bool RequestRun::RetryIfAllowed(const once::Outcome& outcome) {
+  if (!this->IsRetryAllowed(outcome)) {
     return false;
   }
   return ReachedUpstream(outcome) ? this->StartRetry(/*may_wait=*/true)
--- a/components/ingress/request_run.h
+++ b/components/ingress/request_run.h
@@ -85,6 +85,8 @@
   static void WaitOnTimer(boost::asio::steady_timer& timer, Instant until);
   /// Handles the result of one attempt. Returns true if its outcome is final.
   bool HandleResult();
+  /// Returns true if the retry policy allows another attempt after `outcome`.
+  bool IsRetryAllowed(const once::Outcome& outcome) const;
   /// Starts another attempt if the retry policy allows it after `outcome`.
   /// Returns false if no attempt was started.
   bool RetryIfAllowed(const once::Outcome& outcome);
@@ -114,6 +116,8 @@
   int upstreams_broken = 0;
   /// An ended attempt has reached an upstream, so a further one is a retry.
   bool has_reached_upstream = false;
+  /// A hedge has started, and no attempt has ended since after which another
+  /// is allowed.
   bool hedged = false;
   retry::HeldRetryToken retry_token;
   /// Earliest time for the next try to hedge, after one without a retry token
