A silent connection ends the wait for a run's result

What callers saw: a request whose run had ended got its response only when the whole wait for a result had passed: 6.5 s after it was sent, with a run of 1 s and a latency objective of 6 s. On a host that stops, that can be later than its end.

Cause: after a run is accepted, the ingress waits max(1.2 s, objective) for the result. A connection on which packets vanish brings no error, a submitted run that times out never closes its connection, and only another call to the same host that happens to time out shows the silence. The guard has the result and a new connection brings it, but nothing asks.

Why it works: while runs await results, the connection is checked every 250 ms. After two checks without any response the host is called, with the call that costs least; after six the connection is closed. Its runs fail with "no result", and the ingress asks for the outcome at once over a new connection. A busy connection gets no further calls. Silence is counted in checks and not in time, so a process that wakes up late doesn't take its own delay for silence, and a host has a second to respond (LateWakeUpIsNoSilence, LongRunIsNoSilence).

--- a/components/rpc/peer_clients.cc
+++ b/components/rpc/peer_clients.cc
@@ -18,6 +18,14 @@
 /// Several of the kernel's first retransmissions (200 ms each) fit into this
 /// time, so lost packets alone do not close the connection.
 constexpr Duration kSilenceTimeout{std::chrono::seconds(1)};
+/// Interval at which a connection with runs that await their results is checked
+/// for responses.
+constexpr Duration kWatchInterval{std::chrono::milliseconds(250)};
+/// Consecutive checks without a response after which the host is called, and
+/// after which the connection is closed. Silence is counted in checks, and at
+/// most one check follows a late wake-up of this process.
+constexpr int kQuietChecksBeforeCall = 2;
+constexpr int kQuietChecksBeforeClose = 6;
 
 absl::Status FromException(const std::string& host,
                            const char* step,
@@ -58,6 +66,11 @@
   /// Time of the last response, at first the time at which the connection was
   /// begun.
   Instant last_response_at;
+  /// Accepted runs that await their results.
+  int awaited_results = 0;
+  bool is_watched = false;
+  /// Consecutive checks without a response.
+  int quiet_checks = 0;
   kj::Own<kj::NetworkAddress> address;
   kj::Own<kj::AsyncIoStream> stream;
   kj::Own<capnp::TwoPartyClient> client;
@@ -142,6 +155,7 @@
   const auto found = this->state->links.find(host);
   if (found != this->state->links.end() && found->second->number == number) {
     found->second->last_response_at = MonotonicNow();
+    found->second->quiet_checks = 0;
   }
 }
 
@@ -162,11 +176,88 @@
       MonotonicNow() - found->second->last_response_at < kSilenceTimeout) {
     return;
   }
+  this->CloseLink(host);
+}
+
+void PeerClients::CloseLink(const std::string& host) {
+  const auto found = this->state->links.find(host);
   std::shared_ptr<Link> dropped = std::move(found->second);
   this->state->links.erase(found);
   this->loop.Post([held = std::move(dropped)]() mutable { held.reset(); });
 }
 
+void PeerClients::AwaitResult(const std::string& host,
+                              const std::shared_ptr<Link>& link) {
+  if (link == nullptr) {
+    return;
+  }
+  ++link->awaited_results;
+  if (!link->is_watched) {
+    this->Watch(host, link);
+  }
+}
+
+void PeerClients::StopAwaiting(const std::shared_ptr<Link>& link) {
+  if (link != nullptr) {
+    --link->awaited_results;
+  }
+}
+
+// A connection on which packets vanish brings no error. Without a check, a run
+// would wait for its result until its timeout, although the host may have the
+// result and a new connection would bring it. The host is called only if other
+// calls bring no responses.
+void PeerClients::Watch(const std::string& host,
+                        const std::shared_ptr<Link>& link) {
+  link->is_watched = true;
+  link->quiet_checks = 0;
+  this->ScheduleCheck(host, link);
+}
+
+void PeerClients::ScheduleCheck(const std::string& host,
+                                const std::weak_ptr<Link>& link) {
+  this->loop.AddTask(
+      this->loop.io()
+          .provider->getTimer()
+          .afterDelay(ToKj(kWatchInterval))
+          .then([this, host, link] { this->CheckLink(host, link.lock()); }));
+}
+
+void PeerClients::CheckLink(const std::string& host,
+                            const std::shared_ptr<Link>& link) {
+  const auto found = this->state->links.find(host);
+  if (link == nullptr || found == this->state->links.end() ||
+      found->second != link) {
+    return;
+  }
+  if (link->awaited_results == 0) {
+    link->is_watched = false;
+    return;
+  }
+  ++link->quiet_checks;
+  if (link->quiet_checks >= kQuietChecksBeforeClose) {
+    this->CloseLink(host);
+    return;
+  }
+  if (link->quiet_checks == kQuietChecksBeforeCall) {
+    this->CallForResponse(host, *link);
+  }
+  this->ScheduleCheck(host, link);
+}
+
+// Reads no chunk, which is the least that a host can be called for.
+void PeerClients::CallForResponse(const std::string& host, Link& link) {
+  this->loop.AddTask(
+      KJ_ASSERT_NONNULL(link.peer)
+          .addBranch()
+          .then([](wire::Peer::Client peer) {
+            return peer.chunksRequest().send().ignoreResult();
+          })
+          .then([this, host,
+                 number = link.number] { this->RecordResponse(host, number); },
+                [](kj::Exception&&) {}));
+}
+
 template <typename T, typename Start>
 absl::StatusOr<T> PeerClients::Call(const std::string& host,
                                     const char* step,
@@ -403,16 +494,20 @@
   this->loop.Post([=, this] {
     Link& link = this->Connect(host);
     const uint64_t number = link.number;
+    const std::weak_ptr<Link> weak = this->state->links[host];
     auto stage = std::make_shared<SubmitStage>(SubmitStage::kNotAccepted);
     auto sent = KJ_ASSERT_NONNULL(link.peer).addBranch().then(
-        [this, run, stage, accept_timeout,
-         result_timeout](wire::Peer::Client peer) {
+        [=, this](wire::Peer::Client peer) {
           auto request = peer.submitRequest();
           Write(run, request.initRun());
           auto accepted = request.send();
           auto result = accepted.getTicket().outcomeRequest().send();
           kj::Promise<void> acceptance =
-              accepted.then([stage](auto) { *stage = SubmitStage::kNoResult; });
+              accepted.then([this, host, number, weak, stage](auto) {
+                *stage = SubmitStage::kNoResult;
+                this->RecordResponse(host, number);
+                this->AwaitResult(host, weak.lock());
+              });
           return WithTimeout(this->loop, kj::mv(acceptance), accept_timeout)
               .then([this, result_timeout, result = kj::mv(result)]() mutable {
                 kj::Promise<RunResult> read = result.then([](auto response) {
@@ -431,13 +526,16 @@
     this->loop.AddTask(
         WithTimeout(this->loop, kj::mv(sent), total_timeout)
             .then(
-                [this, reply, host, number](RunResult run_result) {
+                [this, reply, host, number, weak](RunResult run_result) {
                   this->RecordResponse(host, number);
+                  StopAwaiting(weak.lock());
                   reply->set_value({.run = std::move(run_result)});
                 },
                 [=, this](kj::Exception&& error) {
                   if (*stage == SubmitStage::kNotAccepted) {
                     this->RecordFailure(host, number, error);
+                  } else {
+                    StopAwaiting(weak.lock());
                   }
                   reply->set_value(
                       {.stage = *stage,
--- a/components/rpc/peer_clients.h
+++ b/components/rpc/peer_clients.h
@@ -36,7 +36,9 @@
 /// Calls to other hosts over one connection to each. A call that fails destroys
 /// its connection, so the next call opens a new one; a call that times out does
 /// so only if the connection has brought no response for a second. A submitted
-/// run that fails after its acceptance never destroys the connection. All calls
+/// run that fails after its acceptance never destroys the connection. While
+/// runs await their results, a connection that stays silent although the host
+/// is called is destroyed, and these runs fail. All calls
 /// suspend the calling fiber. Their status is DeadlineExceeded after a timeout,
 /// and Unavailable after any other failure.
 class PeerClients {
@@ -131,6 +133,18 @@
   void RecordFailure(const std::string& host,
                      uint64_t number,
                      const kj::Exception& error);
+  /// Counts a run of `link` that awaits its result, and begins to check the
+  /// connection if it is the only one.
+  void AwaitResult(const std::string& host, const std::shared_ptr<Link>& link);
+  static void StopAwaiting(const std::shared_ptr<Link>& link);
+  void Watch(const std::string& host, const std::shared_ptr<Link>& link);
+  void ScheduleCheck(const std::string& host, const std::weak_ptr<Link>& link);
+  /// Closes the connection if it has brought no response at several checks in
+  /// a row, and calls the host before that.
+  void CheckLink(const std::string& host, const std::shared_ptr<Link>& link);
+  void CallForResponse(const std::string& host, Link& link);
+  /// Destroys the connection that `host` has.
+  void CloseLink(const std::string& host);
 
   EventLoop& loop;
   Options options;
--- a/tests/rpc/peer_clients_test.cc
+++ b/tests/rpc/peer_clients_test.cc
@@ -7,8 +7,10 @@
 #include <unistd.h>
 
 #include <future>
+#include <thread>
 #include <vector>
 
+#include "apps/relay_standin/relay.h"
 #include "components/fibers/worker_pool.h"
 #include "components/rpc/peer_server.h"
 #include "tests/support/times.h"
@@ -17,6 +19,8 @@
 namespace {
 
 constexpr uint16_t kServerPort = 18'471;
+constexpr uint16_t kRunServerPort = 18'472;
+constexpr uint16_t kRelayPort = 18'473;
 
 /// Listening socket whose backlog is full. A connection attempt hangs until
 /// `AcceptPending` and then succeeds when the kernel retransmits its SYN.
@@ -64,8 +68,140 @@
   std::vector<int> sockets;
 };
 
+/// A peer that accepts every run and ends none by itself, behind a relay. Made
+/// once, since loops and workers run until the process ends.
+class RunPeer {
+ public:
+  static RunPeer& Get() {
+    static auto* peer = new RunPeer;
+    return *peer;
+  }
+
+  /// Submits a run that waits for its result for `result_timeout`, and returns
+  /// once its acceptance has arrived.
+  std::future<SubmitResult> Submit(Duration result_timeout) {
+    auto result = std::make_shared<std::promise<SubmitResult>>();
+    auto future = result->get_future();
+    this->accepted = std::promise<RunDone>();
+    this->workers.Spawn([this, result, result_timeout] {
+      result->set_value(
+          this->clients.Submit(this->name, {}, Millis(1'000), result_timeout));
+    });
+    this->done = this->accepted.get_future().get();
+    // Responses arrive in order, and so that of the acceptance has arrived.
+    CHECK(this->IsReached());
+    return future;
+  }
+
+  /// Ends the accepted run.
+  void EndRun() {
+    this->done({.outcome = once::Ran{.response = {.status = kStatus}}});
+  }
+
+  /// Silences the connections that are open now.
+  void SilenceConnections() {
+    std::promise<void> silenced;
+    this->relay_worker.Spawn([&] {
+      this->relay.HandleControl(
+          {.target = "/faults", .body = R"({"silence_open":true})"});
+      silenced.set_value();
+    });
+    silenced.get_future().get();
+  }
+
+  /// Returns true if a call to the peer gets its response.
+  bool IsReached() {
+    std::promise<bool> reached;
+    this->workers.Spawn([&] {
+      reached.set_value(this->clients.Head(this->name, Millis(1'000)).ok());
+    });
+    return reached.get_future().get();
+  }
+
+  EventLoop server_loop;
+  EventLoop client_loop;
+
+ private:
+  static constexpr int kStatus = 200;
+  static constexpr char kKey[] = "a key for this test";
+
+  RunPeer()
+      : relay({.listen = {.address = "127.0.0.1", .port = kRelayPort},
+               .server = {.address = "127.0.0.1", .port = kRunServerPort}}),
+        server(
+            this->server_loop,
+            {.listen = {.address = "127.0.0.1", .port = kRunServerPort},
+             .fleet_key = kKey},
+            {.head = [] { return std::string("head"); },
+             .chunks = [](const auto&) { return std::vector<std::string>(); },
+             .submit =
+                 [this](const once::RunRequest&, RunDone run_done) {
+                   this->accepted.set_value(std::move(run_done));
+                 }}),
+        clients(
+            this->client_loop,
+            {.own_host = "127.0.0.1:1", .incarnation = 1, .fleet_key = kKey}) {
+    CHECK(this->server.Start().ok());
+    this->relay_worker.Spawn([this] { this->relay.Run(); });
+  }
+
+  const std::string name = "127.0.0.1:" + std::to_string(kRelayPort);
+  fibers::WorkerPool workers{1};
+  fibers::WorkerPool relay_worker{1};
+  Relay relay;
+  std::promise<RunDone> accepted;
+  RunDone done;
+  PeerServer server;
+  PeerClients clients;
+};
+
+/// Keeps the thread of `loop` busy, as if the process got no processor time.
+void Starve(EventLoop& loop, Duration duration) {
+  loop.Post([duration] { std::this_thread::sleep_for(duration); });
+}
+
 TEST_GROUP(PeerClients){};
 
+// Guards against a run whose response waits for its caller's whole patience
+// although its connection is silent and a new one would bring the response.
+TEST(PeerClients, SilenceEndsTheWaitForAResult) {
+  RunPeer& peer = RunPeer::Get();
+  const Instant start = MonotonicNow();
+  auto result = peer.Submit(Millis(8'000));
+  peer.SilenceConnections();
+  peer.EndRun();
+  const SubmitResult submitted = result.get();
+  CHECK_FALSE(submitted.ok());
+  CHECK(submitted.stage == SubmitStage::kNoResult);
+  CHECK(MonotonicNow() - start < Millis(3'500));
+  CHECK(peer.IsReached());
+}
+
+// Guards against a long run on a connection without other calls that counts as
+// silence.
+TEST(PeerClients, LongRunIsNoSilence) {
+  RunPeer& peer = RunPeer::Get();
+  auto result = peer.Submit(Millis(8'000));
+  std::this_thread::sleep_for(Millis(4'000));
+  peer.EndRun();
+  CHECK(result.get().ok());
+}
+
+// Guards against late wake-ups of either process that count as silence.
+TEST(PeerClients, LateWakeUpIsNoSilence) {
+  RunPeer& peer = RunPeer::Get();
+  auto result = peer.Submit(Millis(12'000));
+  Starve(peer.server_loop, Millis(800));
+  std::this_thread::sleep_for(Millis(1'500));
+  Starve(peer.client_loop, Millis(3'000));
+  std::this_thread::sleep_for(Millis(3'500));
+  Starve(peer.client_loop, Millis(400));
+  Starve(peer.server_loop, Millis(800));
+  std::this_thread::sleep_for(Millis(1'500));
+  peer.EndRun();
+  CHECK(result.get().ok());
+}
+
 // Guards against use of a destroyed link: a call with a shorter timeout had
 // destroyed the link while its connection was still opening, and a call with a
 // longer timeout used the connection when it opened.
