--- a/tests/rpc/peer_clients_test.cc
+++ b/tests/rpc/peer_clients_test.cc
@@ -143,6 +143,10 @@
             {.own_host = "127.0.0.1:1", .incarnation = 1, .fleet_key = kKey}) {
     CHECK(this->server.Start().ok());
     this->relay_worker.Spawn([this] { this->relay.Run(); });
+    // The relay may not listen yet.
+    while (!this->IsReached()) {
+      std::this_thread::sleep_for(Millis(10));
+    }
   }
 
   const std::string name = "127.0.0.1:" + std::to_string(kRelayPort);
