--- a/tests/rpc/peer_clients_test.cc
+++ b/tests/rpc/peer_clients_test.cc
@@ -277,7 +277,7 @@
   static auto* workers = new fibers::WorkerPool(1);
   static auto* loop = new EventLoop;
   constexpr char kKey[] = "a key for this test";
-  constexpr uint16_t kPort = kServerPort + 1;
+  constexpr uint16_t kPort = kServerPort + 3;
   membership::HostUpdate update{
       .record = {.host = "a",
                  .incarnation = 5,
