--- a/tests/process/last_upload_test.sh
+++ b/tests/process/last_upload_test.sh
@@ -3,7 +3,7 @@
 # is complete a moment later, is answered or not run.
 . "$(dirname "$0")/lib.sh"
 export KINGCUPSTAIR_STOP_GRACE_MS=6000
-site_begin "$dir" 31000
+site_begin "$dir" 16000
 rules_with "$(organisation growers 5000 5000 grower-key)" >"$dir/rules"
 cat >>"$dir/rules" <<RULES
 service quay floor 0.5 slots 20 # asked by: test
--- a/tests/process/log_test.sh
+++ b/tests/process/log_test.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # A reader of the logs that stops reading costs lines, not latency or memory.
 . "$(dirname "$0")/lib.sh"
-site_begin "$dir" 32000
+site_begin "$dir" 14000
 rules_with "$(organisation growers 5000 5000 grower-key)" >"$dir/rules"
 # The reader holds the pipe open and takes nothing from it.
 mkfifo "$dir/host1.log"
--- a/tests/process/silent_run_test.sh
+++ b/tests/process/silent_run_test.sh
@@ -2,7 +2,7 @@
 # The response of a run whose connection went silent after the run was accepted
 # came only when the whole wait for a result had passed.
 . "$(dirname "$0")/lib.sh"
-site_begin "$dir" 19000
+site_begin "$dir" 17000
 cat >"$dir/rules" <<RULES
 service lote floor 0.5 slots 7 # asked by: test
 route POST /lote/dispatch service lote once keyed deadline 12s objective 6s # asked by: test
@@ -11,7 +11,7 @@
 site_store
 # Two addresses of one host would give two connections to it, and runs over the
 # earlier one are refused.
-seeds="127.0.0.1:19011,127.0.0.1:19025"
+seeds="127.0.0.1:17011,127.0.0.1:17025"
 site_host 1 aqp-1 --seeds "$seeds"
 site_relayed_host 2 aqp-2 --seeds "$seeds"
 site_host 3 aqp-1 --seeds "$seeds"
--- a/tests/process/store_restore_test.sh
+++ b/tests/process/store_restore_test.sh
@@ -2,7 +2,7 @@
 # The store comes back from an older copy: nothing that was in force is undone,
 # changes made afterwards are in force within 5 s, nothing is refused for it.
 . "$(dirname "$0")/lib.sh"
-site_begin "$dir" 31000
+site_begin "$dir" 15000
 rules_with "$(organisation growers 1000 1000 grower-key)" \
   "$(organisation packers 1000 1000 packer-key)" >"$dir/rules"
 rules_with "$(organisation growers 1000 1000 grower-key)" >"$dir/rules.withdrawn"
