--- a/scripts/lib/site.sh
+++ b/scripts/lib/site.sh
@@ -12,9 +12,18 @@
 declare -A site_pids=()
 declare -A site_upstream_ports=()
 
+# Ports of one site, from its base port on.
+site_port_span=700
+
 site_begin() {
   site_dir="$1"
   site_base="$2"
+  local first_ephemeral
+  read -r first_ephemeral _ </proc/sys/net/ipv4/ip_local_port_range
+  if [ $((site_base + site_port_span)) -gt "$first_ephemeral" ]; then
+    echo "site_begin: ports from $site_base on: those from $first_ephemeral on are ephemeral" >&2
+    exit 2
+  fi
   mkdir -p "$site_dir"
   site_store_port=$((site_base))
   site_store_address="127.0.0.1:$site_store_port"
--- a/soak/soak.sh
+++ b/soak/soak.sh
@@ -8,7 +8,7 @@
 seed="$1"
 seconds="${2:-20}"
 hosts="${3:-4}"
-base="${4:-26000}"
+base="${4:-11000}"
 # Sourcing the library goes to the repository's root.
 . "$(dirname "$0")/../tests/process/lib.sh"
 . soak/faults.sh
--- a/tests/process/departed_upstream_test.sh
+++ b/tests/process/departed_upstream_test.sh
@@ -3,7 +3,7 @@
 # used again after a restart of its host when an earlier announcement of it
 # arrives late.
 . "$(dirname "$0")/lib.sh"
-site_begin "$dir" 33000
+site_begin "$dir" 13000
 rules_with "$(organisation growers 1000 1000 grower-key)" >"$dir/rules"
 site_store
 site_host 1 aqp-1
