CrashLedger: a success takes back the crashes that its host knew, and no later ones

Cause, of this fault: clearances travelled as an age. A host that received one took it for as much younger as the message had been under way, kept the latest time and passed that on, so between hosts that exchange messages all the time a clearance hardly ages, and covered crashes after the success. And whether a crash or a success was first was decided by times that had come by unlike paths. A clearance now names the evidence that it covers, so nothing is compared.

Copies of known evidence that arrive late stay covered; that is checked.

--- a/components/control/gossip_loop.cc
+++ b/components/control/gossip_loop.cc
@@ -17,7 +17,7 @@
 constexpr Duration kSyncTimeout{std::chrono::seconds(2)};
 constexpr size_t kMaxUpdatesPerMessage = 8;
 constexpr size_t kMaxCrashEvidencePerMessage = 32;
-constexpr size_t kMaxClearancesPerMessage = 16;
+constexpr size_t kMaxClearancesPerMessage = 32;
 constexpr size_t kMaxIndirectProbes = 3;
 constexpr size_t kMaxSpreadTargets = 3;
 /// One probe in this many goes to any zone; the others stay in the own zone.
@@ -242,8 +242,8 @@
   this->fleet.isolation.RecordContact(now);
   this->fleet.store.RecordEra(message.store_era);
   this->fleet.directory.Merge(message.updates);
-  for (const once::AgedClearance& clearance : message.clearances) {
-    this->fleet.crashes.AddClearance(clearance.fingerprint, clearance.age, now);
+  for (const once::AgedEvidence& cleared : message.clearances) {
+    this->fleet.crashes.AddClearance(cleared.evidence, cleared.age, now);
   }
   for (const once::AgedEvidence& crash : message.crashes) {
     if (this->fleet.crashes.Add(crash.evidence, crash.age, now)) {
--- a/components/guard/shared_crash_ledger.h
+++ b/components/guard/shared_crash_ledger.h
@@ -35,10 +35,12 @@
     return this->ledger.Clear(fingerprint, now);
   }
 
-  /// Records a clearance that happened `age` before `now`.
-  void AddClearance(once::Fingerprint fingerprint, Duration age, Instant now) {
+  /// Records that a peer cleared this evidence `age` before `now`.
+  void AddClearance(const once::CrashEvidence& evidence,
+                    Duration age,
+                    Instant now) {
     const std::lock_guard lock(this->mutex);
-    this->ledger.AddClearance(fingerprint, now - age, now);
+    this->ledger.AddClearance(evidence, now - age, now);
   }
 
   /// Returns on how many upstreams that crashed the request was running.
@@ -59,8 +61,8 @@
     return this->ledger.Current(now);
   }
 
-  /// Returns the clearances that still count, with their age.
-  std::vector<once::AgedClearance> Clearances(Instant now) const {
+  /// Returns the evidence that was cleared, with the age of the clearance.
+  std::vector<once::AgedEvidence> Clearances(Instant now) const {
     const std::lock_guard lock(this->mutex);
     return this->ledger.Clearances(now);
   }
--- a/components/once/crash_ledger.cc
+++ b/components/once/crash_ledger.cc
@@ -6,51 +6,38 @@
 
 CrashLedger::CrashLedger(Options options) : options(options) {}
 
-// Evidence keeps the time of its crash when it is passed on between hosts.
-// Otherwise hosts would renew the evidence for each other and it would never
-// expire.
+// Evidence and clearances keep the time at which they were first heard of.
+// Otherwise hosts would renew them for each other and they would never expire.
 bool CrashLedger::Add(const CrashEvidence& evidence, Instant at, Instant now) {
-  const auto clearance = this->cleared.find(evidence.fingerprint);
   const bool expired = at + this->options.lifetime <= now;
-  const bool cleared =
-      clearance != this->cleared.end() && at <= clearance->second;
-  if (expired || cleared) {
+  if (expired || this->clearance_times.count(evidence) > 0) {
     return false;
   }
   return this->crash_times.emplace(evidence, at).second;
 }
 
-// A request without evidence needs no clearance: requests that succeed are
-// many, and the ledger stays small.
+// A clearance names the evidence that it covers. Whether a crash came before a
+// success can't be decided by time: each host calculates both times from the
+// ages in messages that were under way for unlike times.
 bool CrashLedger::Clear(Fingerprint fingerprint, Instant at) {
-  const bool removed = this->RemoveEvidence(fingerprint, at);
-  if (removed) {
-    this->RecordClearance(fingerprint, at);
-  }
-  return removed;
+  return std::erase_if(this->crash_times, [&](const auto& entry) {
+           const bool covered = entry.first.fingerprint == fingerprint;
+           if (covered) {
+             this->clearance_times.emplace(entry.first, at);
+           }
+           return covered;
+         }) > 0;
 }
 
-// Recorded also without evidence here: it may still arrive from another peer.
-void CrashLedger::AddClearance(Fingerprint fingerprint,
+void CrashLedger::AddClearance(const CrashEvidence& evidence,
                                Instant at,
                                Instant now) {
   if (at + this->options.lifetime > now) {
-    this->RemoveEvidence(fingerprint, at);
-    this->RecordClearance(fingerprint, at);
+    this->crash_times.erase(evidence);
+    this->clearance_times.emplace(evidence, at);
   }
 }
 
-bool CrashLedger::RemoveEvidence(Fingerprint fingerprint, Instant at) {
-  return std::erase_if(this->crash_times, [&](const auto& entry) {
-           return entry.first.fingerprint == fingerprint && entry.second <= at;
-         }) > 0;
-}
-
-void CrashLedger::RecordClearance(Fingerprint fingerprint, Instant at) {
-  Instant& clearance = this->cleared.emplace(fingerprint, at).first->second;
-  clearance = std::max(clearance, at);
-}
-
 std::vector<Instant> CrashLedger::ExpiryTimes(Fingerprint fingerprint,
                                               Instant now) const {
   std::vector<Instant> ends;
@@ -78,22 +65,19 @@
 }
 
 std::vector<AgedEvidence> CrashLedger::Current(Instant now) const {
-  std::vector<AgedEvidence> current;
-  for (const auto& [evidence, at] : this->crash_times) {
-    if (at + this->options.lifetime > now) {
-      current.push_back({.evidence = evidence, .age = now - at});
-    }
-  }
-  std::stable_sort(current.begin(), current.end(),
-                   [](const auto& a, const auto& b) { return a.age < b.age; });
-  return current;
+  return this->NewestFirst(this->crash_times, now);
+}
+
+std::vector<AgedEvidence> CrashLedger::Clearances(Instant now) const {
+  return this->NewestFirst(this->clearance_times, now);
 }
 
-std::vector<AgedClearance> CrashLedger::Clearances(Instant now) const {
-  std::vector<AgedClearance> current;
-  for (const auto& [fingerprint, at] : this->cleared) {
+std::vector<AgedEvidence> CrashLedger::NewestFirst(const EvidenceTimes& times,
+                                                   Instant now) const {
+  std::vector<AgedEvidence> current;
+  for (const auto& [evidence, at] : times) {
     if (at + this->options.lifetime > now) {
-      current.push_back({.fingerprint = fingerprint, .age = now - at});
+      current.push_back({.evidence = evidence, .age = now - at});
     }
   }
   std::stable_sort(current.begin(), current.end(),
@@ -106,7 +90,7 @@
     return entry.second + this->options.lifetime <= now;
   };
   std::erase_if(this->crash_times, expired);
-  std::erase_if(this->cleared, expired);
+  std::erase_if(this->clearance_times, expired);
 }
 
 }  // namespace kingcupstair::once
--- a/components/once/crash_ledger.h
+++ b/components/once/crash_ledger.h
@@ -24,8 +24,8 @@
   auto operator<=>(const CrashEvidence&) const = default;
 };
 
-/// Crash evidence with the time since the crash, from which a peer calculates
-/// the time of the crash on its own clock.
+/// Crash evidence with the time since the crash or since the evidence was
+/// cleared, from which a peer calculates that time on its own clock.
 struct AgedEvidence {
   CrashEvidence evidence;
   Duration age{};
@@ -33,14 +33,6 @@
   bool operator==(const AgedEvidence&) const = default;
 };
 
-/// Clearance of a request with the time since then.
-struct AgedClearance {
-  Fingerprint fingerprint = 0;
-  Duration age{};
-
-  bool operator==(const AgedClearance&) const = default;
-};
-
 /// Record of crash evidence. Distinguishes requests that crash the upstreams
 /// that run them from requests that were only running at the same time.
 class CrashLedger {
@@ -56,17 +48,17 @@
   explicit CrashLedger(Options options);
 
   /// Adds evidence of a crash at time `at`, from this host or from a peer.
-  /// Returns false if the evidence is already recorded, has expired, or is
-  /// older than a clearance of the request.
+  /// Returns false if the evidence is already recorded, has expired or was
+  /// cleared.
   bool Add(const CrashEvidence& evidence, Instant at, Instant now);
 
   /// Records that an upstream ran the request successfully until `at`. This
-  /// clears the request of all crashes up to then; later crashes count. Returns
-  /// true if evidence was removed.
+  /// clears the evidence about the request that is known here; other evidence
+  /// counts. Returns true if evidence was cleared.
   bool Clear(Fingerprint fingerprint, Instant at);
 
-  /// Records a clearance at time `at` that a peer told of.
-  void AddClearance(Fingerprint fingerprint, Instant at, Instant now);
+  /// Records that a peer cleared this evidence at time `at`.
+  void AddClearance(const CrashEvidence& evidence, Instant at, Instant now);
 
   /// Returns on how many upstreams that crashed the request was running.
   size_t CountCrashes(Fingerprint fingerprint, Instant now) const;
@@ -79,27 +71,28 @@
   /// newest comes first.
   std::vector<AgedEvidence> Current(Instant now) const;
 
-  /// Returns the clearances that have not expired, with their age, for peers.
-  /// The newest comes first.
-  std::vector<AgedClearance> Clearances(Instant now) const;
+  /// Returns the evidence whose clearance has not expired, with the age of the
+  /// clearance, for peers. The newest comes first.
+  std::vector<AgedEvidence> Clearances(Instant now) const;
 
   /// Removes expired evidence and expired clearances.
   void Expire(Instant now);
 
  private:
-  /// Removes the evidence of crashes up to `at`. Returns true if there was any.
-  bool RemoveEvidence(Fingerprint fingerprint, Instant at);
-  /// Records a clearance at time `at` unless a later one is recorded.
-  void RecordClearance(Fingerprint fingerprint, Instant at);
+  using EvidenceTimes = std::map<CrashEvidence, Instant>;
+
+  /// Returns the entries of `times` that have not expired, the newest first.
+  std::vector<AgedEvidence> NewestFirst(const EvidenceTimes& times,
+                                        Instant now) const;
   /// Returns when each piece of evidence about the request expires, without
   /// those that have expired.
   std::vector<Instant> ExpiryTimes(Fingerprint fingerprint, Instant now) const;
 
   Options options;
-  std::map<CrashEvidence, Instant> crash_times;
-  /// Time of the last clearance of each request that had evidence here or at
-  /// the peer that told of the clearance.
-  std::map<Fingerprint, Instant> cleared;
+  EvidenceTimes crash_times;
+  /// When evidence was cleared. It may still arrive from peers that have not
+  /// heard of its clearance.
+  EvidenceTimes clearance_times;
 };
 
 }  // namespace kingcupstair::once
--- a/components/rpc/convert.cc
+++ b/components/rpc/convert.cc
@@ -111,9 +111,10 @@
   auto clearances =
       out.initClearances(static_cast<unsigned>(message.clearances.size()));
   for (unsigned i = 0; i < message.clearances.size(); ++i) {
-    clearances[i].setFingerprint(message.clearances[i].fingerprint);
-    clearances[i].setAgeMillis(
-        ClampToUint32(ToMillisRoundedUp(message.clearances[i].age)));
+    const once::AgedEvidence& aged = message.clearances[i];
+    clearances[i].setFingerprint(aged.evidence.fingerprint);
+    clearances[i].setUpstream(aged.evidence.upstream);
+    clearances[i].setAgeMillis(ClampToUint32(ToMillisRoundedUp(aged.age)));
   }
 }
 
@@ -133,7 +134,8 @@
   }
   for (const auto clearance : in.getClearances()) {
     message.clearances.push_back(
-        {.fingerprint = clearance.getFingerprint(),
+        {.evidence = {.fingerprint = clearance.getFingerprint(),
+                      .upstream = ToString(clearance.getUpstream())},
          .age = std::chrono::milliseconds(clearance.getAgeMillis())});
   }
   return message;
--- a/components/rpc/messages.h
+++ b/components/rpc/messages.h
@@ -79,7 +79,8 @@
   std::vector<uint64_t> wanted;
   std::vector<membership::HostUpdate> updates;
   std::vector<once::AgedEvidence> crashes;
-  std::vector<once::AgedClearance> clearances;
+  /// Evidence that was cleared.
+  std::vector<once::AgedEvidence> clearances;
 
   bool operator==(const GossipMessage&) const = default;
 };
--- a/components/rpc/peer.capnp
+++ b/components/rpc/peer.capnp
@@ -171,6 +171,7 @@
 struct Clearance {
   fingerprint @0 :UInt64;
   ageMillis @1 :UInt32;
+  upstream @2 :Text;
 }
 
 struct Loan {
--- a/components/rpc/peer.capnp.h
+++ b/components/rpc/peer.capnp.h
@@ -756,7 +756,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fec2bd230d3f1593, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(fec2bd230d3f1593, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -4857,6 +4857,9 @@
 
   inline  ::uint32_t getAgeMillis() const;
 
+  inline bool hasUpstream() const;
+  inline  ::capnp::Text::Reader getUpstream() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4891,6 +4894,13 @@
   inline  ::uint32_t getAgeMillis();
   inline void setAgeMillis( ::uint32_t value);
 
+  inline bool hasUpstream();
+  inline  ::capnp::Text::Builder getUpstream();
+  inline void setUpstream( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initUpstream(unsigned int size);
+  inline void adoptUpstream(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownUpstream();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -8997,6 +9007,40 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Clearance::Reader::hasUpstream() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Clearance::Builder::hasUpstream() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Clearance::Reader::getUpstream() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Clearance::Builder::getUpstream() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Clearance::Builder::setUpstream( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Clearance::Builder::initUpstream(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Clearance::Builder::adoptUpstream(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Clearance::Builder::disownUpstream() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline double Loan::Reader::getFraction() const {
   return _reader.getDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
