Guard: crashes of two starts of one upstream count twice

An upstream that comes back under its id and is crashed again by the same request gave one piece of evidence, since evidence named the id alone: a request could end a service's only upstream for good. Evidence names the start. Guard, CrashesOfTwoStarts... failed before (1 of 2 counted).

--- a/components/guard/guard.cc
+++ b/components/guard/guard.cc
@@ -303,9 +303,11 @@
                              const std::vector<CrashSuspect>& suspects) {
   const Instant now = MonotonicNow();
   for (const CrashSuspect& suspect : suspects) {
-    const bool is_new_evidence = this->crashes.Add(
-        {.fingerprint = suspect.fingerprint, .upstream = announcement.id},
-        now - suspect.at, now);
+    const bool is_new_evidence =
+        this->crashes.Add({.fingerprint = suspect.fingerprint,
+                           .upstream = Departures::StartName(
+                               announcement.id, announcement.incarnation)},
+                          now - suspect.at, now);
     if (is_new_evidence) {
       this->RecordUpstreamEvent(
           "upstream_crashed", announcement,
--- a/components/once/crash_ledger.h
+++ b/components/once/crash_ledger.h
@@ -19,6 +19,7 @@
 /// when that upstream crashed.
 struct CrashEvidence {
   Fingerprint fingerprint = 0;
+  /// Names the start of the upstream that crashed.
   std::string upstream;
 
   auto operator<=>(const CrashEvidence&) const = default;
@@ -40,8 +41,8 @@
   struct Options {
     /// Time for which evidence and clearances count.
     Duration lifetime{std::chrono::minutes(10)};
-    /// Number of different upstreams whose crashes are attributed to a request
-    /// before the request is refused.
+    /// Number of crashes, of different starts of upstreams, that are attributed
+    /// to a request before the request is refused.
     size_t crashes_to_refuse = 2;
   };
 
--- a/tests/guard/guard_test.cc
+++ b/tests/guard/guard_test.cc
@@ -51,6 +51,30 @@
                                .remaining_time = Millis(1'000)});
   }
 
+  /// Runs a request at lote-2, which doesn't answer it.
+  void RunUnanswered(fibers::WorkerPool & workers,
+                     const std::string& request_id) {
+    const auto slot = this->guard.Reserve({.request_id = request_id,
+                                           .incarnation = kIncarnation,
+                                           .upstream = "lote-2",
+                                           .remaining_time = Millis(1'000)});
+    CHECK(slot.granted);
+    const AcceptAnswer accepted =
+        this->guard.Accept({.request_id = request_id,
+                            .incarnation = kIncarnation,
+                            .upstream = "lote-2",
+                            .fingerprint = kFingerprint,
+                            .idempotent = true,
+                            .remaining_time = Millis(50)});
+    CHECK(std::holds_alternative<AcceptedRun>(accepted));
+    std::promise<rpc::RunResult> ended;
+    workers.Spawn([&] {
+      ended.set_value(this->guard.Run(std::get<AcceptedRun>(accepted)));
+    });
+    const rpc::RunResult result = ended.get_future().get();
+    CHECK(std::holds_alternative<once::Unknown>(result.outcome));
+  }
+
   void AddCrash(const char* upstream) {
     this->crashes.Add({.fingerprint = kFingerprint, .upstream = upstream}, {},
                       MonotonicNow());
@@ -78,6 +102,26 @@
   CHECK(std::holds_alternative<AcceptedRun>(this->Accept("a")));
 }
 
+// Crashes of two starts counted once, so a service with one upstream that keeps
+// its id was not protected.
+TEST(Guard, CrashesOfTwoStartsOfAnUpstreamUnderOneIdCountTwice) {
+  const Listener upstream = ListenOnLoopback(1);
+  static auto* workers = new fibers::WorkerPool(1);
+  Announcement announcement{.id = "lote-2",
+                            .service = "lote",
+                            .endpoint = upstream.endpoint,
+                            .slots = 1};
+  for (const char* start : {"@1", "@2"}) {
+    announcement.incarnation = start;
+    this->guard.Announce(announcement);
+    this->RunUnanswered(*workers, start);
+  }
+  announcement.incarnation = "@3";
+  this->guard.Announce(announcement);
+  LONGS_EQUAL(2, this->crashes.CountCrashes(kFingerprint, MonotonicNow()));
+  close(upstream.socket);
+}
+
 // The upstream of a host that restarts announces itself before the host has its
 // configuration, and then had no warm-up limit for as long as the host ran.
 TEST(Guard, AnUpstreamKnownBeforeItsServiceGetsTheWarmUpRate) {
