CrashSuspects: an answer clears earlier runs once its start has announced itself

An upstream that crashed and came back under its id answered requests before it announced its new start, and the first answer cleared the request that had crashed it: no evidence was made. The answer now counts when an announcement of the start that was known follows it. AnAnswerToALaterRunClears... asserted this fault; in its place stand two tests, that answer and announcement clear, and that neither does alone.

--- a/components/guard/crash_suspects.cc
+++ b/components/guard/crash_suspects.cc
@@ -13,32 +13,44 @@
 }
 
 // An upstream that answers a request sent after another run ended was not
-// crashed by that run.
+// crashed by that run, unless it is the next start of the upstream that
+// answers. The announcement that follows tells which start it was.
 void CrashSuspects::OnEnd(uint64_t ticket, RunReply reply, Instant now) {
   const auto run = this->running.extract(ticket);
   if (run.empty()) {
     return;
   }
   if (reply == RunReply::kAnswered) {
-    std::erase_if(this->unanswered, [&](const CrashSuspect& suspect) {
-      return suspect.at < run.mapped().started;
-    });
+    for (UnansweredRun& each : this->unanswered) {
+      each.later_run_answered =
+          each.later_run_answered || each.suspect.at < run.mapped().started;
+    }
   } else if (reply == RunReply::kNone) {
     this->ForgetOld(now);
     this->unanswered.push_back(
-        {.fingerprint = run.mapped().fingerprint, .at = now});
+        {.suspect = {.fingerprint = run.mapped().fingerprint, .at = now}});
   }
 }
 
+void CrashSuspects::OnAnnounced() {
+  std::erase_if(this->unanswered, [](const UnansweredRun& each) {
+    return each.later_run_answered;
+  });
+}
+
 void CrashSuspects::ForgetOld(Instant now) {
-  std::erase_if(this->unanswered, [&](const CrashSuspect& suspect) {
-    return now - suspect.at > this->options.detection_time;
+  std::erase_if(this->unanswered, [&](const UnansweredRun& each) {
+    return now - each.suspect.at > this->options.detection_time;
   });
 }
 
 std::vector<CrashSuspect> CrashSuspects::TakeEnded(Instant now) {
   this->ForgetOld(now);
-  return std::exchange(this->unanswered, {});
+  std::vector<CrashSuspect> suspects;
+  for (const UnansweredRun& each : std::exchange(this->unanswered, {})) {
+    suspects.push_back(each.suspect);
+  }
+  return suspects;
 }
 
 std::vector<CrashSuspect> CrashSuspects::TakeAll(Instant now) {
--- a/components/guard/crash_suspects.h
+++ b/components/guard/crash_suspects.h
@@ -45,6 +45,10 @@
   /// Ignores runs that are not running on the present start of the upstream.
   void OnEnd(uint64_t ticket, RunReply reply, Instant now);
 
+  /// Records an announcement of the present start of the upstream. The runs
+  /// that ended before an answered run began are then no suspects any more.
+  void OnAnnounced();
+
   /// Returns the suspects among the runs that have ended, for a crash found at
   /// `now`, and forgets them.
   std::vector<CrashSuspect> TakeEnded(Instant now);
@@ -58,12 +62,18 @@
     Instant started;
   };
 
+  struct UnansweredRun {
+    CrashSuspect suspect;
+    /// Set if a run that began after this one had ended was answered.
+    bool later_run_answered = false;
+  };
+
   /// Drops suspects whose crash would have been found by now.
   void ForgetOld(Instant now);
 
   Options options;
   std::map<uint64_t, ActiveRun> running;
-  std::vector<CrashSuspect> unanswered;
+  std::vector<UnansweredRun> unanswered;
 };
 
 }  // namespace kingcupstair::guard
--- a/components/guard/guard_announcements.cc
+++ b/components/guard/guard_announcements.cc
@@ -43,6 +43,8 @@
     this->RecordUpstreamEvent("upstream_restarted", announcement, "");
     this->AddCrashEvidence(previous,
                            upstream.crash_suspects.TakeAll(MonotonicNow()));
+  } else {
+    upstream.crash_suspects.OnAnnounced();
   }
   upstream.gate->SetCold(announcement.cold);
   if (announcement.draining && !previous.draining) {
