Store client: keep-alive probes find a watch whose connection has gone silent

A watch waits 8 s and its connection has 9: if the connections of all watchers go silent at once, changes that are confirmed meanwhile are in force nowhere for up to nine seconds, since the watches of all of them end together after a change. HttpClient, ASilentConnectionOfALongExchange... failed before: no probe was due.

--- a/components/http/client.cc
+++ b/components/http/client.cc
@@ -1,5 +1,8 @@
 #include "components/http/client.h"
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <utility>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -36,6 +39,13 @@
 /// Responses to earlier requests that one exchange discards at most.
 constexpr int kMaxDiscardedResponses = 3;
 
+/// Keep-alive probes of a connection on which silence is to be detected: time
+/// without traffic before the first, time between two, and unanswered probes
+/// after which the connection has failed.
+constexpr int kProbeAfterSeconds = 1;
+constexpr int kProbeIntervalSeconds = 1;
+constexpr int kMaxUnansweredProbes = 2;
+
 struct Connection {
   explicit Connection(boost::asio::io_context& io) : stream(io) {}
 
@@ -145,6 +155,16 @@
                           "cancelled before it was sent")}};
 }
 
+void SendKeepAliveProbes(tcp::socket& socket) {
+  const auto set = [&socket](int level, int option, int value) {
+    setsockopt(socket.native_handle(), level, option, &value, sizeof(value));
+  };
+  set(SOL_SOCKET, SO_KEEPALIVE, 1);
+  set(IPPROTO_TCP, TCP_KEEPIDLE, kProbeAfterSeconds);
+  set(IPPROTO_TCP, TCP_KEEPINTVL, kProbeIntervalSeconds);
+  set(IPPROTO_TCP, TCP_KEEPCNT, kMaxUnansweredProbes);
+}
+
 beast::error_code Connect(const Call& call, Connection& connection) {
   connection.stream.expires_after(std::min(call.connect_timeout, call.timeout));
   const auto result = fibers::Await([&](auto handler) {
@@ -154,6 +174,9 @@
   });
   beast::error_code ignored;
   connection.stream.socket().set_option(tcp::no_delay(true), ignored);
+  if (call.detect_silence) {
+    SendKeepAliveProbes(connection.stream.socket());
+  }
   return result.error;
 }
 
--- a/components/http/client.h
+++ b/components/http/client.h
@@ -46,6 +46,9 @@
   /// second run of the request would do harm: the server can close an idle
   /// connection unnoticed between two requests.
   bool reuse_connection = true;
+  /// Sends keep-alive probes over a new connection, so that a connection that
+  /// has gone silent is found long before the timeout of a long exchange.
+  bool detect_silence = false;
   /// Longest time that a reused connection may have been idle. A shorter
   /// timeout in the server's Keep-Alive header takes precedence.
   Duration max_idle_time{std::chrono::seconds(4)};
--- a/components/store/client.cc
+++ b/components/store/client.cc
@@ -22,7 +22,8 @@
       http::Exchange({.server = this->options.server,
                       .request = request,
                       .timeout = timeout,
-                      .reuse_connection = request.method == "GET"});
+                      .reuse_connection = request.method == "GET",
+                      .detect_silence = true});
   if (!result.ok()) {
     return ErrorAt(result.failure.status.code(),
                    {.step = step, .peer = ToText(this->options.server)},
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -2,7 +2,12 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <cstdio>
+#include <fstream>
 #include <future>
+#include <optional>
+#include <string>
+#include <thread>
 
 #include "components/fibers/worker_pool.h"
 #include "tests/http/raw_server.h"
@@ -30,8 +35,49 @@
                   std::to_string(body.size()) + "\r\n\r\n" + body};
 }
 
+/// Returns the time until the kernel's next keep-alive probe on the connection
+/// to `server`, or nullopt if none is due.
+std::optional<Duration> TimeToKeepAliveProbe(const Endpoint& server) {
+  constexpr int kKeepAliveTimer = 2;
+  constexpr int kTicksPerSecond = 100;
+  std::ifstream connections("/proc/net/tcp");
+  std::string line;
+  while (std::getline(connections, line)) {
+    unsigned remote_port = 0;
+    unsigned timer = 0;
+    unsigned ticks = 0;
+    const int fields =
+        std::sscanf(line.c_str(), " %*d: %*x:%*x %*x:%x %*x %*x:%*x %x:%x",
+                    &remote_port, &timer, &ticks);
+    if (fields == 3 && remote_port == server.port && timer == kKeepAliveTimer) {
+      return std::chrono::milliseconds(ticks * 1'000 / kTicksPerSecond);
+    }
+  }
+  return std::nullopt;
+}
+
 TEST_GROUP(HttpClient){};
 
+// A watch of the store whose connection had gone silent was noticed after nine
+// seconds, and changes made meanwhile were not in force.
+TEST(HttpClient, ASilentConnectionOfALongExchangeIsProbed) {
+  RawServer server({{.text = "", .hold_open = true}});
+  std::thread exchange([&] {
+    RunExchange({.server = server.Address(),
+                 .timeout = Millis(600),
+                 .reuse_connection = false,
+                 .detect_silence = true});
+  });
+  std::optional<Duration> next_probe;
+  for (int i = 0; i < 50 && !next_probe.has_value(); ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    next_probe = TimeToKeepAliveProbe(server.Address());
+  }
+  exchange.join();
+  CHECK(next_probe.has_value());
+  CHECK(*next_probe <= Millis(1'000));
+}
+
 TEST(HttpClient, ReadsACompleteResponse) {
   RawServer server({CompleteReply("hello")});
   const Result result = RunExchange(server.Address());
