Upstreams get no more requests than the limit that they name in a response

Cause: nothing read the field. The class: a bound that the other side states, and that only a place through which everything passes can keep.

The guard reads it with each response; every request to an upstream passes the guard, so one token bucket at its gate keeps the sum over all hosts, for queued requests, hedges, retries and calls alike, beside the warm-up limit. It ends with the first response that names none. Hosts that were told repeat the limit when they ask for a slot, so a guard that restarts has it before it sends anything for them. A refusal says when the limit permits the next request; until then the ingress chooses others, and the load record shows what runs at once at that rate, so an upstream that looks idle attracts nothing.

Weighed: a limit at each ingress (needs shares that move), a sliding window as for the warm-up (0.5 a second would never start).

--- a/apps/upstream_standin/upstream_service.cc
+++ b/apps/upstream_standin/upstream_service.cc
@@ -45,7 +45,18 @@
   if (request.target == "/faults" && request.method == "POST") {
     return this->SetFaults(request.body);
   }
-  return this->Work(request);
+  return this->WithNotice(this->Work(request));
+}
+
+http::Response UpstreamService::WithNotice(http::Response response) const {
+  if (!this->faults.rate_limit.empty()) {
+    response.headers.push_back(
+        {.name = "Kingcupstair-Rate-Limit", .value = this->faults.rate_limit});
+  }
+  if (this->faults.leaving) {
+    response.headers.push_back({.name = "Kingcupstair-Leaving", .value = "1"});
+  }
+  return response;
 }
 
 http::Response UpstreamService::Work(const http::Request& request) {
@@ -134,7 +145,9 @@
                   .hang = json.value("hang", false),
                   .lie = json.value("lie", false),
                   .cut = json.value("cut", false),
-                  .load_lag_ms = json.value("load_lag_ms", 0)};
+                  .load_lag_ms = json.value("load_lag_ms", 0),
+                  .rate_limit = json.value("rate_limit", ""),
+                  .leaving = json.value("leaving", false)};
   if (json.value("cold", false)) {
     this->answered = 0;
   }
--- a/apps/upstream_standin/upstream_service.h
+++ b/apps/upstream_standin/upstream_service.h
@@ -21,14 +21,15 @@
 ///                    the capacity, successful responses
 ///   POST /faults     {"slow_ms":N,"error_share":X,"hang":bool,"lie":bool,
 ///                     "cut":bool,"load_lag_ms":N,"cold":bool,
-///                     "reject_share":X}
+///                     "reject_share":X,"rate_limit":X,"leaving":bool}
 ///   anything else    takes the time `work` and returns the request's X-Order
 ///
 /// `hang` delays each request by 30 s, `cut` closes the connection without a
 /// response, `cold` makes the upstream cold again, `reject_share` is the share
-/// of requests with X-Crash that fail with 500 before they run. One that runs
-/// with `X-Crash: exit` ends the process; with `X-Crash: stop`, the process
-/// stops and its connections stay open.
+/// of requests with X-Crash that fail with 500 before they run. `rate_limit`
+/// and `leaving` are named in its responses. A request that runs with `X-Crash:
+/// exit` ends the process; with `X-Crash: stop`, the process stops and its
+/// connections stay open.
 class UpstreamService {
  public:
   struct Options {
@@ -60,9 +61,14 @@
     bool lie = false;
     bool cut = false;
     int load_lag_ms = 0;
+    /// Named in responses unless empty.
+    std::string rate_limit;
+    bool leaving = false;
   };
 
   http::Response Work(const http::Request& request);
+  /// Adds what the upstream says about itself to a response.
+  http::Response WithNotice(http::Response response) const;
   /// Returns true for a fraction `share` of the calls, chosen at random.
   bool IsDrawn(double share);
   http::Response SetFaults(const std::string& body);
--- a/components/admission/upstream_gate.cc
+++ b/components/admission/upstream_gate.cc
@@ -20,6 +20,13 @@
 constexpr double kMinRelativeLatency = 0.25;
 constexpr Duration kRetryAfterWhenBusy{std::chrono::milliseconds(500)};
 
+/// Requests that an upstream may get at once under the limit that it names, as
+/// the time in which the limit permits them.
+constexpr double kNamedBurstSeconds = 0.5;
+/// Least limit in force, in requests a second. Only responses tell when a limit
+/// ends, so an upstream that takes nothing gets a request now and then.
+constexpr double kMinNamedRate = 0.2;
+
 /// Sliding window over which the rate limit counts started requests.
 constexpr Duration kRateWindow{std::chrono::seconds(1)};
 /// Lifetime in the queue of a request with a maximum wait of zero. Such a
@@ -60,8 +67,7 @@
                              this->in_flight() < this->Limit() &&
                              this->CanStart(now);
   if (max_wait == Duration{} && !can_start_now) {
-    decisions.push_back(
-        Refuse(request.ticket, once::RefusalReason::kQueueFull));
+    decisions.push_back(this->RefuseAsFull(request));
     return decisions;
   }
   const Instant expires = std::min(request.deadline - this->MinLatency(),
@@ -78,8 +84,7 @@
                                         .internal = request.internal,
                                         .expires = expires});
   if (!queued) {
-    decisions.push_back(
-        Refuse(request.ticket, once::RefusalReason::kQueueFull));
+    decisions.push_back(this->RefuseAsFull(request));
     return decisions;
   }
   this->queued_objectives[request.ticket] = request.objective;
@@ -87,6 +92,17 @@
   return decisions;
 }
 
+// A caller can't do better than to come back when the limit that the upstream
+// has named permits the next request.
+RefuseTicket UpstreamGate::RefuseAsFull(const GateRequest& request) const {
+  RefuseTicket refused =
+      Refuse(request.ticket, once::RefusalReason::kQueueFull);
+  refused.refusal.retry_after =
+      std::max(refused.refusal.retry_after,
+               this->TimeToNamedStart(static_cast<double>(this->queue.size())));
+  return refused;
+}
+
 std::vector<GateDecision> UpstreamGate::Finish(TicketId ticket,
                                                RunEnd end,
                                                Instant now) {
@@ -139,6 +155,31 @@
   }
 }
 
+// A limit that changes keeps the level of the bucket, so that an upstream that
+// names another one with each response gets no burst each time.
+void UpstreamGate::SetNamedRate(std::optional<double> rate, Instant now) {
+  if (!rate.has_value()) {
+    this->named.reset();
+    return;
+  }
+  if (!this->named.has_value()) {
+    this->named = NamedLimit{.bucket = limits::TokenBucket(now)};
+  }
+  this->named->bucket.Refill(this->named->limit, now);
+  const double in_force = std::max(*rate, kMinNamedRate);
+  this->named->limit = {.rate = in_force,
+                        .depth = std::max(1.0, in_force * kNamedBurstSeconds)};
+}
+
+Duration UpstreamGate::TimeToNamedStart(double ahead) const {
+  if (!this->named.has_value()) {
+    return {};
+  }
+  const double missing = ahead + 1 - this->named->bucket.tokens();
+  return Duration(static_cast<int64_t>(std::max(missing, 0.0) /
+                                       this->named->limit.rate * 1e6));
+}
+
 void UpstreamGate::Reset() {
   this->concurrency = ConcurrencyLimit({.slots = this->options.slots});
   this->average_latency_micros = 0;
@@ -147,6 +188,7 @@
   this->error_share = 0;
   this->finished = 0;
   this->cold = true;
+  this->named.reset();
 }
 
 // A hanging upstream completes no requests, so the age of its running requests
@@ -160,7 +202,8 @@
       std::holds_alternative<RateLimitedWarmUp>(this->options.warm_up);
   return {.in_flight = this->in_flight(),
           .queued = static_cast<int>(this->queue.size()),
-          .limit = this->Limit(),
+          .limit = this->ReportedLimit(),
+          .named_rate = this->named.has_value() ? this->named->limit.rate : 0,
           .cold = !rate_limited && this->concurrency.cold(),
           .latency = rate_limited ? this->RelativeLatency()
                                   : std::max(this->AverageLatency(), oldest),
@@ -179,6 +222,9 @@
                             .objective = this->queued_objectives[*next]};
     this->queued_objectives.erase(*next);
     this->recent_starts.push_back(now);
+    if (this->named.has_value()) {
+      this->named->bucket.Take(1);
+    }
     decisions.push_back(StartTicket{.ticket = *next});
   }
 }
@@ -205,7 +251,9 @@
                                                .weight = FlowWeight(request),
                                                .internal = request.internal});
   const double waves = ahead / this->Limit();
-  return Duration(static_cast<int64_t>(waves * this->average_latency_micros));
+  return std::max(
+      Duration(static_cast<int64_t>(waves * this->average_latency_micros)),
+      this->TimeToNamedStart(ahead));
 }
 
 int UpstreamGate::Limit() const {
@@ -214,7 +262,30 @@
              : this->concurrency.limit();
 }
 
+// Little's law: requests that arrive at this rate and stay for the average
+// latency.
+int UpstreamGate::ReportedLimit() const {
+  if (!this->named.has_value()) {
+    return this->Limit();
+  }
+  const double at_once =
+      std::ceil(this->named->limit.rate * ToSeconds(this->AverageLatency()));
+  return static_cast<int>(
+      std::clamp<double>(at_once, 1, std::max(1, this->Limit())));
+}
+
 bool UpstreamGate::CanStart(Instant now) {
+  if (!this->WarmUpPermitsStart(now)) {
+    return false;
+  }
+  if (!this->named.has_value()) {
+    return true;
+  }
+  this->named->bucket.Refill(this->named->limit, now);
+  return this->named->bucket.tokens() >= 1;
+}
+
+bool UpstreamGate::WarmUpPermitsStart(Instant now) {
   while (!this->recent_starts.empty() &&
          now - this->recent_starts.front() >= kRateWindow) {
     this->recent_starts.pop_front();
--- a/components/admission/upstream_gate.h
+++ b/components/admission/upstream_gate.h
@@ -11,6 +11,7 @@
 #include "components/admission/concurrency_limit.h"
 #include "components/admission/fair_queue.h"
 #include "components/base/time.h"
+#include "components/limits/token_bucket.h"
 #include "components/once/outcome.h"
 
 namespace kingcupstair::admission {
@@ -91,8 +92,11 @@
   int in_flight = 0;
   /// Waiting requests.
   int queued = 0;
-  /// Requests that the upstream may run at once.
+  /// Requests that the upstream may run at once. If it has named a limit on new
+  /// requests, as many as run at once at that rate.
   int limit = 1;
+  /// Limit on new requests a second that the upstream has named; 0 for none.
+  double named_rate = 0;
   bool cold = true;
   /// With an adaptive limit, the exponentially weighted average latency or, if
   /// longer, the age of the oldest running request. With a rate-limited
@@ -143,6 +147,10 @@
   /// adaptive.
   void SetWarmUpRate(double rate);
 
+  /// Sets the limit on new requests a second that the upstream has named, or
+  /// removes it. The limit holds beside that of the warm-up.
+  void SetNamedRate(std::optional<double> rate, Instant now);
+
   /// Records whether the upstream has announced that it is cold. It counts as
   /// cold before its first announcement and after a restart.
   void SetCold(bool cold) { this->cold = cold; }
@@ -171,9 +179,17 @@
   /// as a duration in which 1 s stands for the whole objective.
   Duration RelativeLatency() const;
   int Limit() const;
-  /// Returns whether the rate limit of the warm-up permits another start at
-  /// `now`. Forgets starts that are older than the rate window.
+  /// Returns the limit for load reports.
+  int ReportedLimit() const;
+  RefuseTicket RefuseAsFull(const GateRequest& request) const;
+  /// Returns whether the rate limits permit another start at `now`. Forgets
+  /// starts that are older than the rate window.
   bool CanStart(Instant now);
+  /// Returns whether the rate limit of the warm-up permits another start.
+  bool WarmUpPermitsStart(Instant now);
+  /// Returns the time until the limit that the upstream has named permits a
+  /// start after `ahead` others.
+  Duration TimeToNamedStart(double ahead) const;
   void RecordFailure(Instant now);
   Duration AverageLatency() const;
   Duration MinLatency() const;
@@ -201,6 +217,12 @@
   double error_share = 0;
   uint64_t finished = 0;
   bool cold = true;
+  struct NamedLimit {
+    limits::RateLimit limit;
+    limits::TokenBucket bucket;
+  };
+  /// Limit that the upstream has named.
+  std::optional<NamedLimit> named;
 };
 
 }  // namespace kingcupstair::admission
--- a/components/dialect/dialect.h
+++ b/components/dialect/dialect.h
@@ -29,6 +29,11 @@
   /// Response field by which an upstream reports that it did not run the
   /// request.
   std::string not_run;
+  /// Response field with the number of requests a second that an upstream takes
+  /// from all hosts together, for as long as its responses have the field.
+  std::string rate_limit = "Kingcupstair-Rate-Limit";
+  /// Response field whose value is 1 if the upstream leaves.
+  std::string leaving = "Kingcupstair-Leaving";
 
   bool operator==(const HeaderNames&) const = default;
 };
--- a/components/guard/guard.cc
+++ b/components/guard/guard.cc
@@ -137,7 +137,11 @@
     this->running_calls[request.request_id] = call;
     target.endpoint = upstream.announcement.endpoint;
   }
-  once::Outcome outcome = CallUpstream(target, request, deadline, call);
+  const UpstreamReply reply = CallUpstream(target, request, deadline, call);
+  if (reply.notice.has_value()) {
+    this->ApplyNotice(request.upstream, *reply.notice);
+  }
+  once::Outcome outcome = reply.outcome;
   if (this->runs_ended && std::holds_alternative<once::Unknown>(outcome)) {
     outcome = once::Unknown{.detail = "the host of the upstream stopped",
                             .cancelled = true};
@@ -147,6 +151,26 @@
   return this->FinishRun(request, accepted.ticket, outcome, crashed);
 }
 
+void Guard::ApplyNotice(const std::string& id, const UpstreamNotice& notice) {
+  const std::lock_guard lock(this->mutex);
+  const auto found = this->upstreams.find(id);
+  if (found == this->upstreams.end()) {
+    return;
+  }
+  GuardedUpstream& upstream = found->second;
+  const Instant now = MonotonicNow();
+  const double before = upstream.gate->Report(now).named_rate;
+  upstream.gate->SetNamedRate(notice.rate_limit, now);
+  upstream.has_responded = true;
+  const double after = upstream.gate->Report(now).named_rate;
+  if (before != after) {
+    this->RecordUpstreamEvent("upstream_limit", upstream.announcement,
+                              after == 0
+                                  ? "none any more"
+                                  : absl::StrCat(after, " requests a second"));
+  }
+}
+
 rpc::RunResult Guard::FinishUnsent(const AcceptedRun& accepted,
                                    DeferredWakeups& wakeups) {
   const once::RunRequest& request = accepted.request;
--- a/components/guard/guard.h
+++ b/components/guard/guard.h
@@ -160,6 +160,9 @@
   int CountRequestsAtRisk(const GuardedUpstream& upstream) const;
   admission::GateDecision WaitForSlot(const once::SlotRequest& request,
                                       admission::TicketId ticket);
+  /// Takes over the limit that the upstream has named to other hosts, if this
+  /// host has had no response from it.
+  void LearnNamedRate(const once::SlotRequest& request);
   rpc::SlotAnswer SlotAnswerFor(const std::string& upstream,
                                 const once::NotRun& refusal,
                                 bool granted) const;
@@ -182,6 +185,8 @@
                      const once::Outcome& outcome,
                      int in_flight);
   void MarkUnreachable(GuardedUpstream& upstream);
+  /// Applies what the upstream says about itself in a response.
+  void ApplyNotice(const std::string& upstream, const UpstreamNotice& notice);
   /// Adds the suspects of a crash of the announced upstream to the evidence.
   void AddCrashEvidence(const Announcement& announcement,
                         const std::vector<CrashSuspect>& suspects);
--- a/components/guard/guard_announcements.cc
+++ b/components/guard/guard_announcements.cc
@@ -40,6 +40,7 @@
     upstream.gate->Reset();
     upstream.failure_detector.Reset();
     upstream.shed_share = 0;
+    upstream.has_responded = false;
     this->RecordUpstreamEvent("upstream_restarted", announcement, "");
     this->AddCrashEvidence(previous,
                            upstream.crash_suspects.TakeAll(MonotonicNow()));
--- a/components/guard/guard_slots.cc
+++ b/components/guard/guard_slots.cc
@@ -24,6 +24,7 @@
   admission::TicketId ticket = 0;
   {
     const std::lock_guard lock(this->mutex);
+    this->LearnNamedRate(request);
     const auto reason = this->ReasonToRefuseSlot(request, MonotonicNow());
     if (reason != once::RefusalReason::kNone) {
       return this->SlotAnswerFor(request.upstream, {.reason = reason}, false);
@@ -43,6 +44,15 @@
   return this->SlotAnswerFor(request.upstream, {}, true);
 }
 
+// A host that has restarted has no response yet that names the limit.
+void Guard::LearnNamedRate(const once::SlotRequest& request) {
+  const auto found = this->upstreams.find(request.upstream);
+  if (request.named_rate > 0 && found != this->upstreams.end() &&
+      !found->second.has_responded) {
+    found->second.gate->SetNamedRate(request.named_rate, MonotonicNow());
+  }
+}
+
 // Retryable requests are the trial requests of an upstream that may be failing.
 // Once the failure detector finds the upstream unhealthy, they are sent there
 // one at a time. Non-retryable requests avoid suspected upstreams as well, and
--- a/components/guard/guarded_upstream.cc
+++ b/components/guard/guarded_upstream.cc
@@ -40,7 +40,8 @@
           .failure_probability =
               upstream.announcement.reports_cold_state
                   ? upstream.failure_detector.FailureProbability(now)
-                  : 0};
+                  : 0,
+          .named_rate = report.named_rate};
 }
 
 bool IsShed(const once::Outcome& outcome) {
--- a/components/guard/guarded_upstream.h
+++ b/components/guard/guarded_upstream.h
@@ -25,6 +25,8 @@
   double shed_share = 0;
   /// Runs of the present start of the upstream that may crash it.
   CrashSuspects crash_suspects{{}};
+  /// Set once this start of the upstream has sent a response.
+  bool has_responded = false;
 };
 
 /// Returns the load report of the upstream for peers.
--- a/components/guard/upstream_call.cc
+++ b/components/guard/upstream_call.cc
@@ -4,8 +4,10 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "components/base/error.h"
 #include "components/fibers/worker_pool.h"
 #include "components/http/client.h"
+#include "components/logging/log.h"
 
 namespace kingcupstair::guard {
 namespace {
@@ -63,6 +65,28 @@
   return !name.empty() && !http::FindHeader(response.headers, name).empty();
 }
 
+// A response of another upstream at the endpoint says nothing about the one
+// that was meant.
+std::optional<UpstreamNotice> NoticeOf(const UpstreamTarget& target,
+                                       const once::RunRequest& request,
+                                       const http::Response& response) {
+  if (response.status == kMisdirected &&
+      !target.header_names->expected_upstream.empty()) {
+    return std::nullopt;
+  }
+  const auto notice =
+      ReadUpstreamNotice(*target.header_names, response.headers);
+  if (!notice.ok()) {
+    logging::Write(logging::Level::kWarning,
+                   "a response names an invalid limit",
+                   {{.name = "upstream", .value = request.upstream},
+                    {.name = "peer", .value = ToText(target.endpoint)},
+                    {.name = "reason", .value = MessageOf(notice.status())}});
+    return std::nullopt;
+  }
+  return *notice;
+}
+
 once::Outcome OutcomeOf(const HeaderNames& header_names,
                         http::Response response) {
   if (HasHeader(response, header_names.not_run)) {
@@ -82,25 +106,30 @@
 
 }  // namespace
 
-once::Outcome CallUpstream(const UpstreamTarget& target,
+UpstreamReply CallUpstream(const UpstreamTarget& target,
                            const once::RunRequest& request,
                            Instant deadline,
                            const RunningCall& call) {
   http::Result result = http::Exchange(
       BuildCall(target, request, deadline - MonotonicNow(), call));
   if (result.ok()) {
-    return OutcomeOf(*target.header_names, std::move(result.response));
+    const auto notice = NoticeOf(target, request, result.response);
+    return {
+        .outcome = OutcomeOf(*target.header_names, std::move(result.response)),
+        .notice = notice};
   }
   if (result.failure.stage == http::Stage::kConnect) {
-    return once::NotRun{.reason = result.failure.cancelled
-                                      ? once::RefusalReason::kFenced
-                                      : once::RefusalReason::kConnectFailed};
+    return {.outcome = once::NotRun{
+                .reason = result.failure.cancelled
+                              ? once::RefusalReason::kFenced
+                              : once::RefusalReason::kConnectFailed}};
   }
   const auto message = result.failure.status.message();
-  return once::Unknown{
-      .detail = std::string(message.data(), message.size()),
-      .upstream_broke = !result.failure.timed_out && !result.failure.cancelled,
-      .cancelled = result.failure.cancelled};
+  return {.outcome = once::Unknown{
+              .detail = std::string(message.data(), message.size()),
+              .upstream_broke =
+                  !result.failure.timed_out && !result.failure.cancelled,
+              .cancelled = result.failure.cancelled}};
 }
 
 // Checks repeatedly, since a process that ends may close its port a moment
--- a/components/guard/upstream_call.h
+++ b/components/guard/upstream_call.h
@@ -2,11 +2,13 @@
 #define COMPONENTS_GUARD_UPSTREAM_CALL_H_
 
 #include <memory>
+#include <optional>
 
 #include "components/base/cancellation.h"
 #include "components/base/endpoint.h"
 #include "components/base/time.h"
 #include "components/dialect/dialect.h"
+#include "components/guard/upstream_notice.h"
 #include "components/once/outcome.h"
 #include "components/once/run_request.h"
 
@@ -28,10 +30,17 @@
   bool idempotent = false;
 };
 
+/// How a call to an upstream ended.
+struct UpstreamReply {
+  once::Outcome outcome;
+  /// What the upstream says about itself, if its response tells.
+  std::optional<UpstreamNotice> notice;
+};
+
 /// Sends a request to an upstream and returns the outcome once the whole
 /// response has arrived, the deadline has passed or the call has failed.
 /// Suspends the calling fiber.
-once::Outcome CallUpstream(const UpstreamTarget& target,
+UpstreamReply CallUpstream(const UpstreamTarget& target,
                            const once::RunRequest& request,
                            Instant deadline,
                            const RunningCall& call);
--- a/components/ingress/attempt_runner.cc
+++ b/components/ingress/attempt_runner.cc
@@ -35,11 +35,13 @@
 rpc::SlotAnswer AttemptRunner::Reserve(const ChosenUpstream& choice,
                                        const once::SlotRequest& request) {
   rpc::SlotAnswer answer;
+  once::SlotRequest informed = request;
+  informed.named_rate = this->registry.NamedRate(choice.upstream);
   if (choice.host == this->options.own_host) {
-    answer = this->guard.Reserve(request);
+    answer = this->guard.Reserve(informed);
   } else {
     const auto reply = this->peers.Reserve(
-        choice.host, request,
+        choice.host, informed,
         std::min(request.max_wait + kAcceptTimeout, request.remaining_time));
     if (!reply.ok()) {
       this->RecordPathLost(choice.host);
@@ -52,6 +54,11 @@
                                .in_flight = answer.in_flight,
                                .queued = answer.queued},
                               MonotonicNow());
+  if (answer.report.named_rate > 0 &&
+      answer.refusal.reason == once::RefusalReason::kQueueFull) {
+    this->registry.OnNoRoom(choice.upstream, answer.refusal.retry_after,
+                            MonotonicNow());
+  }
   return answer;
 }
 
@@ -74,10 +81,22 @@
     return this->RunRemotely(choice.host, request);
   }
   const rpc::RunResult result = this->RunLocally(request);
-  this->registry.OnLoadReport(result, MonotonicNow());
+  this->RecordResult(result);
   return result.outcome;
 }
 
+void AttemptRunner::RecordResult(const rpc::RunResult& result) {
+  const auto* refusal = std::get_if<once::NotRun>(&result.outcome);
+  const bool responded =
+      std::holds_alternative<once::Ran>(result.outcome) ||
+      (refusal != nullptr && refusal->reason == once::RefusalReason::kShed);
+  if (responded) {
+    this->registry.OnResponse(result, MonotonicNow());
+  } else {
+    this->registry.OnLoadReport(result, MonotonicNow());
+  }
+}
+
 rpc::RunResult AttemptRunner::RunLocally(const once::RunRequest& request) {
   const guard::AcceptAnswer answer = this->guard.Accept(request);
   if (const auto* refused = std::get_if<rpc::RunResult>(&answer)) {
@@ -95,10 +114,9 @@
       host, request, std::min(kAcceptTimeout, request.remaining_time),
       std::min(std::max(kMinResultTimeout, request.objective),
                request.remaining_time));
-  const Instant now = MonotonicNow();
   if (submitted.ok()) {
     this->registry.OnPathReached(host);
-    this->registry.OnLoadReport(submitted.run, now);
+    this->RecordResult(submitted.run);
     return submitted.run.outcome;
   }
   if (submitted.stage == rpc::SubmitStage::kNotAccepted) {
--- a/components/ingress/attempt_runner.h
+++ b/components/ingress/attempt_runner.h
@@ -44,6 +44,8 @@
   rpc::RunResult RunLocally(const once::RunRequest& request);
   once::Outcome RunRemotely(const std::string& host,
                             const once::RunRequest& request);
+  /// Records the load report that came with a result.
+  void RecordResult(const rpc::RunResult& result);
   /// Marks the path to `host` as lost and records the event.
   void RecordPathLost(const std::string& host);
   /// Queries `host` for the outcome of a request until the host returns an
--- a/components/ingress/fleet_board.cc
+++ b/components/ingress/fleet_board.cc
@@ -1,6 +1,8 @@
 #include "components/ingress/fleet_board.h"
 
+#include <algorithm>
 #include <cmath>
+#include <functional>
 #include <utility>
 
 #include "components/base/hash.h"
@@ -16,6 +18,9 @@
 /// Time constant with which reports of the health of an upstream lose their
 /// weight: the duration of a fault episode.
 constexpr Duration kHealthReportMemory{std::chrono::seconds(3)};
+/// For this long, a limit that an upstream has named binds without a further
+/// response.
+constexpr Duration kNamedLimitMemory{std::chrono::minutes(1)};
 /// Failure probability of an upstream without a recent report.
 constexpr double kUnknownFailureProbability = 0.15;
 
@@ -54,6 +59,11 @@
   std::erase_if(this->services, [&](const auto& entry) {
     return !listed.contains(entry.first);
   });
+  std::erase_if(this->named_limits, [&](const auto& entry) {
+    return now - entry.second.heard_at > kNamedLimitMemory;
+  });
+  std::erase_if(this->room_at,
+                [&](const auto& entry) { return entry.second <= now; });
   this->service_of.clear();
   for (auto& [name, upstreams] : listed) {
     const auto* rule = configuration.FindService(name);
@@ -143,6 +153,30 @@
   service->second.has_new_reports = true;
 }
 
+void UpstreamRegistry::OnResponse(const rpc::RunResult& result, Instant now) {
+  this->OnLoadReport(result, now);
+  const std::lock_guard lock(this->mutex);
+  if (result.report.named_rate > 0) {
+    this->named_limits[result.report.id] = {.rate = result.report.named_rate,
+                                            .heard_at = now};
+  } else {
+    this->named_limits.erase(result.report.id);
+  }
+}
+
+void UpstreamRegistry::OnNoRoom(const std::string& upstream,
+                                Duration time,
+                                Instant now) {
+  const std::lock_guard lock(this->mutex);
+  this->room_at[upstream] = now + time;
+}
+
+double UpstreamRegistry::NamedRate(const std::string& upstream) const {
+  const std::lock_guard lock(this->mutex);
+  const auto found = this->named_limits.find(upstream);
+  return found == this->named_limits.end() ? 0 : found->second.rate;
+}
+
 void UpstreamRegistry::OnPathReached(const std::string& host) {
   const std::lock_guard lock(this->mutex);
   this->paths.OnReached(host);
@@ -206,6 +240,13 @@
     candidate.view.path_open = this->paths.IsOpen(known.view.host, now);
     candidates.push_back(std::move(candidate));
   }
+  const auto has_room = [&](const balancing::Candidate& candidate) {
+    const auto found = this->room_at.find(candidate.view.id);
+    return found == this->room_at.end() || found->second <= now;
+  };
+  if (std::any_of(candidates.begin(), candidates.end(), has_room)) {
+    std::erase_if(candidates, std::not_fn(has_room));
+  }
   return candidates;
 }
 
--- a/components/ingress/fleet_board.h
+++ b/components/ingress/fleet_board.h
@@ -42,6 +42,18 @@
   /// Records the load report of an upstream that came with a reply.
   void OnLoadReport(const rpc::RunResult& result, Instant now);
 
+  /// Records the load report of an upstream that responded, and the limit that
+  /// it named.
+  void OnResponse(const rpc::RunResult& result, Instant now);
+
+  /// Records that an upstream has no room for `time`. It is not chosen in that
+  /// time while there are others.
+  void OnNoRoom(const std::string& upstream, Duration time, Instant now);
+
+  /// Returns the limit on new requests a second that the upstream named in the
+  /// last response that came here; 0 for none.
+  double NamedRate(const std::string& upstream) const;
+
   /// Records that a call to `host` was accepted in time.
   void OnPathReached(const std::string& host);
 
@@ -113,6 +125,15 @@
   mutable std::mutex mutex;
   std::map<std::string, Service> services;
   std::map<std::string, std::string> service_of;
+  struct NamedLimit {
+    double rate = 0;
+    Instant heard_at;
+  };
+  /// By upstream. Outlives the record of a host that restarts and has lost the
+  /// limit.
+  std::map<std::string, NamedLimit> named_limits;
+  /// When upstreams that have no room are expected to have some.
+  std::map<std::string, Instant> room_at;
   health::PathHealth paths;
   balancing::Chooser chooser;
 };
--- a/components/ingress/slot_search.cc
+++ b/components/ingress/slot_search.cc
@@ -10,6 +10,17 @@
 /// fails most requests, serves more requests than it fails.
 constexpr double kDoubtfulProbability = 0.5;
 
+/// Returns the requests in flight and queued, relative to the concurrency
+/// limit. An upstream that has named a limit on new requests may have none in
+/// flight and no room all the same; its queue moves at that rate.
+double LoadOf(const rpc::SlotAnswer& answer) {
+  const double load = static_cast<double>(answer.in_flight + answer.queued) /
+                      std::max(1, answer.report.limit);
+  return answer.report.named_rate > 0
+             ? std::max(load, (answer.queued + 1) / answer.report.named_rate)
+             : load;
+}
+
 }  // namespace
 
 SlotSearch::SlotSearch(Options options) : options(options) {}
@@ -89,8 +100,7 @@
     this->tried.insert(choice.upstream);
     ++this->tried_count;
   }
-  const double load = static_cast<double>(answer.in_flight + answer.queued) /
-                      std::max(1, answer.report.limit);
+  const double load = LoadOf(answer);
   switch (answer.refusal.reason) {
     case once::RefusalReason::kBusierThanOthers:
       this->busier_than_usual.push_back({.choice = choice, .load = load});
--- a/components/membership/host_record.cc
+++ b/components/membership/host_record.cc
@@ -27,6 +27,7 @@
   return before.id != after.id || before.service != after.service ||
          before.slots != after.slots ||
          DiffersByFactor(before.limit, after.limit) || has_latency_changed ||
+         DiffersByFactor(before.named_rate, after.named_rate) ||
          error_change > kSignificantErrorShareChange ||
          -error_change > kSignificantErrorShareChange;
 }
--- a/components/membership/host_record.h
+++ b/components/membership/host_record.h
@@ -24,6 +24,8 @@
   uint64_t finished = 0;
   /// Probability that the upstream is in a fault episode, as its guard sees it.
   double failure_probability = 0;
+  /// Limit on new requests a second that the upstream has named; 0 for none.
+  double named_rate = 0;
 
   bool operator==(const UpstreamRecord&) const = default;
 };
--- a/components/once/run_request.h
+++ b/components/once/run_request.h
@@ -40,6 +40,9 @@
   /// The slot is refused if more requests than this are in flight at the
   /// upstream.
   int max_in_flight = kUnlimitedInFlight;
+  /// Limit on new requests a second that the upstream named in the last
+  /// response that this ingress passed on; 0 for none.
+  double named_rate = 0;
   /// Timeout of the wait for a slot. Zero accepts only a slot that is free now.
   Duration max_wait{};
   /// Remaining time until the request's deadline.
--- a/components/rpc/convert.cc
+++ b/components/rpc/convert.cc
@@ -205,6 +205,7 @@
   out.setLatencyMicros(ClampToUint32(record.latency.count()));
   out.setErrorPermille(static_cast<uint16_t>(record.error_share * kPermille));
   out.setFinished(record.finished);
+  out.setNamedRate(record.named_rate);
   out.setFailurePermille(
       static_cast<uint16_t>(record.failure_probability * kPermille));
 }
@@ -217,7 +218,8 @@
           .latency = Duration(in.getLatencyMicros()),
           .error_share = in.getErrorPermille() / kPermille,
           .finished = in.getFinished(),
-          .failure_probability = in.getFailurePermille() / kPermille};
+          .failure_probability = in.getFailurePermille() / kPermille,
+          .named_rate = in.getNamedRate()};
 }
 
 void Write(const limits::PermitGrant& grant, wire::Grant::Builder out) {
--- a/components/rpc/convert_run.cc
+++ b/components/rpc/convert_run.cc
@@ -113,6 +113,7 @@
   out.setLastResort(request.accept_unhealthy);
   out.setObjectiveMicros(ToMicros(request.objective));
   out.setMostInFlight(static_cast<uint16_t>(request.max_in_flight));
+  out.setNamedRate(request.named_rate);
   out.setMaxWaitMicros(ToMicros(request.max_wait));
   out.setTimeLeftMicros(ToMicros(request.remaining_time));
 }
@@ -128,6 +129,7 @@
           .accept_unhealthy = in.getLastResort(),
           .objective = FromMicros(in.getObjectiveMicros()),
           .max_in_flight = in.getMostInFlight(),
+          .named_rate = in.getNamedRate(),
           .max_wait = FromMicros(in.getMaxWaitMicros()),
           .remaining_time = FromMicros(in.getTimeLeftMicros())};
 }
--- a/components/rpc/peer.capnp
+++ b/components/rpc/peer.capnp
@@ -101,6 +101,9 @@
   timeLeftMicros @9 :UInt64;
   mostInFlight @10 :UInt16;
   internal @11 :Bool;
+  namedRate @12 :Float64;
+  # Limit that the sender last heard the upstream name; 0 for none. A receiver
+  # that has restarted learns it from here.
 }
 
 struct SlotAnswer {
@@ -160,6 +163,8 @@
   errorPermille @5 :UInt16;
   finished @6 :UInt64;
   failurePermille @7 :UInt16;
+  namedRate @8 :Float64;
+  # Limit on new requests a second that the upstream has named; 0 for none.
 }
 
 struct Crash {
--- a/components/rpc/peer.capnp.h
+++ b/components/rpc/peer.capnp.h
@@ -636,7 +636,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fa7f906901066f7a, 5, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(fa7f906901066f7a, 6, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -726,7 +726,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dae0bdfdfd002f96, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(dae0bdfdfd002f96, 4, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3933,6 +3933,8 @@
 
   inline bool getInternal() const;
 
+  inline double getNamedRate() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4009,6 +4011,9 @@
   inline bool getInternal();
   inline void setInternal(bool value);
 
+  inline double getNamedRate();
+  inline void setNamedRate(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4659,6 +4664,8 @@
 
   inline  ::uint16_t getFailurePermille() const;
 
+  inline double getNamedRate() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4719,6 +4726,9 @@
   inline  ::uint16_t getFailurePermille();
   inline void setFailurePermille( ::uint16_t value);
 
+  inline double getNamedRate();
+  inline void setNamedRate(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -8012,6 +8022,20 @@
       ::capnp::bounded<82>() * ::capnp::ELEMENTS, value);
 }
 
+inline double SlotRequest::Reader::getNamedRate() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline double SlotRequest::Builder::getNamedRate() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void SlotRequest::Builder::setNamedRate(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool SlotAnswer::Reader::getGranted() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -8917,6 +8941,20 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline double Upstream::Reader::getNamedRate() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline double Upstream::Builder::getNamedRate() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Upstream::Builder::setNamedRate(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Crash::Reader::getFingerprint() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
