An upstream whose response says that it leaves gets no new requests

The guard takes it for a departure like one that is announced: queued requests are refused, the start is final, and its witnesses are told at once, so that it outlives a restart of the host. Guard, AnUpstreamWhoseResponseSaysThatItLeaves... failed before (in use).

--- a/apps/kingcupstaird/daemon.cc
+++ b/apps/kingcupstaird/daemon.cc
@@ -132,6 +132,11 @@
              .incarnation = [this] { return this->directory.OwnIncarnation(); },
              .isolated = [this] { return this->IsIsolated(); },
              .departures_known = [this] { return this->departures.Known(); },
+             .on_departure =
+                 [this] {
+                   this->workers.Spawn(
+                       [this] { this->fleet.secure_departure(); });
+                 },
              .header_names = this->header_names},
             this->config.snapshot(),
             this->crashes,
--- a/components/guard/guard.cc
+++ b/components/guard/guard.cc
@@ -152,22 +152,34 @@
 }
 
 void Guard::ApplyNotice(const std::string& id, const UpstreamNotice& notice) {
-  const std::lock_guard lock(this->mutex);
-  const auto found = this->upstreams.find(id);
-  if (found == this->upstreams.end()) {
-    return;
+  DeferredWakeups wakeups;
+  bool departs = false;
+  {
+    const std::lock_guard lock(this->mutex);
+    const auto found = this->upstreams.find(id);
+    if (found == this->upstreams.end()) {
+      return;
+    }
+    GuardedUpstream& upstream = found->second;
+    const Instant now = MonotonicNow();
+    const double before = upstream.gate->Report(now).named_rate;
+    upstream.gate->SetNamedRate(notice.rate_limit, now);
+    upstream.has_responded = true;
+    const double after = upstream.gate->Report(now).named_rate;
+    if (before != after) {
+      this->RecordUpstreamEvent(
+          "upstream_limit", upstream.announcement,
+          after == 0 ? "none any more"
+                     : absl::StrCat(after, " requests a second"));
+    }
+    if (notice.leaving && !upstream.announcement.draining) {
+      this->Drain(upstream, "upstream_draining", wakeups);
+      departs = this->departures.Add(
+          Departures::StartName(id, upstream.announcement.incarnation), now);
+    }
   }
-  GuardedUpstream& upstream = found->second;
-  const Instant now = MonotonicNow();
-  const double before = upstream.gate->Report(now).named_rate;
-  upstream.gate->SetNamedRate(notice.rate_limit, now);
-  upstream.has_responded = true;
-  const double after = upstream.gate->Report(now).named_rate;
-  if (before != after) {
-    this->RecordUpstreamEvent("upstream_limit", upstream.announcement,
-                              after == 0
-                                  ? "none any more"
-                                  : absl::StrCat(after, " requests a second"));
+  if (departs) {
+    this->options.on_departure();
   }
 }
 
--- a/components/guard/guard.h
+++ b/components/guard/guard.h
@@ -76,6 +76,9 @@
     /// Returns true once this host knows the departures that its earlier
     /// incarnations acknowledged. Its upstreams are not used before.
     std::function<bool()> departures_known = [] { return true; };
+    /// Called when a response tells of a departure that was not known. Must not
+    /// block.
+    std::function<void()> on_departure = [] {};
     /// Names of the header fields exchanged with upstreams.
     std::shared_ptr<const HeaderNames> header_names =
         std::make_shared<const HeaderNames>();
--- a/tests/guard/guard_test.cc
+++ b/tests/guard/guard_test.cc
@@ -11,6 +11,7 @@
 
 #include "components/fibers/worker_pool.h"
 #include "tests/http/listener.h"
+#include "tests/http/raw_server.h"
 #include "tests/support/times.h"
 
 namespace kingcupstair::guard {
@@ -24,9 +25,11 @@
   SharedCrashLedger crashes;
   events::Recorder recorder{{.revision = [] { return 1; }}};
   bool departures_known = true;
+  int departures_told = 0;
   Guard guard{{.incarnation = [] { return kIncarnation; },
                .isolated = [] { return false; },
-               .departures_known = [this] { return this->departures_known; }},
+               .departures_known = [this] { return this->departures_known; },
+               .on_departure = [this] { ++this->departures_told; }},
               this->configuration,
               this->crashes,
               this->recorder};
@@ -51,9 +54,9 @@
                                .remaining_time = Millis(1'000)});
   }
 
-  /// Runs a request at lote-2, which doesn't answer it.
-  void RunUnanswered(fibers::WorkerPool & workers,
-                     const std::string& request_id) {
+  /// Runs a request at lote-2.
+  once::Outcome Run(fibers::WorkerPool & workers,
+                    const std::string& request_id) {
     const auto slot = this->guard.Reserve({.request_id = request_id,
                                            .incarnation = kIncarnation,
                                            .upstream = "lote-2",
@@ -71,8 +74,7 @@
     workers.Spawn([&] {
       ended.set_value(this->guard.Run(std::get<AcceptedRun>(accepted)));
     });
-    const rpc::RunResult result = ended.get_future().get();
-    CHECK(std::holds_alternative<once::Unknown>(result.outcome));
+    return ended.get_future().get().outcome;
   }
 
   void AddCrash(const char* upstream) {
@@ -114,7 +116,7 @@
   for (const char* start : {"@1", "@2"}) {
     announcement.incarnation = start;
     this->guard.Announce(announcement);
-    this->RunUnanswered(*workers, start);
+    CHECK(std::holds_alternative<once::Unknown>(this->Run(*workers, start)));
   }
   announcement.incarnation = "@3";
   this->guard.Announce(announcement);
@@ -122,6 +124,28 @@
   close(upstream.socket);
 }
 
+// An upstream whose responses say that it leaves got requests until it
+// announced that, too.
+TEST(Guard, AnUpstreamWhoseResponseSaysThatItLeavesIsNotUsed) {
+  const RawServer upstream({{.text = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+                                     "Kingcupstair-Leaving: 1\r\n\r\n"}});
+  static auto* workers = new fibers::WorkerPool(1);
+  this->guard.Announce({.id = "lote-2",
+                        .service = "lote",
+                        .endpoint = upstream.Address(),
+                        .slots = 1});
+  CHECK(std::holds_alternative<once::Ran>(this->Run(*workers, "a")));
+  LONGS_EQUAL(1, this->guard.Upstreams().size());
+  CHECK(this->guard.KnownDepartures() == std::vector<std::string>{"lote-2/"});
+  LONGS_EQUAL(1, this->departures_told);
+  CHECK_FALSE(this->guard
+                  .Reserve({.request_id = "b",
+                            .incarnation = kIncarnation,
+                            .upstream = "lote-2",
+                            .remaining_time = Millis(1'000)})
+                  .granted);
+}
+
 // The upstream of a host that restarts announces itself before the host has its
 // configuration, and then had no warm-up limit for as long as the host ran.
 TEST(Guard, AnUpstreamKnownBeforeItsServiceGetsTheWarmUpRate) {
