--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -93,6 +93,20 @@
   CHECK(result.failure.stage == Stage::kReceive);
 }
 
+TEST(HttpClient, AResponseThatEndsInItsHeadIsAFailure) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nX-Order: 7\r\nConnection: close\r\n\r\n";
+  for (const bool reset : {false, true}) {
+    for (size_t length = 0; length < head.size(); ++length) {
+      RawServer server({{.text = head.substr(0, length), .reset = reset}});
+      const Result result = RunExchange(server.Address());
+      CHECK_FALSE(result.ok());
+      CHECK(result.failure.stage == Stage::kReceive);
+      LONGS_EQUAL(0, result.response.headers.size());
+    }
+  }
+}
+
 TEST(HttpClient, ATruncatedChunkedResponseIsAFailure) {
   RawServer server({{.text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked"
                              "\r\n\r\n5\r\nhello\r\n"}});
--- a/tests/platform/upstream_calls_test.cc
+++ b/tests/platform/upstream_calls_test.cc
@@ -2,6 +2,10 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <future>
+
+#include "components/fibers/worker_pool.h"
+
 namespace kingcupstair::platform {
 namespace {
 
@@ -52,6 +56,49 @@
   }
 }
 
+// An announcement of another writer with more slots than can be passed on to
+// other hosts was taken, with its number cut to the low bits.
+TEST(UpstreamCalls, AnAnnouncementWithNumbersOutOfRangeIsRejected) {
+  for (const char* slots :
+       {"65536", "4294967303", "18446744073709551616", "1e400", "-1", "0.5"}) {
+    std::string body = kBody;
+    body.replace(body.find("\"slots\":7") + 8, 1, slots);
+    CHECK_FALSE(ReadUpstreamCall(Heartbeat(body))->ok());
+  }
+  for (const char* port : {"0", "65536", "-1", "99999999999999999999"}) {
+    std::string body = kBody;
+    body.replace(body.find("8403"), 4, port);
+    CHECK_FALSE(ReadUpstreamCall(Heartbeat(body))->ok());
+  }
+}
+
+TEST(UpstreamCalls, AnEndlessWarmUpTimeIsAWarmUpTime) {
+  std::string body = kBody;
+  body.replace(body.find("0ms"), 3, "1e300s");
+  const auto call = ReadUpstreamCall(Heartbeat(body));
+  CHECK(std::get<guard::Announcement>(**call).cold);
+}
+
+// Requests are read on the small stacks of fibers.
+TEST(UpstreamCalls, ADeeplyNestedAnnouncementIsRejected) {
+  constexpr size_t kDepth = 1'000'000;
+  static auto* workers = new fibers::WorkerPool(1);
+  for (const char* open : {"[", "{\"a\":"}) {
+    std::string body;
+    for (size_t i = 0; i < kDepth; ++i) {
+      body += open;
+    }
+    for (const std::string& each :
+         {body, R"({"service":)" + std::string(kDepth, '[') +
+                    std::string(kDepth, ']') + "}"}) {
+      std::promise<bool> accepted;
+      workers->Spawn(
+          [&] { accepted.set_value(ReadUpstreamCall(Heartbeat(each))->ok()); });
+      CHECK_FALSE(accepted.get_future().get());
+    }
+  }
+}
+
 TEST(UpstreamCalls, ADeleteIsParsedAsADeparture) {
   const auto call =
       ReadUpstreamCall({.method = "DELETE", .target = "/v1/instances/i-1"});
