HTTP client: a copy of an earlier response without its id is no response to the next request

A copy with the id of its request was discarded before; one without was taken for the response to the next request, so that a caller was told "not run" of a request that ran, and one that may run once could run at a second upstream. On a connection on which a response echoed the id, one without it is discarded now. ACopyOfAnEarlierResponse... failed before (503 in place of 200). Upstreams that never echo are served as before.

--- a/components/http/client.cc
+++ b/components/http/client.cc
@@ -53,6 +53,8 @@
   beast::flat_buffer buffer;
   Instant idle_since;
   Instant usable_until;
+  /// Set once a response has echoed the field of its request.
+  bool echoes = false;
 };
 
 using IdleConnections =
@@ -197,13 +199,20 @@
       .error;
 }
 
-bool IsResponseTo(const Call& call, const ReadResult& response) {
+// Where the server echoes the field, a response without it is no response to
+// this request: it may be an earlier one, sent once more without the field.
+bool IsResponseTo(const Call& call,
+                  const ReadResult& response,
+                  Connection& connection) {
   if (!call.expected_echo.has_value()) {
     return true;
   }
   const auto found = response.fields.find(call.expected_echo->name);
-  return found == response.fields.end() ||
-         found->value() == call.expected_echo->value;
+  if (found == response.fields.end()) {
+    return !connection.echoes;
+  }
+  connection.echoes = true;
+  return found->value() == call.expected_echo->value;
 }
 
 /// Reads responses until one to this request is complete.
@@ -214,7 +223,7 @@
                         connection.stream, connection.buffer);
   for (int discarded = 0; discarded <= kMaxDiscardedResponses; ++discarded) {
     ReadResult response = reader.ReadNext();
-    if (response.error || IsResponseTo(call, response)) {
+    if (response.error || IsResponseTo(call, response, connection)) {
       return response;
     }
   }
--- a/components/http/client.h
+++ b/components/http/client.h
@@ -61,7 +61,8 @@
   CancellationPtr cancellation_before_sending;
   /// Header field that the server may echo in its response. A response with
   /// another value of this field belongs to an earlier request and is
-  /// discarded; a response without the field is accepted.
+  /// discarded. So is a response without the field on a connection on which an
+  /// earlier response had it.
   std::optional<Header> expected_echo;
 };
 
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -146,6 +146,27 @@
                RunExchange(server.Address(), true).response.body.c_str());
 }
 
+// A faulty server sent a refusal once more. It came without the id of its
+// request and was taken for the refusal of the next one, which ran.
+TEST(HttpClient, ACopyOfAnEarlierResponseWithoutItsIdIsNotTheNextResponse) {
+  const std::string refusal =
+      "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nX-Not-Run: 1\r\n";
+  const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n";
+  RawServer server(
+      {{.text = refusal + "X-Id: a\r\n\r\n",
+        .next = refusal + "\r\n" + answer + "X-Id: b\r\n\r\nran"}});
+  const auto call = [&](const char* id) {
+    return RunExchange({.server = server.Address(),
+                        .timeout = Millis(300),
+                        .expected_echo = Header{.name = "X-Id", .value = id}});
+  };
+  LONGS_EQUAL(503, call("a").response.status);
+  const Result second = call("b");
+  CHECK(second.ok());
+  LONGS_EQUAL(200, second.response.status);
+  STRCMP_EQUAL("ran", second.response.body.c_str());
+}
+
 // The connection was opened after the caller had left, and the request was
 // sent.
 TEST(HttpClient, ACallThatIsCancelledBeforeItsConnectionIsOpenIsNotSent) {
--- a/tests/http/raw_server.cc
+++ b/tests/http/raw_server.cc
@@ -38,6 +38,10 @@
     if (received) {
       send(connection, reply.text.data(), reply.text.size(), MSG_NOSIGNAL);
     }
+    if (!reply.next.empty() &&
+        recv(connection, buffer, sizeof(buffer), 0) > 0) {
+      send(connection, reply.next.data(), reply.next.size(), MSG_NOSIGNAL);
+    }
     if (reply.reset) {
       usleep(kResetDelayMicros);
       const linger reset_on_close{.l_onoff = 1, .l_linger = 0};
--- a/tests/http/raw_server.h
+++ b/tests/http/raw_server.h
@@ -20,6 +20,8 @@
     /// Closes the connection with a reset, after a delay in which the client
     /// can read the text.
     bool reset = false;
+    /// Sent once a further request has arrived on the connection, unless empty.
+    std::string next = {};
   };
 
   explicit RawServer(std::vector<Reply> replies);
