What a response says of an upstream holds for the start that sent it

The last response of a start that left could come after the next start under the same id had announced itself, which was then taken for departed for good, or held to the former limit. Guard, AResponseOfTheLastStart... failed before. The outcome of a call is moved, no longer copied with its body.

--- a/components/guard/guard.cc
+++ b/components/guard/guard.cc
@@ -115,6 +115,7 @@
   const Instant deadline = MonotonicNow() + request.remaining_time;
   const RunningCall call{.idempotent = request.idempotent};
   UpstreamTarget target{.header_names = this->options.header_names};
+  std::string start;
   {
     DeferredWakeups wakeups;
     const std::lock_guard lock(this->mutex);
@@ -136,12 +137,13 @@
         request.repeat_probability);
     this->running_calls[request.request_id] = call;
     target.endpoint = upstream.announcement.endpoint;
+    start = upstream.announcement.incarnation;
   }
-  const UpstreamReply reply = CallUpstream(target, request, deadline, call);
+  UpstreamReply reply = CallUpstream(target, request, deadline, call);
   if (reply.notice.has_value()) {
-    this->ApplyNotice(request.upstream, *reply.notice);
+    this->ApplyNotice(request.upstream, start, *reply.notice);
   }
-  once::Outcome outcome = reply.outcome;
+  once::Outcome outcome = std::move(reply.outcome);
   if (this->runs_ended && std::holds_alternative<once::Unknown>(outcome)) {
     outcome = once::Unknown{.detail = "the host of the upstream stopped",
                             .cancelled = true};
@@ -151,13 +153,16 @@
   return this->FinishRun(request, accepted.ticket, outcome, crashed);
 }
 
-void Guard::ApplyNotice(const std::string& id, const UpstreamNotice& notice) {
+void Guard::ApplyNotice(const std::string& id,
+                        const std::string& start,
+                        const UpstreamNotice& notice) {
   DeferredWakeups wakeups;
   bool departs = false;
   {
     const std::lock_guard lock(this->mutex);
     const auto found = this->upstreams.find(id);
-    if (found == this->upstreams.end()) {
+    if (found == this->upstreams.end() ||
+        found->second.announcement.incarnation != start) {
       return;
     }
     GuardedUpstream& upstream = found->second;
@@ -174,8 +179,7 @@
     }
     if (notice.leaving && !upstream.announcement.draining) {
       this->Drain(upstream, "upstream_draining", wakeups);
-      departs = this->departures.Add(
-          Departures::StartName(id, upstream.announcement.incarnation), now);
+      departs = this->departures.Add(Departures::StartName(id, start), now);
     }
   }
   if (departs) {
--- a/components/guard/guard.h
+++ b/components/guard/guard.h
@@ -188,8 +188,10 @@
                      const once::Outcome& outcome,
                      int in_flight);
   void MarkUnreachable(GuardedUpstream& upstream);
-  /// Applies what the upstream says about itself in a response.
-  void ApplyNotice(const std::string& upstream, const UpstreamNotice& notice);
+  /// Applies what a start of the upstream says about itself in a response.
+  void ApplyNotice(const std::string& upstream,
+                   const std::string& start,
+                   const UpstreamNotice& notice);
   /// Adds the suspects of a crash of the announced upstream to the evidence.
   void AddCrashEvidence(const Announcement& announcement,
                         const std::vector<CrashSuspect>& suspects);
--- a/tests/guard/guard_test.cc
+++ b/tests/guard/guard_test.cc
@@ -146,6 +146,39 @@
                   .granted);
 }
 
+// The last response of a start that left came after the next start under its id
+// had announced itself, which was then taken for departed.
+TEST(Guard, AResponseOfTheLastStartSaysNothingAboutTheNext) {
+  const Listener upstream = ListenOnLoopback(1);
+  static auto* workers = new fibers::WorkerPool(1);
+  Announcement announcement{.id = "lote-2",
+                            .service = "lote",
+                            .endpoint = upstream.endpoint,
+                            .incarnation = "@1",
+                            .slots = 1};
+  this->guard.Announce(announcement);
+  std::thread server([&] {
+    const int connection = accept(upstream.socket, nullptr, nullptr);
+    char buffer[1024];
+    CHECK(recv(connection, buffer, sizeof(buffer), 0) > 0);
+    announcement.incarnation = "@2";
+    this->guard.Announce(announcement);
+    const std::string response =
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+        "Kingcupstair-Leaving: 1\r\nKingcupstair-Rate-Limit: 1\r\n\r\n";
+    CHECK(send(connection, response.data(), response.size(), 0) > 0);
+    close(connection);
+  });
+  CHECK(std::holds_alternative<once::Ran>(this->Run(*workers, "a")));
+  server.join();
+  LONGS_EQUAL(2, this->guard.Upstreams().size());
+  CHECK(this->guard.KnownDepartures().empty());
+  for (const auto& record : this->guard.Upstreams()) {
+    DOUBLES_EQUAL(0, record.named_rate, 0);
+  }
+  close(upstream.socket);
+}
+
 // The upstream of a host that restarts announces itself before the host has its
 // configuration, and then had no warm-up limit for as long as the host ran.
 TEST(Guard, AnUpstreamKnownBeforeItsServiceGetsTheWarmUpRate) {
