--- a/tests/process/caller_gone_test.sh
+++ b/tests/process/caller_gone_test.sh
@@ -24,12 +24,22 @@
     -H 'Authorization: Bearer grower-key' -H "X-Order: $4" \
     "http://127.0.0.1:$(site_caller_port "$1")$3"
 }
+
+# Waits until the upstream runs order $1, for 10 s at most.
+wait_run() {
+  local i
+  for ((i = 0; i < 200; i++)); do
+    grep -q " $1\$" "$dir/runs.log" 2>/dev/null && return 0
+    sleep 0.05
+  done
+}
+
 for host in 1 2; do
   for call in "POST /lote/dispatch order" "GET /lote/status/1 lookup"; do
     read -r method target kind <<<"$call"
     send "$host" "$method" "$target" "first-$kind-$host" 8 >"$dir/first" &
     first=$!
-    sleep 0.3
+    wait_run "first-$kind-$host"
     send "$host" "$method" "$target" "gone-$kind-$host" 0.4 >/dev/null
     send "$host" "$method" "$target" "stays-$kind-$host" 8 >"$dir/stays" &
     stays=$!
