--- a/review/run_case.sh
+++ b/review/run_case.sh
@@ -1,7 +1,9 @@
 #!/usr/bin/env bash
-# run_case.sh N: plays case N with the programs that were built. Exits with 1 if
-# the rule was broken, 0 if it held, 2 if the case could not run.
+# run_case.sh N RECORD: plays case N with the programs that were built and writes
+# its record to the file RECORD. TROUBLE=0 leaves the disruption out. Exits with 1
+# if the rule was broken, 0 if it held, 2 if the case could not run.
 set -uo pipefail
+export TROUBLE="${TROUBLE:-1}"
 cd "$(dirname "$0")/.."
 program="target/review/case$1"
 if [ ! -x "$program" ] || [ ! -x target/apps/kingcupstaird ]; then
@@ -9,7 +11,7 @@
   exit 2
 fi
 logs=$(mktemp -d) || exit 2
-"$program" "review/$1" "$logs"
+"$program" "$2" "$logs"
 status=$?
 rm -rf "$logs"
 [ "$status" -le 2 ] || status=2
--- a/review/standins/case.cc
+++ b/review/standins/case.cc
@@ -9,12 +9,12 @@
 int PlayCase(int argc, char** argv, Verdict (*play)(const CaseOptions&)) {
   constexpr int kArguments = 3;
   if (argc != kArguments) {
-    std::cerr << "usage: case FOLDER LOGS\n";
+    std::cerr << "usage: case RECORD LOGS\n";
     return static_cast<int>(Verdict::kUnusable);
   }
   const char* trouble = std::getenv("TROUBLE");
   const CaseOptions options{
-      .folder = argv[1],
+      .record = argv[1],
       .logs = argv[2],
       .trouble = trouble == nullptr || std::string(trouble) != "0"};
   try {
--- a/review/standins/site.cc
+++ b/review/standins/site.cc
@@ -56,7 +56,7 @@
 Site::Site(Options options)
     : options(std::move(options)),
       role(ReadDeployFile(kDeployFile)),
-      own_record(this->options.folder + "/record.txt") {
+      own_record(this->options.record) {
   std::signal(SIGPIPE, SIG_IGN);
   int number = 0;
   for (const std::string& zone : this->options.zones) {
--- a/review/standins/site.h
+++ b/review/standins/site.h
@@ -56,8 +56,8 @@
     std::vector<std::string> zones{"arequipa-a", "arequipa-b", "arequipa-c"};
     size_t machines_per_zone = 2;
     Millis work{200};
-    /// Folder for the record.
-    std::string folder;
+    /// File for the record.
+    std::string record;
     /// Folder for the logs of the processes.
     std::string logs;
   };
