Each host watches the store by itself

Cause: two hosts of a zone, chosen by hash, read the store for all others, whether or not they reached it. All others had to be told, by three random probes one after the other.

A revision now names the last change of the content and not the store's counter at the time of the read. Otherwise hosts that read at different times would take each other's revisions for newer ones. A watch that has not brought a change which a peer has is ended and begun anew.

--- a/apps/kingcupstaird/daemon.cc
+++ b/apps/kingcupstaird/daemon.cc
@@ -98,9 +98,6 @@
           .store = this->store,
           .recorder = this->recorder,
           .configuration_source = this->interface.configuration,
-          .watchers_per_zone =
-              static_cast<size_t>(this->settings.watchers_per_zone),
-          .discovers_hosts = this->interface.hosts_in_store,
           .share_gathering_time =
               this->interface.hosts_in_store ? kShareGatheringTime : Duration{},
           .spread_updates =
@@ -278,10 +275,11 @@
 }
 
 void Daemon::FetchNewerConfiguration() {
-  const std::string peer = this->gossip_loop.TakePeerWithNewerRevision();
-  if (!peer.empty()) {
-    this->config_loop.FetchFromPeer(peer);
+  const auto peer = this->gossip_loop.TakePeerWithNewerRevision();
+  if (peer.has_value()) {
+    this->config_loop.FetchFromPeer(*peer);
   }
+  this->config_loop.CheckWatch();
   fibers::SleepFor(kPeerFetchInterval);
 }
 
--- a/apps/kingcupstaird/daemon_settings.cc
+++ b/apps/kingcupstaird/daemon_settings.cc
@@ -105,9 +105,6 @@
   flags.Add({.name = "rate-slack",
              .help = "requests by which an organisation may exceed its burst",
              .set = settings::SetNumber(settings.rate_slack)});
-  flags.Add({.name = "watchers-per-zone",
-             .help = "hosts of each availability zone that watch the store",
-             .set = settings::SetInteger(settings.watchers_per_zone, 1, 100)});
   flags.Add({.name = "leave-ms",
              .help = "milliseconds for which a leaving host still accepts "
                      "requests, 0 to 60000; half of stop-grace-ms at most",
--- a/apps/kingcupstaird/daemon_settings.h
+++ b/apps/kingcupstaird/daemon_settings.h
@@ -45,7 +45,6 @@
   retry::RetryBudget::Options retries;
   /// How upstreams that announce when they are cold warm up.
   admission::RateLimitedWarmUp warm_up;
-  int watchers_per_zone = 2;
   /// How far the site lets an organisation exceed its rate limit: a fraction of
   /// rate and burst, and a number of requests on top of the burst.
   double rate_tolerance = 0;
--- a/components/config/configuration.cc
+++ b/components/config/configuration.cc
@@ -126,6 +126,12 @@
       .Build();
 }
 
+Configuration Configuration::AtRevision(uint64_t revision) const {
+  Configuration same_rules = *this;
+  same_rules.revision_number = revision;
+  return same_rules;
+}
+
 const RouteRule* Configuration::FindRouteWithPrefix(
     std::string_view host,
     std::string_view method,
--- a/components/config/configuration.h
+++ b/components/config/configuration.h
@@ -28,6 +28,9 @@
 
   uint64_t revision() const { return this->revision_number; }
 
+  /// Returns the same rules at another revision.
+  Configuration AtRevision(uint64_t revision) const;
+
   /// Returns the route for a request, or null if no route covers `path`.
   /// Routes for `host` take precedence over routes for any host, then longer
   /// path prefixes over shorter ones, then routes for `method` over routes for
--- a/components/config/replica.cc
+++ b/components/config/replica.cc
@@ -47,6 +47,12 @@
     return std::nullopt;
   }
   const Head candidate = *std::exchange(this->pending, std::nullopt);
+  if (candidate.chunks == this->head.chunks) {
+    this->current = std::make_shared<const Configuration>(
+        this->current->AtRevision(candidate.revision));
+    this->head = candidate;
+    return std::vector<RuleError>{};
+  }
   auto built =
       Configuration::Build(candidate.revision, this->JoinChunks(candidate));
   if (auto* errors = std::get_if<std::vector<RuleError>>(&built)) {
--- a/components/control/config_keeper.cc
+++ b/components/control/config_keeper.cc
@@ -23,6 +23,7 @@
 
 Adoption ConfigKeeper::TryAdopt() {
   const std::lock_guard lock(this->mutex);
+  const config::Head former = this->replica.ActiveHead();
   const auto errors = this->replica.TryAdopt();
   if (!errors.has_value()) {
     return {};
@@ -31,7 +32,9 @@
     return {.errors = *errors};
   }
   this->current.Publish(this->replica.ActiveConfiguration());
-  return {.adopted = true};
+  return {.adopted = true,
+          .changed = former.revision == 0 ||
+                     this->replica.ActiveHead().chunks != former.chunks};
 }
 
 std::string ConfigKeeper::HeadText() const {
--- a/components/control/config_loop.cc
+++ b/components/control/config_loop.cc
@@ -16,18 +16,16 @@
 namespace kingcupstair::control {
 namespace {
 
-constexpr Duration kHeadWatchTimeout{std::chrono::seconds(1)};
-/// Each watch is a call to the store, so a short timeout would raise the number
-/// of calls. A watch whose connection was lost is noticed only at the timeout.
-constexpr Duration kRecordsWatchTimeout{std::chrono::seconds(8)};
-/// Time after the start within which a host gets a configuration from its peers
-/// if they have one.
-constexpr Duration kPeerConfigurationTime{std::chrono::milliseconds(2500)};
-/// Time after the start within which a host finds peers if there are any.
-constexpr Duration kPeerDiscoveryTime{std::chrono::milliseconds(600)};
-constexpr Duration kDiscoveryPollInterval{std::chrono::milliseconds(50)};
-constexpr Duration kNonWatcherInterval{std::chrono::milliseconds(500)};
-constexpr Duration kFailureBackoff{std::chrono::milliseconds(500)};
+/// Bounds of the time for which a watch waits. Each watch is a call to the
+/// store. The longest is also the longest that the store allows.
+constexpr Duration kMinWatchTime{std::chrono::seconds(24)};
+constexpr Duration kMaxWatchTime{std::chrono::seconds(30)};
+constexpr Duration kFirstRetryDelay{std::chrono::milliseconds(100)};
+constexpr Duration kMaxRetryDelay{std::chrono::seconds(2)};
+/// Time within which a watch brings a change that a peer has.
+constexpr Duration kMaxWatchLag{std::chrono::milliseconds(500)};
+/// Delay before the store is read again while no configuration is published.
+constexpr Duration kUnpublishedInterval{std::chrono::milliseconds(500)};
 constexpr Duration kPeerTimeout{std::chrono::seconds(1)};
 constexpr size_t kMaxChunksPerCall = 32;
 
@@ -46,29 +44,39 @@
 
 ConfigLoop::ConfigLoop(Fleet& fleet)
     : fleet(fleet),
-      start(MonotonicNow()),
+      backoff({.first = kFirstRetryDelay, .longest = kMaxRetryDelay}),
       records(
           {.content_version = ContentVersionOf(fleet.configuration_source)}) {}
 
-// The hosts with the highest hashes in each zone watch the store, so its load
-// depends on the number of zones and not on the number of hosts. A host without
-// a configuration watches the store itself if its peers have not given it one.
-bool ConfigLoop::IsWatcher() const {
-  if (this->fleet.config.Revision() == 0 &&
-      MonotonicNow() - this->start >= kPeerConfigurationTime) {
-    return true;
-  }
-  const uint64_t own_hash = StableHash(this->fleet.settings.host);
-  size_t higher_ranked = 0;
-  for (const auto& update : this->fleet.directory.All()) {
-    const bool is_candidate = update.liveness == membership::Liveness::kAlive &&
-                              !update.record.leaving &&
-                              update.record.zone == this->fleet.settings.zone;
-    if (is_candidate && StableHash(update.record.host) > own_hash) {
-      ++higher_ranked;
+// Random times keep the watches of all hosts from ending together.
+Duration ConfigLoop::WatchTime() {
+  std::uniform_int_distribution<int64_t> time(kMinWatchTime.count(),
+                                              kMaxWatchTime.count());
+  return Duration(time(this->random));
+}
+
+CancellationPtr ConfigLoop::BeginWatch() {
+  auto cancellation = std::make_shared<Cancellation>();
+  const std::lock_guard lock(this->mutex);
+  this->watch = cancellation;
+  this->watch_era = this->fleet.store.era();
+  return cancellation;
+}
+
+void ConfigLoop::CheckWatch() {
+  const Instant now = MonotonicNow();
+  CancellationPtr ended;
+  {
+    const std::lock_guard lock(this->mutex);
+    const bool lags = this->behind_since.has_value() &&
+                      now - *this->behind_since > kMaxWatchLag;
+    if (lags || this->fleet.store.era() != this->watch_era) {
+      ended = std::exchange(this->watch, nullptr);
     }
   }
-  return higher_ranked < this->fleet.watchers_per_zone;
+  if (ended != nullptr) {
+    ended->Cancel();
+  }
 }
 
 void ConfigLoop::NoticeEra() {
@@ -83,16 +91,6 @@
 
 void ConfigLoop::Step() {
   this->NoticeEra();
-  if (this->fleet.discovers_hosts && this->fleet.directory.size() == 1 &&
-      MonotonicNow() - this->start < kPeerDiscoveryTime) {
-    fibers::SleepFor(kDiscoveryPollInterval);
-    return;
-  }
-  if (!this->IsWatcher()) {
-    this->records.Invalidate();
-    fibers::SleepFor(kNonWatcherInterval);
-    return;
-  }
   std::visit([this](const auto& source) { this->WatchSource(source); },
              this->fleet.configuration_source);
 }
@@ -106,8 +104,11 @@
   }
   if (status.ok()) {
     this->fleet.isolation.RecordContact(MonotonicNow());
+    this->backoff.Reset();
+    const std::lock_guard lock(this->mutex);
+    this->behind_since.reset();
   } else {
-    fibers::SleepFor(kFailureBackoff);
+    fibers::SleepFor(this->backoff.NextDelay());
   }
   return status.ok();
 }
@@ -135,10 +136,16 @@
 
 void ConfigLoop::WatchRecords(const site::OperatorRecords& source,
                               uint64_t revision) {
+  const CancellationPtr cancellation = this->BeginWatch();
   const auto changes =
       this->fleet.store.WatchPrefix({.prefix = source.prefix,
                                      .after = revision,
-                                     .wait = kRecordsWatchTimeout});
+                                     .wait = this->WatchTime(),
+                                     .cancellation = cancellation});
+  if (cancellation->IsCancelled()) {
+    this->records.Invalidate();
+    return;
+  }
   if (!this->RecordStoreStatus(changes.status())) {
     this->records.Invalidate();
     return;
@@ -150,17 +157,20 @@
 
 void ConfigLoop::AdoptRecords(const site::OperatorRecords& source) {
   const auto in_force = this->records.All();
+  config::Head head{.revision = config::Pack(
+                        {.content_version = source.content_version(in_force),
+                         .era = this->records.era(),
+                         .number = this->records.content_revision()}),
+                    .author = "operator"};
+  if (head.revision <= this->fleet.config.Revision()) {
+    return;
+  }
   const auto rules = source.to_rules(in_force);
   if (!rules.ok()) {
     this->fleet.recorder.Record(
         {.kind = "configuration_refused", .detail = MessageOf(rules.status())});
     return;
   }
-  config::Head head{.revision = config::Pack(
-                        {.content_version = source.content_version(in_force),
-                         .era = this->records.era(),
-                         .number = this->records.known_revision()}),
-                    .author = "operator"};
   const auto chunks = config::SplitIntoChunks(*rules);
   for (const config::Chunk& chunk : chunks) {
     head.chunks.push_back(chunk.id);
@@ -175,13 +185,19 @@
 }
 
 void ConfigLoop::WatchSource(const site::PublishedConfiguration&) {
-  const auto entry = this->fleet.store.Watch(
-      store::kHeadKey, this->head_version, kHeadWatchTimeout);
-  if (!this->RecordStoreStatus(entry.status())) {
+  const CancellationPtr cancellation = this->BeginWatch();
+  const auto entry =
+      this->head_up_to_date
+          ? this->fleet.store.Watch(store::kHeadKey, this->head_version,
+                                    this->WatchTime(), cancellation)
+          : this->fleet.store.Get(store::kHeadKey);
+  this->head_up_to_date = false;
+  if (cancellation->IsCancelled() || !this->RecordStoreStatus(entry.status())) {
     return;
   }
+  this->head_up_to_date = true;
   if (entry->version == 0) {
-    fibers::SleepFor(kFailureBackoff);
+    fibers::SleepFor(kUnpublishedInterval);
     return;
   }
   if (entry->version != this->head_version) {
@@ -228,7 +244,14 @@
       }
     }
   }
-  return this->Adopt(peer);
+  if (!this->Adopt(peer)) {
+    return false;
+  }
+  const std::lock_guard lock(this->mutex);
+  if (!this->behind_since.has_value()) {
+    this->behind_since = MonotonicNow();
+  }
+  return true;
 }
 
 bool ConfigLoop::Adopt(const std::string& source) {
@@ -239,13 +262,13 @@
         {.kind = "configuration_refused",
          .detail = absl::StrCat("from ", source, ": ", ToText(error))});
   }
-  if (adoption.adopted) {
+  if (adoption.changed) {
     this->fleet.recorder.Record({.kind = "configuration_in_force",
                                  .detail = absl::StrCat("from ", source)});
     this->fleet.spread_updates();
     this->RecordServiceChanges(*before, *this->fleet.config.snapshot().Read());
   }
-  return adoption.adopted;
+  return adoption.changed;
 }
 
 void ConfigLoop::RecordServiceChanges(const config::Configuration& before,
--- a/components/control/fleet.h
+++ b/components/control/fleet.h
@@ -44,10 +44,6 @@
   const store::Client& store;
   events::Recorder& recorder;
   site::ConfigurationSource configuration_source;
-  /// The number of hosts in each availability zone that watch the store.
-  size_t watchers_per_zone = 2;
-  /// Hosts find each other by their keys in the store, shortly after the start.
-  bool discovers_hosts = false;
   /// How long hosts of a fleet without a share table wait for each other before
   /// one of them creates the table with equal shares. With zero, the first host
   /// takes the whole and then transfers parts to the others.
--- a/components/control/gossip_loop.cc
+++ b/components/control/gossip_loop.cc
@@ -218,9 +218,14 @@
   return reply;
 }
 
-std::string GossipLoop::TakePeerWithNewerRevision() {
+std::optional<std::string> GossipLoop::TakePeerWithNewerRevision() {
   const std::lock_guard lock(this->mutex);
-  return std::exchange(this->peer_with_newer_revision, "");
+  auto& peers = this->peers_with_newer_revision;
+  peers.erase(peers.begin(), peers.upper_bound(this->fleet.config.Revision()));
+  if (peers.empty()) {
+    return std::nullopt;
+  }
+  return peers.extract(std::prev(peers.end())).mapped();
 }
 
 rpc::GossipMessage GossipLoop::MakeMessage() {
@@ -257,7 +262,10 @@
   }
   if (message.revision > this->fleet.config.Revision()) {
     const std::lock_guard lock(this->mutex);
-    this->peer_with_newer_revision = message.host;
+    auto& peers = this->peers_with_newer_revision;
+    std::erase_if(
+        peers, [&](const auto& peer) { return peer.second == message.host; });
+    peers.emplace(message.revision, message.host);
   }
 }
 
--- a/components/control/gossip_loop.h
+++ b/components/control/gossip_loop.h
@@ -2,6 +2,7 @@
 #define COMPONENTS_CONTROL_GOSSIP_LOOP_H_
 
 #include <atomic>
+#include <map>
 #include <mutex>
 #include <optional>
 #include <set>
@@ -41,10 +42,10 @@
   /// Returns true if `host` responds to a probe from this host.
   bool CanReach(const std::string& host);
 
-  /// Returns and clears the last peer seen with a higher configuration
-  /// revision; empty if there is none. Called by the fiber that fetches
+  /// Returns and forgets the peer seen with the highest configuration revision,
+  /// if that is higher than the one here. Called by the fiber that fetches
   /// configurations.
-  std::string TakePeerWithNewerRevision();
+  std::optional<std::string> TakePeerWithNewerRevision();
 
  private:
   rpc::GossipMessage MakeMessage();
@@ -77,8 +78,9 @@
   membership::Prober prober;
   uint64_t rounds = 0;
   std::atomic<uint64_t> messages_made = 0;
-  /// The last peer seen with a higher configuration revision.
-  std::string peer_with_newer_revision;
+  /// Peers seen with a higher configuration revision than the one here, by that
+  /// revision.
+  std::multimap<uint64_t, std::string> peers_with_newer_revision;
   /// Consecutive probes with an unexplained difference between the directories.
   int unexplained_differences = 0;
 };
--- a/components/control/host_loop.cc
+++ b/components/control/host_loop.cc
@@ -42,7 +42,7 @@
     : fleet(fleet),
       gossip(gossip),
       start(MonotonicNow()),
-      retry_interval(kRetryInterval),
+      backoff({.first = kRetryInterval, .longest = kMaxRetryInterval}),
       startup_interval(kStartupDiscoveryInterval) {}
 
 // Leases of a former era are gone, and with them the key of this host.
@@ -69,12 +69,12 @@
   if (!this->lease.has_value()) {
     this->renew_at =
         MonotonicNow() + (this->Register() ? this->DelayAfterSuccess()
-                                           : this->DelayAfterFailure());
+                                           : this->backoff.NextDelay());
     return;
   }
   const auto renewed = this->fleet.store.RenewLease(*this->lease);
   if (!renewed.ok()) {
-    this->renew_at = MonotonicNow() + this->DelayAfterFailure();
+    this->renew_at = MonotonicNow() + this->backoff.NextDelay();
     return;
   }
   if (!*renewed) {
@@ -86,21 +86,10 @@
 }
 
 Duration HostLoop::DelayAfterSuccess() {
-  this->retry_interval = kRetryInterval;
+  this->backoff.Reset();
   return kRenewInterval;
 }
 
-// The random part keeps the hosts from calling at the same time when the store
-// is back.
-Duration HostLoop::DelayAfterFailure() {
-  const Duration longest = this->retry_interval;
-  this->retry_interval =
-      std::min<Duration>(this->retry_interval * 2, kMaxRetryInterval);
-  std::uniform_int_distribution<int64_t> delay(longest.count() / 2,
-                                               longest.count());
-  return Duration(delay(this->random));
-}
-
 bool HostLoop::Register() {
   const auto granted = this->fleet.store.GrantLease(kLeaseLifetime);
   if (!granted.ok()) {
--- a/components/control/host_loop.h
+++ b/components/control/host_loop.h
@@ -2,8 +2,8 @@
 #define COMPONENTS_CONTROL_HOST_LOOP_H_
 
 #include <optional>
-#include <random>
 
+#include "components/base/backoff.h"
 #include "components/control/fleet.h"
 #include "components/control/gossip_loop.h"
 
@@ -30,8 +30,6 @@
   void Discover(Instant now);
 
   Duration DelayAfterSuccess();
-  /// Returns the delay before the next try, which grows with each failure.
-  Duration DelayAfterFailure();
 
   Fleet& fleet;
   GossipLoop& gossip;
@@ -41,9 +39,8 @@
   /// The era of the store at the last round.
   uint64_t era = 0;
   Instant discover_at;
-  Duration retry_interval;
+  Backoff backoff;
   Duration startup_interval;
-  std::mt19937_64 random{std::random_device{}()};
 };
 
 }  // namespace kingcupstair::control
--- a/components/store/client.cc
+++ b/components/store/client.cc
@@ -15,15 +15,20 @@
 
 Client::Client(Options options) : options(std::move(options)) {}
 
-absl::StatusOr<http::Response> Client::SendRequest(const char* step,
-                                                   const http::Request& request,
-                                                   Duration timeout) const {
+absl::StatusOr<http::Response> Client::SendRequest(
+    const char* step,
+    const http::Request& request,
+    Duration timeout,
+    const CancellationPtr& cancellation) const {
   http::Result result =
       http::Exchange({.server = this->options.server,
                       .request = request,
                       .timeout = timeout,
-                      .reuse_connection = request.method == "GET",
-                      .detect_silence = true});
+                      .reuse_connection = request.method == "GET" &&
+                                          this->may_reuse_connections->load(),
+                      .detect_silence = true,
+                      .cancellation = cancellation});
+  this->may_reuse_connections->store(result.ok());
   if (!result.ok()) {
     return ErrorAt(result.failure.status.code(),
                    {.step = step, .peer = ToText(this->options.server)},
@@ -58,10 +63,11 @@
 
 absl::StatusOr<Entry> Client::Watch(const std::string& key,
                                     uint64_t after,
-                                    Duration wait) const {
+                                    Duration wait,
+                                    const CancellationPtr& cancellation) const {
   const auto response = this->SendRequest(
       "watch", this->options.protocol.watch_key(key, after, wait),
-      wait + this->options.timeout);
+      wait + this->options.timeout, cancellation);
   return response.ok() ? this->options.protocol.read_entry(*response)
                        : response.status();
 }
@@ -105,7 +111,7 @@
 absl::StatusOr<Changes> Client::WatchPrefix(const WatchCall& call) const {
   const auto response =
       this->SendRequest("watch", this->options.protocol.watch(call),
-                        call.wait + this->options.timeout);
+                        call.wait + this->options.timeout, call.cancellation);
   if (!response.ok()) {
     return response.status();
   }
--- a/components/store/client.h
+++ b/components/store/client.h
@@ -32,10 +32,11 @@
   absl::StatusOr<Entry> Get(const std::string& key) const;
 
   /// Waits up to `wait` until the version of the key is above `after` and
-  /// returns the entry.
+  /// returns the entry. `cancellation` ends the wait; it may be null.
   absl::StatusOr<Entry> Watch(const std::string& key,
                               uint64_t after,
-                              Duration wait) const;
+                              Duration wait,
+                              const CancellationPtr& cancellation) const;
 
   /// Reads all keys with a prefix, page by page. The listing has the revision
   /// of the first page and may already contain later changes. If
@@ -82,14 +83,20 @@
  private:
   /// Sends a request and returns the response. An error carries `step` and the
   /// address of the store.
-  absl::StatusOr<http::Response> SendRequest(const char* step,
-                                             const http::Request& request,
-                                             Duration timeout) const;
+  absl::StatusOr<http::Response> SendRequest(
+      const char* step,
+      const http::Request& request,
+      Duration timeout,
+      const CancellationPtr& cancellation = nullptr) const;
   absl::StatusOr<PutResult> Write(const PutCall& call) const;
 
   Options options;
   std::unique_ptr<std::atomic<uint64_t>> latest_era =
       std::make_unique<std::atomic<uint64_t>>(0);
+  /// False after a call without a response: other connections may have gone
+  /// silent with that of the call.
+  std::unique_ptr<std::atomic<bool>> may_reuse_connections =
+      std::make_unique<std::atomic<bool>>(true);
 };
 
 }  // namespace kingcupstair::store
--- a/components/store/protocol.h
+++ b/components/store/protocol.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "absl/status/statusor.h"
+#include "components/base/cancellation.h"
 #include "components/base/time.h"
 #include "components/http/message.h"
 
@@ -92,6 +93,8 @@
   uint64_t after = 0;
   /// Longest time to wait for a change.
   Duration wait{};
+  /// Ends the watch; may be null.
+  CancellationPtr cancellation;
 };
 
 /// Functions that encode store calls as HTTP requests and decode the responses.
--- a/components/store/records_view.cc
+++ b/components/store/records_view.cc
@@ -22,10 +22,14 @@
     this->former = std::move(this->records);
     this->former_until = now + this->options.restore_time;
   }
-  this->records.clear();
+  Records listed;
   for (const KeyedEntry& record : listing.entries) {
-    this->records[record.key] = record.entry;
+    listed[record.key] = record.entry;
   }
+  if (listing.era != this->current_era || listed != this->records) {
+    this->content_known_at = listing.revision;
+  }
+  this->records = std::move(listed);
   this->revision = listing.revision;
   this->current_era = listing.era;
   this->up_to_date = true;
@@ -40,6 +44,9 @@
   }
   for (const KeyedEntry& change : changes.entries) {
     this->former.erase(change.key);
+    this->content_known_at = std::max(
+        this->content_known_at,
+        change.entry.version == 0 ? changes.revision : change.entry.version);
     if (change.entry.version == 0) {
       this->records.erase(change.key);
     } else {
@@ -77,6 +84,7 @@
     return false;
   }
   this->former.clear();
+  this->content_known_at = this->revision;
   return true;
 }
 
--- a/components/store/records_view.h
+++ b/components/store/records_view.h
@@ -54,8 +54,10 @@
   /// although their writers have not written all of them again.
   bool DropFormerRecords(Instant now);
 
-  /// Returns the store's revision that was read last.
-  uint64_t known_revision() const { return this->revision; }
+  /// Returns a revision of the store as of which the content is known to be
+  /// this: that of the last change, or that of the listing that differed from
+  /// the copy. Hosts that have watched the same changes have the same one.
+  uint64_t content_revision() const { return this->content_known_at; }
   /// Returns the era of the store in which the copy was read.
   uint64_t era() const { return this->current_era; }
 
@@ -70,7 +72,9 @@
   Records former;
   Instant former_until;
   uint64_t current_era = 0;
+  /// The store's revision that was read last.
   uint64_t revision = 0;
+  uint64_t content_known_at = 0;
   /// False if a listing is needed before the next watch.
   bool up_to_date = false;
 };
--- a/scripts/lib/site.sh
+++ b/scripts/lib/site.sh
@@ -157,3 +157,17 @@
 }
 
 site_call() { "$site_bin/kingcupstair-caller" "$@"; }
+
+# site_store_relayed_host N ZONE: a host that reaches the store through a relay.
+site_store_relayed_host() {
+  local number="$1" zone="$2" relay=$((site_base + 10 * $1 + 7))
+  shift 2
+  site_start "store_relay$number" "$site_bin/relay-standin" \
+    --listen "127.0.0.1:$relay" --control "127.0.0.1:$((relay + 1))" \
+    --server "$site_store_address"
+  site_host "$number" "$zone" --store "127.0.0.1:$relay" "$@"
+}
+
+site_store_relay_faults() {
+  curl -s --max-time 1 -X POST --data "$2" "http://127.0.0.1:$((site_base + 10 * $1 + 8))/faults" >/dev/null
+}
--- a/tests/config/replica_test.cc
+++ b/tests/config/replica_test.cc
@@ -35,6 +35,12 @@
   replica.TryAdopt();
 }
 
+Configuration ActiveOf(const Version& version) {
+  Replica replica;
+  OfferAndTryAdopt(replica, version);
+  return *replica.ActiveConfiguration();
+}
+
 TEST_GROUP(Replica) {
   Replica replica;
 };
@@ -56,6 +62,18 @@
   LONGS_EQUAL(2, this->replica.ActiveConfiguration()->revision());
 }
 
+TEST(Replica, AdoptsTheSameContentAtAHigherRevision) {
+  const Version first = ValidVersion(1);
+  OfferAndTryAdopt(this->replica, first);
+  Version again = first;
+  again.head.revision = 3;
+  CHECK(this->replica.Offer(again.head) == OfferResult::kPending);
+  CHECK(this->replica.TryAdopt().has_value());
+  LONGS_EQUAL(3, this->replica.ActiveConfiguration()->revision());
+  CHECK(*this->replica.ActiveConfiguration() ==
+        ActiveOf(MakeVersion(3, this->replica.ActiveText())));
+}
+
 TEST(Replica, RejectsChunkWhoseTextDoesNotMatchItsId) {
   const Version version = ValidVersion(1);
   this->replica.Offer(version.head);
--- a/tests/store/records_view_test.cc
+++ b/tests/store/records_view_test.cc
@@ -92,6 +92,34 @@
   CHECK_EQUAL(9U, *this->view.WatchFrom());
 }
 
+// Hosts that watch the same changes name the same revision, whatever else is
+// written to the store meanwhile.
+TEST(RecordsView, TheContentHasTheRevisionOfItsLastChange) {
+  this->List();
+  CHECK_EQUAL(5U, this->view.content_revision());
+  this->view.OnChanges({.revision = 9});
+  CHECK_EQUAL(5U, this->view.content_revision());
+  this->view.OnChanges(
+      {.entries = {{.key = "b", .entry = {.value = "2", .version = 11}}},
+       .revision = 14});
+  CHECK_EQUAL(11U, this->view.content_revision());
+  this->view.OnChanges({.entries = {{.key = "b"}}, .revision = 16});
+  CHECK_EQUAL(16U, this->view.content_revision());
+}
+
+TEST(RecordsView, AListingWithoutAChangeKeepsTheRevisionOfTheContent) {
+  this->List();
+  this->view.Invalidate();
+  this->view.OnListing(
+      {.entries = {{.key = "a", .entry = {.value = "1", .version = 3}}},
+       .revision = 8},
+      At(1'000));
+  CHECK_EQUAL(5U, this->view.content_revision());
+  CHECK_EQUAL(8U, *this->view.WatchFrom());
+  this->view.OnListing({.revision = 9}, At(2'000));
+  CHECK_EQUAL(9U, this->view.content_revision());
+}
+
 TEST(RecordsView, ARestoredCopyThatIsOlderDoesNotReplaceWhatIsInForce) {
   this->Restore();
   STRCMP_EQUAL("8", this->ValueOf("config").c_str());
