News for hosts that the store does not reach no longer wait for silent hosts

What callers saw: a host that learns of changes from peers had them late while other hosts were paused, dead or cut off.

Cause: a host that has adopted a revision told three random peers one after the other, suspect ones included, without a second try; and its loop of probes stood still for up to 3.9 s while it probed a silent host through others.

--- a/components/control/config_loop.cc
+++ b/components/control/config_loop.cc
@@ -1,5 +1,7 @@
 #include "components/control/config_loop.h"
 
+#include <boost/fiber/fiber.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -28,6 +30,9 @@
 constexpr Duration kUnpublishedInterval{std::chrono::milliseconds(500)};
 constexpr Duration kPeerTimeout{std::chrono::seconds(1)};
 constexpr size_t kMaxChunksPerCall = 32;
+/// Name of the store as the source of a configuration.
+constexpr char kStoreSource[] = "store";
+constexpr Duration kSecondSpreadDelay{std::chrono::milliseconds(400)};
 
 }  // namespace
 
@@ -181,7 +186,7 @@
   for (const config::Chunk& chunk : chunks) {
     this->fleet.config.AddChunk(chunk.id, chunk.text);
   }
-  this->Adopt("store");
+  this->Adopt(kStoreSource);
 }
 
 void ConfigLoop::WatchSource(const site::PublishedConfiguration&) {
@@ -220,7 +225,7 @@
       return;
     }
   }
-  this->Adopt("store");
+  this->Adopt(kStoreSource);
 }
 
 bool ConfigLoop::FetchFromPeer(const std::string& peer) {
@@ -254,6 +259,16 @@
   return true;
 }
 
+// The peers to tell are random, and a peer that needs to be told may be missed
+// the first time. A host that had the change from the store needs no second
+// round: then the store serves changes to most others too.
+void ConfigLoop::SpreadAgainLater() {
+  boost::fibers::fiber([this] {
+    fibers::SleepFor(kSecondSpreadDelay);
+    this->fleet.spread_updates();
+  }).detach();
+}
+
 bool ConfigLoop::Adopt(const std::string& source) {
   const auto before = this->fleet.config.snapshot().Read();
   const Adoption adoption = this->fleet.config.TryAdopt();
@@ -266,6 +281,9 @@
     this->fleet.recorder.Record({.kind = "configuration_in_force",
                                  .detail = absl::StrCat("from ", source)});
     this->fleet.spread_updates();
+    if (source != kStoreSource) {
+      this->SpreadAgainLater();
+    }
     this->RecordServiceChanges(*before, *this->fleet.config.snapshot().Read());
   }
   return adoption.changed;
--- a/components/control/config_loop.h
+++ b/components/control/config_loop.h
@@ -51,6 +51,8 @@
   void FetchFromStore(const std::string& head_text);
   /// Returns true if the rules in force have changed.
   bool Adopt(const std::string& source);
+  /// Tells a few peers of the configuration once more, after a delay.
+  void SpreadAgainLater();
   /// Records an event for each zone and upstream that `after` takes out of
   /// service or puts back.
   void RecordServiceChanges(const config::Configuration& before,
--- a/components/control/departure_loop.cc
+++ b/components/control/departure_loop.cc
@@ -1,9 +1,8 @@
 #include "components/control/departure_loop.h"
 
-#include <boost/fiber/fiber.hpp>
-
 #include <utility>
 
+#include "components/fibers/call_each.h"
 #include "components/fibers/worker_pool.h"
 #include "components/membership/witnesses.h"
 
@@ -42,7 +41,7 @@
 }
 
 void DepartureLoop::InformWitnesses() {
-  CallEach(this->Witnesses(), [this](const std::string& host) {
+  fibers::CallEach(this->Witnesses(), [this](const std::string& host) {
     return this->gossip.SendOwnRecord(host, kCallTimeout);
   });
 }
@@ -53,20 +52,6 @@
       this->fleet.directory.HostsNotDead(), kWitnesses);
 }
 
-int DepartureLoop::CallEach(
-    const std::vector<std::string>& hosts,
-    const std::function<bool(const std::string&)>& call) {
-  std::atomic<int> succeeded{0};
-  std::vector<boost::fibers::fiber> fibers;
-  for (const std::string& host : hosts) {
-    fibers.emplace_back([&, host] { succeeded += call(host) ? 1 : 0; });
-  }
-  for (boost::fibers::fiber& fiber : fibers) {
-    fiber.join();
-  }
-  return succeeded;
-}
-
 // The versions are sent without that of this host, so that the answer contains
 // the record that the peer has of it.
 bool DepartureLoop::AskHost(const std::string& host) {
@@ -88,12 +73,13 @@
 // Any peer tells which hosts there are; only then the witnesses are known.
 bool DepartureLoop::AskWitnesses() {
   const std::vector<std::string> first = this->Witnesses();
-  if (first.empty() || CallEach({first.front()}, [this](const auto& host) {
-                         return this->AskHost(host);
-                       }) == 0) {
+  if (first.empty() ||
+      fibers::CallEach({first.front()}, [this](const auto& host) {
+        return this->AskHost(host);
+      }) == 0) {
     return false;
   }
-  return CallEach(this->Witnesses(), [this](const std::string& host) {
+  return fibers::CallEach(this->Witnesses(), [this](const std::string& host) {
            return this->AskHost(host);
          }) > 0;
 }
--- a/components/control/departure_loop.h
+++ b/components/control/departure_loop.h
@@ -35,10 +35,6 @@
 
  private:
   std::vector<std::string> Witnesses() const;
-  /// Calls `call` for all hosts at the same time. Returns how many calls
-  /// returned true.
-  static int CallEach(const std::vector<std::string>& hosts,
-                      const std::function<bool(const std::string&)>& call);
   /// Fetches the records that differ here from those of `host`, and learns the
   /// departures in the record of this host.
   bool AskHost(const std::string& host);
--- a/components/control/gossip_loop.cc
+++ b/components/control/gossip_loop.cc
@@ -1,11 +1,14 @@
 #include "components/control/gossip_loop.h"
 
+#include <boost/fiber/fiber.hpp>
+
 #include <algorithm>
 #include <optional>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "components/base/hash.h"
+#include "components/fibers/call_each.h"
 #include "components/fibers/worker_pool.h"
 #include "components/once/rumor_selection.h"
 
@@ -45,7 +48,7 @@
   }
   const std::optional<std::string> target = this->NextTarget();
   if (target.has_value() && !this->ExchangeWithRetry(*target)) {
-    this->ProbeIndirectly(*target);
+    this->BeginIndirectProbe(*target);
   }
   const Duration elapsed = MonotonicNow() - start;
   fibers::SleepFor(std::max(kProbeInterval - elapsed, Duration(1000)));
@@ -95,6 +98,16 @@
   return targets;
 }
 
+std::vector<std::string> GossipLoop::AliveTargets() const {
+  const std::vector<std::string> targets = this->Targets();
+  std::vector<std::string> alive;
+  std::copy_if(targets.begin(), targets.end(), std::back_inserter(alive),
+               [this](const std::string& host) {
+                 return this->fleet.directory.IsAlive(host);
+               });
+  return alive.empty() ? targets : alive;
+}
+
 bool GossipLoop::Exchange(const std::string& host) {
   const auto reply =
       this->fleet.peers.Gossip(host, this->MakeMessage(), kProbeTimeout);
@@ -148,6 +161,22 @@
   }
 }
 
+// An indirect probe takes longer than the probe interval if the helpers do not
+// respond either. News for other hosts must not wait for it.
+void GossipLoop::BeginIndirectProbe(const std::string& host) {
+  {
+    const std::lock_guard lock(this->mutex);
+    if (!this->indirectly_probed.insert(host).second) {
+      return;
+    }
+  }
+  boost::fibers::fiber([this, host] {
+    this->ProbeIndirectly(host);
+    const std::lock_guard lock(this->mutex);
+    this->indirectly_probed.erase(host);
+  }).detach();
+}
+
 // Only the path from this host may be broken, so other hosts probe `host`
 // before it becomes suspect.
 void GossipLoop::ProbeIndirectly(const std::string& host) {
@@ -199,12 +228,12 @@
   std::vector<std::string> targets;
   {
     const std::lock_guard lock(this->mutex);
-    targets =
-        this->prober.RandomHostsExcept(this->Targets(), "", kMaxSpreadTargets);
-  }
-  for (const std::string& target : targets) {
-    this->Exchange(target);
+    targets = this->prober.RandomHostsExcept(this->AliveTargets(), "",
+                                             kMaxSpreadTargets);
   }
+  fibers::CallEach(targets, [this](const std::string& target) {
+    return this->ExchangeWithRetry(target);
+  });
 }
 
 rpc::GossipMessage GossipLoop::OnGossip(const rpc::GossipMessage& message) {
--- a/components/control/gossip_loop.h
+++ b/components/control/gossip_loop.h
@@ -58,6 +58,8 @@
   /// Sends the records that `host` requested, and compares all versions with it
   /// if the directories differ persistently.
   void ReconcileWith(const std::string& host, const rpc::GossipMessage& reply);
+  /// Begins to probe `host` through other hosts, unless that is in progress.
+  void BeginIndirectProbe(const std::string& host);
   /// Probes `host` through other hosts, and suspects it if none of them reaches
   /// it.
   void ProbeIndirectly(const std::string& host);
@@ -68,6 +70,9 @@
   void SyncWith(const std::string& host);
   std::vector<std::string> Targets() const;
   std::vector<std::string> OwnZoneTargets() const;
+  /// Returns the peers that are neither suspect nor dead; all targets if there
+  /// are none.
+  std::vector<std::string> AliveTargets() const;
   std::optional<std::string> NextTarget();
 
   Fleet& fleet;
@@ -81,6 +86,8 @@
   /// Peers seen with a higher configuration revision than the one here, by that
   /// revision.
   std::multimap<uint64_t, std::string> peers_with_newer_revision;
+  /// Hosts that are being probed through other hosts.
+  std::set<std::string> indirectly_probed;
   /// Consecutive probes with an unexplained difference between the directories.
   int unexplained_differences = 0;
 };
