A heartbeat that lacks a field names no upstream

What callers saw: requests ran at an upstream that had said that it leaves.

Cause: a missing start time was read as 0. Departures are kept by start, so the upstream came back as another start. All other fields with a default had the same weakness.

--- a/tests/platform/upstream_calls_test.cc
+++ b/tests/platform/upstream_calls_test.cc
@@ -3,6 +3,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <future>
+#include <nlohmann/json.hpp>
 
 #include "components/fibers/worker_pool.h"
 
@@ -56,6 +57,25 @@
   }
 }
 
+// A heartbeat of another writer without the start of the upstream was taken for
+// a new start, and brought an upstream that had left back into use.
+TEST(UpstreamCalls, AnIncompleteHeartbeatNamesNoUpstream) {
+  const auto whole = nlohmann::json::parse(kBody);
+  for (const auto& field : whole.items()) {
+    nlohmann::json missing = whole;
+    missing.erase(field.key());
+    CHECK_FALSE(ReadUpstreamCall(Heartbeat(missing.dump()))->ok());
+    nlohmann::json mistyped = whole;
+    mistyped[field.key()] = nlohmann::json::array();
+    CHECK_FALSE(ReadUpstreamCall(Heartbeat(mistyped.dump()))->ok());
+  }
+  for (const char* born : {"0", "-1", "1790000000000.5", "\"1790000000000\""}) {
+    std::string body = kBody;
+    body.replace(body.find("1790000000000"), 13, born);
+    CHECK_FALSE(ReadUpstreamCall(Heartbeat(body))->ok());
+  }
+}
+
 // An announcement of another writer with more slots than can be passed on to
 // other hosts was taken, with its number cut to the low bits.
 TEST(UpstreamCalls, AnAnnouncementWithNumbersOutOfRangeIsRejected) {
