A host whose watch missed a change uses what it reads from a slow store

The read that follows an ended watch was taken for a part of the watch, was ended with it while a peer was ahead, and its result was dropped. A store that takes longer than 20 ms to respond was read without end, and no change came from it.

--- a/components/control/config_loop.cc
+++ b/components/control/config_loop.cc
@@ -190,14 +190,16 @@
 }
 
 void ConfigLoop::WatchSource(const site::PublishedConfiguration&) {
-  const CancellationPtr cancellation = this->BeginWatch();
+  const CancellationPtr cancellation =
+      this->head_up_to_date ? this->BeginWatch() : nullptr;
   const auto entry =
-      this->head_up_to_date
+      cancellation != nullptr
           ? this->fleet.store.Watch(store::kHeadKey, this->head_version,
                                     this->WatchTime(), cancellation)
           : this->fleet.store.Get(store::kHeadKey);
   this->head_up_to_date = false;
-  if (cancellation->IsCancelled() || !this->RecordStoreStatus(entry.status())) {
+  const bool ended = cancellation != nullptr && cancellation->IsCancelled();
+  if (ended || !this->RecordStoreStatus(entry.status())) {
     return;
   }
   this->head_up_to_date = true;
