A watch ends when the records of a former era are dropped

After a restore of the store, records that nobody writes again are kept for ten seconds and were dropped only when the next watch began.

--- a/components/control/config_loop.cc
+++ b/components/control/config_loop.cc
@@ -142,11 +142,11 @@
 void ConfigLoop::WatchRecords(const site::OperatorRecords& source,
                               uint64_t revision) {
   const CancellationPtr cancellation = this->BeginWatch();
-  const auto changes =
-      this->fleet.store.WatchPrefix({.prefix = source.prefix,
-                                     .after = revision,
-                                     .wait = this->WatchTime(),
-                                     .cancellation = cancellation});
+  const auto changes = this->fleet.store.WatchPrefix(
+      {.prefix = source.prefix,
+       .after = revision,
+       .wait = this->records.WatchTime(this->WatchTime(), MonotonicNow()),
+       .cancellation = cancellation});
   if (cancellation->IsCancelled()) {
     this->records.Invalidate();
     return;
--- a/components/store/records_view.cc
+++ b/components/store/records_view.cc
@@ -79,6 +79,14 @@
   return ListOf(merged);
 }
 
+Duration RecordsView::WatchTime(Duration longest, Instant now) const {
+  if (this->former.empty()) {
+    return longest;
+  }
+  return std::clamp(this->former_until - now,
+                    Duration(std::chrono::milliseconds(1)), longest);
+}
+
 bool RecordsView::DropFormerRecords(Instant now) {
   if (this->former.empty() || now < this->former_until) {
     return false;
--- a/components/store/records_view.h
+++ b/components/store/records_view.h
@@ -47,6 +47,10 @@
   /// Requires a new listing, after a failed call or a time without calls.
   void Invalidate() { this->up_to_date = false; }
 
+  /// Returns `longest`, or the time until `DropFormerRecords` has something to
+  /// drop if that is shorter.
+  Duration WatchTime(Duration longest, Instant now) const;
+
   /// Returns the records in force, sorted by key.
   std::vector<KeyedEntry> All() const;
 
--- a/tests/store/records_view_test.cc
+++ b/tests/store/records_view_test.cc
@@ -140,6 +140,16 @@
   STRCMP_EQUAL("absent", this->ValueOf("out/z").c_str());
 }
 
+// A watch that outlasted the time for writing again kept former records in
+// force.
+TEST(RecordsView, AWatchEndsWhenFormerRecordsAreDropped) {
+  this->List();
+  CHECK(this->view.WatchTime(Millis(30'000), At(0)) == Millis(30'000));
+  this->Restore();
+  CHECK(this->view.WatchTime(Millis(30'000), At(1'000)) == Millis(10'000));
+  CHECK(this->view.WatchTime(Millis(30'000), At(12'000)) == Millis(1));
+}
+
 TEST(RecordsView, WhatNobodyWritesAgainIsDroppedInTime) {
   this->Restore();
   CHECK_FALSE(this->view.DropFormerRecords(At(10'000)));
