--- a/components/control/gossip_loop.cc
+++ b/components/control/gossip_loop.cc
@@ -23,6 +23,8 @@
 constexpr size_t kMaxClearancesPerMessage = 32;
 constexpr size_t kMaxIndirectProbes = 3;
 constexpr size_t kMaxSpreadTargets = 3;
+/// Times that peers are picked until one of them responds.
+constexpr int kMaxSpreadRounds = 4;
 /// One probe in this many goes to any zone; the others stay in the own zone.
 constexpr uint64_t kRoundsPerAnyZoneProbe = 3;
 /// One round in this many probes a seed, even if other hosts are known. Without
@@ -224,16 +226,21 @@
       .ok();
 }
 
+// Peers that are paused or cut off count as alive for some seconds, so all that
+// were picked may be silent.
 void GossipLoop::SpreadNow() {
-  std::vector<std::string> targets;
-  {
-    const std::lock_guard lock(this->mutex);
-    targets = this->prober.RandomHostsExcept(this->AliveTargets(), "",
-                                             kMaxSpreadTargets);
+  int responded = 0;
+  for (int round = 0; responded == 0 && round < kMaxSpreadRounds; ++round) {
+    std::vector<std::string> targets;
+    {
+      const std::lock_guard lock(this->mutex);
+      targets = this->prober.RandomHostsExcept(this->AliveTargets(), "",
+                                               kMaxSpreadTargets);
+    }
+    responded = fibers::CallEach(targets, [this](const std::string& target) {
+      return this->ExchangeWithRetry(target);
+    });
   }
-  fibers::CallEach(targets, [this](const std::string& target) {
-    return this->ExchangeWithRetry(target);
-  });
 }
 
 rpc::GossipMessage GossipLoop::OnGossip(const rpc::GossipMessage& message) {
