config_spread_test reads from the store on two hosts again; one copy of relays and announcements

Since each host watches the store, the test no longer exercised how hosts tell each other. Six of its eight hosts are now cut off from the store. Bounds and checks are unchanged.

--- a/scripts/lib/site.sh
+++ b/scripts/lib/site.sh
@@ -138,12 +138,13 @@
 
 # site_relayed_host N ZONE: a host whose peers reach it through a relay.
 site_relayed_host() {
-  local number="$1" zone="$2" relay=$((site_base + 10 * $1 + 5))
+  local number="$1" zone="$2" relay
+  relay=$(site_relay_address "$1")
   shift 2
   site_start "relay$number" "$site_bin/relay-standin" \
-    --listen "127.0.0.1:$relay" --control "127.0.0.1:$((relay + 1))" \
+    --listen "$relay" --control "127.0.0.1:$((site_base + 10 * number + 6))" \
     --server "127.0.0.1:$(site_peer_port "$number")"
-  site_host "$number" "$zone" --peer-address "127.0.0.1:$relay" "$@"
+  site_host "$number" "$zone" --peer-address "$relay" "$@"
 }
 
 site_relay_faults() {
@@ -158,14 +159,20 @@
 
 site_call() { "$site_bin/kingcupstair-caller" "$@"; }
 
+site_relay_address() { echo "127.0.0.1:$((site_base + 10 * $1 + 5))"; }
+site_store_relay_address() { echo "127.0.0.1:$((site_base + 10 * $1 + 7))"; }
+
+# Starts the relay through which host N reaches the store.
+site_store_relay() {
+  site_start "store_relay$1" "$site_bin/relay-standin" \
+    --listen "$(site_store_relay_address "$1")" \
+    --control "127.0.0.1:$((site_base + 10 * $1 + 8))" --server "$site_store_address"
+}
+
 # site_store_relayed_host N ZONE: a host that reaches the store through a relay.
 site_store_relayed_host() {
-  local number="$1" zone="$2" relay=$((site_base + 10 * $1 + 7))
-  shift 2
-  site_start "store_relay$number" "$site_bin/relay-standin" \
-    --listen "127.0.0.1:$relay" --control "127.0.0.1:$((relay + 1))" \
-    --server "$site_store_address"
-  site_host "$number" "$zone" --store "127.0.0.1:$relay" "$@"
+  site_store_relay "$1"
+  site_host "$@" --store "$(site_store_relay_address "$1")"
 }
 
 site_store_relay_faults() {
--- a/tests/process/config_spread_test.sh
+++ b/tests/process/config_spread_test.sh
@@ -7,14 +7,19 @@
 site_begin "$dir" 9000
 rules_with "$(organisation growers 1000 1000 grower-key)" >"$dir/rules"
 site_store
-for number in $(seq $hosts); do site_host "$number" aqp-1; done
+readers=2
+for number in $(seq $readers); do site_host "$number" aqp-1; done
+for number in $(seq $((readers + 1)) $hosts); do site_store_relayed_host "$number" aqp-1; done
 site_ctl apply "$dir/rules" >/dev/null
 for number in $(seq $hosts); do site_upstream "lote-$number" lote "$number" --slots 7; done
 # shellcheck disable=SC2046
 site_wait_revision 1 $(seq $hosts)
-# Until all hosts know each other, more of them read from the store.
 site_wait_upstreams 1 $hosts
 wait_shares $hosts
+# From now on few hosts read from the store; the others have changes from peers.
+for number in $(seq $((readers + 1)) $hosts); do
+  site_store_relay_faults "$number" '{"drop_to_client":true}'
+done
 # The load of the upstreams changes all the time.
 load() {
   site_call --key grower-key --hosts "$(site_hosts $(seq $hosts))" --target /lote/status/1 \
--- a/tests/process/departed_upstream_test.sh
+++ b/tests/process/departed_upstream_test.sh
@@ -14,14 +14,6 @@
 site_ctl apply "$dir/rules" >/dev/null
 site_wait_revision 1 1 2
 
-# announce DRAINING [INCARNATION]
-announce() {
-  jq -n --arg endpoint "127.0.0.1:${site_upstream_ports[lote-1]}" --argjson draining "$1" \
-    --arg incarnation "${2:-1}" \
-    '{id: "lote-1", service: "lote", endpoint: $endpoint, incarnation: $incarnation, slots: 7, draining: $draining}' |
-    curl -s -o /dev/null -w '%{http_code}' --max-time 2 -X POST --data @- \
-      "http://127.0.0.1:$(site_admin_port 1)/announce"
-}
 load() {
   site_call --key grower-key --hosts "$(site_hosts 2)" --rate 60 --length-ms 2000 \
     --target /lote/status/1 >"$dir/load.json"
--- a/tests/process/lib.sh
+++ b/tests/process/lib.sh
@@ -98,3 +98,12 @@
   awk -v p="$1" 'index($3, p) == 1 {print $1}' "$dir/runs.log" | sort -n |
     awk 'NR == 3 {third = $1} NR > 3 && $1 > third + 3000 {late++} END {print late + 0}'
 }
+
+# announce DRAINING [INCARNATION]: announces lote-1 to host 1 and prints the status.
+announce() {
+  jq -n --arg endpoint "127.0.0.1:${site_upstream_ports[lote-1]}" --argjson draining "$1" \
+    --arg incarnation "${2:-1}" \
+    '{id: "lote-1", service: "lote", endpoint: $endpoint, incarnation: $incarnation, slots: 7, draining: $draining}' |
+    curl -s -o /dev/null -w '%{http_code}' --max-time 2 -X POST --data @- \
+      "http://127.0.0.1:$(site_admin_port 1)/announce"
+}
--- a/tests/process/membership_test.sh
+++ b/tests/process/membership_test.sh
@@ -32,6 +32,6 @@
 before=$(curl -s "http://$site_store_address/v1/counts" | jq '[.[]] | add')
 sleep 10
 calls=$(($(curl -s "http://$site_store_address/v1/counts" | jq '[.[]] | add') - before))
-# Two watchers in each of three zones, each a second, and the share table.
+# Long watches, and the share table: no host calls once a second.
 expect "calls to the store come from a few hosts" "$calls" -le 110
 finish
--- a/tests/process/severed_connections_test.sh
+++ b/tests/process/severed_connections_test.sh
@@ -7,13 +7,10 @@
 rules_with "$(organisation growers 1000 1000 grower-key)" >"$dir/rules"
 site_store
 for number in $(seq $hosts); do
-  # Both the store and the peers reach this host through relays of its own.
-  relay=$((site_base + 10 * number + 7))
-  site_start "store_relay$number" "$site_bin/relay-standin" \
-    --listen "127.0.0.1:$relay" --control "127.0.0.1:$((relay + 1))" \
-    --server "$site_store_address"
-  site_relayed_host "$number" aqp-1 --store "127.0.0.1:$relay" \
-    --seeds "127.0.0.1:$((site_base + 15)),127.0.0.1:$((site_base + 25))"
+  # The store and the peers reach this host through relays of its own.
+  site_store_relay "$number"
+  site_relayed_host "$number" aqp-1 --store "$(site_store_relay_address "$number")" \
+    --seeds "$(site_relay_address 1),$(site_relay_address 2)"
 done
 site_upstream lote-1 lote 1 --slots 7 --run-log "$dir/runs.log" --daemon 127.0.0.1:1
 site_upstream lote-2 lote 2 --slots 7 --run-log "$dir/runs.log"
@@ -21,12 +18,6 @@
 # shellcheck disable=SC2046
 site_wait_revision 1 $(seq $hosts)
 
-announce() {
-  jq -n --arg endpoint "127.0.0.1:${site_upstream_ports[lote-1]}" --argjson draining "$1" \
-    '{id: "lote-1", service: "lote", endpoint: $endpoint, incarnation: "1", slots: 7, draining: $draining}' |
-    curl -s -o /dev/null -w '%{http_code}' --max-time 2 -X POST --data @- \
-      "http://127.0.0.1:$(site_admin_port 1)/announce"
-}
 announce false >/dev/null
 site_wait_upstreams 2 2
 wait_shares $hosts
--- a/tests/process/store_reached_by_one_test.sh
+++ b/tests/process/store_reached_by_one_test.sh
@@ -10,7 +10,7 @@
 site_ctl apply "$dir/rules" >/dev/null
 # shellcheck disable=SC2046
 site_wait_revision 1 $(seq $hosts)
-# Until all hosts know each other, more of them read from the store.
+# Until all hosts know each other.
 sleep 3
 late=0
 missed=0
