--- a/components/control/config_keeper.cc
+++ b/components/control/config_keeper.cc
@@ -32,8 +32,7 @@
     return {.errors = *errors};
   }
   this->current.Publish(this->replica.ActiveConfiguration());
-  return {.adopted = true,
-          .changed = former.revision == 0 ||
+  return {.changed = former.revision == 0 ||
                      this->replica.ActiveHead().chunks != former.chunks};
 }
 
--- a/components/control/config_keeper.h
+++ b/components/control/config_keeper.h
@@ -13,8 +13,8 @@
 
 /// The result of an attempt to adopt the pending configuration.
 struct Adoption {
-  bool adopted = false;
-  /// False if the adopted revision has the content of the one before.
+  /// Whether another content is in force; a revision may have the same content
+  /// as the one before.
   bool changed = false;
   /// The errors for which the pending text was rejected; empty if it was not
   /// rejected.
--- a/components/control/config_loop.cc
+++ b/components/control/config_loop.cc
@@ -71,15 +71,22 @@
 void ConfigLoop::CheckWatch() {
   const Instant now = MonotonicNow();
   CancellationPtr ended;
+  Duration lag{};
+  bool lags = false;
   {
     const std::lock_guard lock(this->mutex);
-    const bool lags = this->behind_since.has_value() &&
-                      now - *this->behind_since > kMaxWatchLag;
+    lag = now - this->behind_since.value_or(now);
+    lags = lag > kMaxWatchLag;
     if (lags || this->fleet.store.era() != this->watch_era) {
       ended = std::exchange(this->watch, nullptr);
     }
   }
   if (ended != nullptr) {
+    this->fleet.recorder.Record(
+        {.kind = "watch_ended",
+         .detail = lags ? absl::StrCat("a peer has had a change for ",
+                                       ToMillisRoundedUp(lag), " ms")
+                        : "the store was restored"});
     ended->Cancel();
   }
 }
