Departures are kept in the store before they are acknowledged

Cause: a departure was in the memory of its host and of three peers. A host that started took the answer of a peer that had itself just started for 'no departures', or used its upstreams after two seconds without any answer, and then believed a heartbeat that had been sent before the departure. The result of informing the peers was not looked at, so that a departure was acknowledged also if no peer had it.

Why this works: the host keeps its departures under a key of its own in the store, by a conditional write, and acknowledges a departure once that has succeeded. A host that starts uses no upstream before it has read the key, or, if it does not reach the store, before a witness has answered that has run for longer than any process that was killed together with this one. What could not be written is tried again.

ADepartureIsNewsOnceAndFinalForItsStart becomes ADepartureHasOneNameAndIsFinalForItsStart: the guard returns the name of the departure with each message, since each has to be acknowledged; the test checks that it is one name and the only known one.

--- a/apps/kingcupstaird/admin_pages.cc
+++ b/apps/kingcupstaird/admin_pages.cc
@@ -2,6 +2,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include "absl/strings/str_cat.h"
+#include "components/base/error.h"
+
 namespace kingcupstair {
 namespace {
 
@@ -16,6 +19,11 @@
           .body = std::move(text)};
 }
 
+http::Response ErrorResponse(int status, const std::string& message) {
+  return http::JsonResponse(status,
+                            nlohmann::json{{"error", message}}.dump() + "\n");
+}
+
 nlohmann::json HostsToJson(const std::vector<membership::HostUpdate>& updates) {
   nlohmann::json hosts = nlohmann::json::array();
   for (const membership::HostUpdate& update : updates) {
@@ -76,18 +84,22 @@
 http::Response AdminPages::HandleUpstreamCall(
     const absl::StatusOr<site::UpstreamCall>& call) {
   if (!call.ok()) {
-    const auto message = call.status().message();
-    const std::string text(message.data(), message.size());
-    return http::JsonResponse(kBadRequest,
-                              nlohmann::json{{"error", text}}.dump() + "\n");
+    return ErrorResponse(kBadRequest, MessageOf(call.status()));
   }
-  const auto* departure = std::get_if<site::Departure>(&*call);
-  const bool departs =
-      departure != nullptr
-          ? this->guard.Withdraw(departure->id)
+  const auto* left = std::get_if<site::Departure>(&*call);
+  const std::optional<std::string> departure =
+      left != nullptr
+          ? this->guard.Withdraw(left->id)
           : this->guard.Announce(std::get<guard::Announcement>(*call));
-  if (departs) {
-    this->fleet.secure_departure();
+  if (departure.has_value()) {
+    const absl::Status kept = this->fleet.keep_departure(*departure);
+    if (!kept.ok()) {
+      return ErrorResponse(
+          kServiceUnavailable,
+          absl::StrCat("the departure is not acknowledged, since it could not "
+                       "be kept: ",
+                       MessageOf(kept)));
+    }
   }
   return http::JsonResponse(kOk, "{}\n");
 }
--- a/apps/kingcupstaird/daemon.cc
+++ b/apps/kingcupstaird/daemon.cc
@@ -8,6 +8,7 @@
 #include "absl/strings/str_cat.h"
 #include "components/base/hash.h"
 #include "components/logging/log.h"
+#include "components/membership/incarnation.h"
 
 namespace kingcupstair {
 namespace {
@@ -27,15 +28,9 @@
 constexpr Duration kLastResultsTime{std::chrono::milliseconds(100)};
 /// Hosts that start together need some rounds of gossip to find each other.
 constexpr Duration kShareGatheringTime{std::chrono::milliseconds(2500)};
-constexpr int kRandomIncarnationBits = 16;
 
-/// Returns a number that increases with each start of the process. The low bits
-/// are random and distinguish starts within the same millisecond.
 uint64_t NewIncarnation() {
-  std::random_device device;
-  const uint64_t low = device() & ((1U << kRandomIncarnationBits) - 1);
-  return (static_cast<uint64_t>(WallClockMillis()) << kRandomIncarnationBits) |
-         low;
+  return membership::MakeIncarnation(WallClockMillis(), std::random_device{}());
 }
 
 control::HostSettings MakeHostSettings(const DaemonSettings& settings) {
@@ -104,10 +99,9 @@
               [this] {
                 this->workers.Spawn([this] { this->gossip_loop.SpreadNow(); });
               },
-          .secure_departure =
-              [this] {
-                this->directory.PublishOwn(this->OwnRecord());
-                this->departures.InformWitnesses();
+          .keep_departure =
+              [this](const std::string& departure) {
+                return this->departures.Keep(departure);
               },
           .on_reached =
               [this](const std::string& host) {
@@ -115,11 +109,16 @@
               }},
       config_loop(this->fleet),
       gossip_loop(this->fleet, this->incarnation),
-      departures(this->fleet,
-                 this->gossip_loop,
-                 [this](const std::vector<std::string>& departures) {
-                   this->guard.LearnDepartures(departures);
-                 }),
+      departures(
+          this->fleet,
+          this->gossip_loop,
+          {.learn =
+               [this](const std::vector<std::string>& learned) {
+                 this->guard.LearnDepartures(learned);
+               },
+           .known = [this] { return this->guard.KnownDepartures(); },
+           .publish =
+               [this] { this->directory.PublishOwn(this->OwnRecord()); }}),
       loan_loop(this->fleet),
       share_loop(this->fleet),
       host_loop(this->fleet, this->gossip_loop),
@@ -128,11 +127,12 @@
              .warm_up = this->settings.warm_up,
              .incarnation = [this] { return this->directory.OwnIncarnation(); },
              .isolated = [this] { return this->IsIsolated(); },
-             .departures_known = [this] { return this->departures.Known(); },
+             .departures_known = [this] { return this->departures.IsKnown(); },
              .on_departure =
-                 [this] {
-                   this->workers.Spawn(
-                       [this] { this->fleet.secure_departure(); });
+                 [this](const std::string& departure) {
+                   this->workers.Spawn([this, departure] {
+                     this->departures.Keep(departure).IgnoreError();
+                   });
                  },
              .header_names = this->header_names},
             this->config.snapshot(),
@@ -251,7 +251,8 @@
 void Daemon::StartLoops() {
   this->SpawnLoop([this] { this->config_loop.Step(); });
   this->SpawnLoop([this] { this->gossip_loop.Step(); });
-  this->SpawnLoop([this] { this->departures.Step(); });
+  this->SpawnLoop([this] { this->departures.AskWitnessesStep(); });
+  this->SpawnLoop([this] { this->departures.FollowStoreStep(); });
   this->SpawnLoop([this] { this->loan_loop.Step(); });
   this->SpawnLoop([this] { this->share_loop.Step(); });
   if (this->interface.hosts_in_store) {
--- a/components/control/departure_loop.cc
+++ b/components/control/departure_loop.cc
@@ -1,9 +1,14 @@
 #include "components/control/departure_loop.h"
 
+#include <algorithm>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
+#include "components/base/error.h"
 #include "components/fibers/call_each.h"
 #include "components/fibers/worker_pool.h"
+#include "components/logging/log.h"
+#include "components/membership/incarnation.h"
 #include "components/membership/witnesses.h"
 
 namespace kingcupstair::control {
@@ -11,33 +16,77 @@
 
 /// More than one, since a witness may restart together with this host.
 constexpr size_t kWitnesses = 3;
+/// Processes that end together start again within this time of each other, by
+/// clocks that differ.
+constexpr Duration kMinAgeOfMemory{std::chrono::seconds(10)};
 constexpr Duration kCallTimeout{std::chrono::milliseconds(300)};
-/// Within this time of its start a host usually finds a peer.
-constexpr Duration kMaxWait{std::chrono::seconds(2)};
-constexpr Duration kRetryInterval{std::chrono::milliseconds(20)};
-constexpr Duration kLateRetryInterval{std::chrono::seconds(1)};
+constexpr Duration kFirstAskInterval{std::chrono::milliseconds(20)};
+constexpr Duration kAskInterval{std::chrono::seconds(1)};
+constexpr Duration kFirstStoreRetry{std::chrono::milliseconds(100)};
+constexpr Duration kMaxStoreRetry{std::chrono::seconds(2)};
+constexpr Duration kStoreInterval{std::chrono::milliseconds(100)};
+/// A write conflicts with a former one that was delayed, or with another of
+/// this process.
+constexpr int kMaxWriteTries = 4;
 
 }  // namespace
 
-DepartureLoop::DepartureLoop(
-    Fleet& fleet,
-    GossipLoop& gossip,
-    std::function<void(const std::vector<std::string>&)> learn)
+DepartureLoop::DepartureLoop(Fleet& fleet,
+                             GossipLoop& gossip,
+                             Upstreams upstreams)
     : fleet(fleet),
       gossip(gossip),
-      learn(std::move(learn)),
-      start(MonotonicNow()) {}
+      upstreams(std::move(upstreams)),
+      backoff({.first = kFirstStoreRetry, .longest = kMaxStoreRetry}) {}
 
-void DepartureLoop::Step() {
-  if (!this->answered && this->AskWitnesses()) {
-    this->answered = true;
-    this->fleet.recorder.Record({.kind = "departures_learned"});
+void DepartureLoop::AskWitnessesStep() {
+  const bool is_needed = !this->has_answer || !this->IsKnown();
+  if (is_needed && this->AskWitnesses() && !this->has_answer.exchange(true)) {
+    this->fleet.recorder.Record(
+        {.kind = "departures_learned", .detail = "from peers"});
   }
-  fibers::SleepFor(this->Known() ? kLateRetryInterval : kRetryInterval);
+  fibers::SleepFor(this->has_answer || this->IsKnown() ? kAskInterval
+                                                       : kFirstAskInterval);
 }
 
-bool DepartureLoop::Known() const {
-  return this->answered || MonotonicNow() - this->start > kMaxWait;
+void DepartureLoop::FollowStoreStep() {
+  this->NoticeEra();
+  absl::Status status;
+  if (!this->was_read) {
+    status = this->Read();
+  } else if (this->calls_to_keep == 0 && this->IsAnyNotKept()) {
+    status = this->Write();
+  }
+  if (status.ok()) {
+    this->backoff.Reset();
+    fibers::SleepFor(kStoreInterval);
+    return;
+  }
+  logging::Write(logging::Level::kWarning,
+                 "departures could not be read from the store or kept there",
+                 {{.name = "error", .value = MessageOf(status)}});
+  fibers::SleepFor(this->backoff.NextDelay());
+}
+
+bool DepartureLoop::IsKnown() const {
+  return this->was_read || this->has_memory;
+}
+
+absl::Status DepartureLoop::Keep(const std::string& departure) {
+  if (this->IsKept(departure)) {
+    return absl::OkStatus();
+  }
+  ++this->calls_to_keep;
+  this->upstreams.publish();
+  this->InformWitnesses();
+  const absl::Status status = this->Write();
+  --this->calls_to_keep;
+  this->fleet.recorder.Record(
+      {.kind = status.ok() ? "departure_kept" : "departure_not_kept",
+       .detail = status.ok()
+                     ? departure
+                     : absl::StrCat(departure, ": ", MessageOf(status))});
+  return status;
 }
 
 void DepartureLoop::InformWitnesses() {
@@ -63,10 +112,13 @@
   }
   for (const membership::HostUpdate& update : answer->updates) {
     if (update.record.host == this->fleet.settings.host) {
-      this->learn(update.record.departures);
+      this->upstreams.learn(update.record.departures);
     }
   }
   this->fleet.directory.Merge(answer->updates);
+  if (this->RemembersEarlierStart(host)) {
+    this->has_memory = true;
+  }
   return true;
 }
 
@@ -84,4 +136,103 @@
          }) > 0;
 }
 
+bool DepartureLoop::RemembersEarlierStart(const std::string& host) const {
+  const auto hosts = this->fleet.directory.HostsNotDead();
+  const auto find = [&](const std::string& name) {
+    return std::find_if(
+        hosts.begin(), hosts.end(),
+        [&](const membership::HostRecord& each) { return each.host == name; });
+  };
+  const auto peer = find(host);
+  const auto own = find(this->fleet.settings.host);
+  return peer != hosts.end() && own != hosts.end() &&
+         membership::StartedBefore(peer->incarnation, own->incarnation) >
+             kMinAgeOfMemory;
+}
+
+bool DepartureLoop::IsKept(const std::string& departure) const {
+  const std::lock_guard lock(this->mutex);
+  return this->fleet.store.era() == this->era && this->kept.contains(departure);
+}
+
+bool DepartureLoop::IsAnyNotKept() const {
+  const auto known = this->upstreams.known();
+  const std::lock_guard lock(this->mutex);
+  return std::any_of(known.begin(), known.end(), [this](const auto& each) {
+    return !this->kept.contains(each);
+  });
+}
+
+absl::Status DepartureLoop::Read() {
+  const auto stored =
+      store::ReadDepartures(this->fleet.store, this->fleet.settings.host);
+  if (stored.ok()) {
+    this->LearnFromStore(*stored);
+  }
+  return stored.status();
+}
+
+void DepartureLoop::LearnFromStore(const store::StoredDepartures& stored) {
+  if (this->was_read) {
+    return;
+  }
+  this->upstreams.learn(stored.names);
+  this->SetKept(stored.names, this->fleet.store.era());
+  this->was_read = true;
+  this->fleet.recorder.Record(
+      {.kind = "departures_learned",
+       .detail = absl::StrCat("from the store: ", stored.names.size())});
+}
+
+absl::Status DepartureLoop::Write() {
+  absl::Status status;
+  bool conflict = true;
+  for (int i = 0; i < kMaxWriteTries && conflict; ++i) {
+    status = this->WriteOnce(conflict);
+  }
+  return status;
+}
+
+// The write takes effect only if nothing was written since the read, so that a
+// delayed one can't take a departure back that was written after it.
+absl::Status DepartureLoop::WriteOnce(bool& conflict) {
+  conflict = false;
+  const std::string& host = this->fleet.settings.host;
+  const uint64_t current_era = this->fleet.store.era();
+  const auto stored = store::ReadDepartures(this->fleet.store, host);
+  if (!stored.ok()) {
+    return stored.status();
+  }
+  this->LearnFromStore(*stored);
+  const auto departures = this->upstreams.known();
+  const auto put =
+      store::WriteDepartures(this->fleet.store, host, departures, *stored);
+  if (!put.ok()) {
+    return put.status();
+  }
+  if (*put != store::PutResult::kWritten) {
+    conflict = true;
+    return absl::AbortedError(
+        "the departures in the store were written by another call");
+  }
+  this->SetKept(departures, current_era);
+  return absl::OkStatus();
+}
+
+void DepartureLoop::NoticeEra() {
+  const std::lock_guard lock(this->mutex);
+  if (this->fleet.store.era() != this->era) {
+    this->era = this->fleet.store.era();
+    this->kept.clear();
+  }
+}
+
+void DepartureLoop::SetKept(const std::vector<std::string>& departures,
+                            uint64_t written_in) {
+  const std::lock_guard lock(this->mutex);
+  if (written_in == this->era) {
+    this->kept = {departures.begin(), departures.end()};
+  }
+}
+
 }  // namespace kingcupstair::control
--- a/components/control/departure_loop.h
+++ b/components/control/departure_loop.h
@@ -3,48 +3,84 @@
 
 #include <atomic>
 #include <functional>
+#include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
+#include "absl/status/status.h"
+#include "components/base/backoff.h"
 #include "components/control/fleet.h"
 #include "components/control/gossip_loop.h"
+#include "components/store/departures.h"
 
 namespace kingcupstair::control {
 
-/// Keeps the departures of this host's upstreams beyond a restart of the host.
-/// Peers have them in its record, and a few of them, its witnesses, before the
-/// departure is acknowledged. After its start the host asks them.
+/// Keeps the departures of this host's upstreams in the store, so that the next
+/// start of this host finds them whichever processes end, and reads them at the
+/// start. A few peers, the witnesses, have them besides, for a host that starts
+/// while it does not reach the store.
 class DepartureLoop {
  public:
-  /// `learn` is called with the departures that a peer returned.
-  DepartureLoop(
-      Fleet& fleet,
-      GossipLoop& gossip,
-      std::function<void(const std::vector<std::string>& departures)> learn);
+  struct Upstreams {
+    /// Adds departures that were told to an earlier incarnation of this host.
+    std::function<void(const std::vector<std::string>& departures)> learn;
+    /// Returns all known departures.
+    std::function<std::vector<std::string>()> known;
+    /// Puts the known departures into the record of this host.
+    std::function<void()> publish;
+  };
 
-  /// Asks the peers if they have not answered yet, then sleeps.
-  void Step();
+  DepartureLoop(Fleet& fleet, GossipLoop& gossip, Upstreams upstreams);
 
-  /// Returns true once the witnesses have been asked, or if no peer has been
-  /// found for so long that the upstreams are used without.
-  bool Known() const;
+  /// Asks the witnesses if they have not answered yet, then sleeps.
+  void AskWitnessesStep();
 
-  /// Sends the record of this host to its witnesses. Suspends the calling fiber
-  /// until each has answered or has had the time to.
-  void InformWitnesses();
+  /// Reads the departures from the store, and later writes those that are not
+  /// kept there, each if due, then sleeps.
+  void FollowStoreStep();
+
+  /// Returns true once this host knows what its earlier incarnations were told:
+  /// from the store, or from a witness that has run for longer than this host.
+  bool IsKnown() const;
+
+  /// Returns OK once the departure is kept in the store. Suspends the calling
+  /// fiber.
+  absl::Status Keep(const std::string& departure);
 
  private:
   std::vector<std::string> Witnesses() const;
+  void InformWitnesses();
   /// Fetches the records that differ here from those of `host`, and learns the
   /// departures in the record of this host.
   bool AskHost(const std::string& host);
   bool AskWitnesses();
+  /// Returns true if `host` may remember an earlier incarnation of this host.
+  bool RemembersEarlierStart(const std::string& host) const;
+
+  bool IsKept(const std::string& departure) const;
+  bool IsAnyNotKept() const;
+  absl::Status Read();
+  absl::Status Write();
+  absl::Status WriteOnce(bool& conflict);
+  void LearnFromStore(const store::StoredDepartures& stored);
+  /// What was written to the store may be gone after a restore.
+  void NoticeEra();
+  void SetKept(const std::vector<std::string>& departures, uint64_t era);
 
   Fleet& fleet;
   GossipLoop& gossip;
-  std::function<void(const std::vector<std::string>&)> learn;
-  Instant start;
-  std::atomic<bool> answered{false};
+  Upstreams upstreams;
+  std::atomic<bool> was_read{false};
+  std::atomic<bool> has_answer{false};
+  std::atomic<bool> has_memory{false};
+  std::atomic<int> calls_to_keep{0};
+  Backoff backoff;
+  mutable std::mutex mutex;
+  /// The departures that the store has.
+  std::set<std::string> kept;
+  /// The era of the store in which they were written.
+  uint64_t era = 0;
 };
 
 }  // namespace kingcupstair::control
--- a/components/control/fleet.h
+++ b/components/control/fleet.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "absl/status/status.h"
 #include "components/control/config_keeper.h"
 #include "components/control/directory_keeper.h"
 #include "components/control/rate_keeper.h"
@@ -50,9 +51,10 @@
   Duration share_gathering_time{};
   /// Sends pending updates to a few peers at once instead of at the next probe.
   std::function<void()> spread_updates;
-  /// Called after an upstream has said that it leaves, before that is
-  /// acknowledged. Suspends the calling fiber.
-  std::function<void()> secure_departure;
+  /// Keeps the departure of an upstream for the next start of this host, and
+  /// must succeed before the departure is acknowledged. Suspends the calling
+  /// fiber.
+  std::function<absl::Status(const std::string& departure)> keep_departure;
   /// Called when a peer has responded to a probe from this host.
   std::function<void(const std::string& host)> on_reached;
 };
--- a/components/guard/departures.cc
+++ b/components/guard/departures.cc
@@ -15,12 +15,20 @@
   return absl::StrCat(upstream, "/", incarnation);
 }
 
-bool Departures::Add(const std::string& start, Instant now) {
-  return this->last_heard.insert_or_assign(start, now).second;
+std::string Departures::StartName(const Announcement& announcement) {
+  return StartName(announcement.id, announcement.incarnation);
 }
 
-bool Departures::Contains(const std::string& start) const {
-  return this->last_heard.contains(start);
+bool Departures::Add(const std::string& name, Instant now) {
+  return this->last_heard.insert_or_assign(name, now).second;
+}
+
+bool Departures::Contains(const std::string& name) const {
+  return this->last_heard.contains(name);
+}
+
+bool Departures::Covers(const Announcement& announcement) const {
+  return this->Contains(StartName(announcement));
 }
 
 void Departures::Expire(Instant now) {
@@ -29,12 +37,12 @@
   });
 }
 
-std::vector<std::string> Departures::Starts() const {
-  std::vector<std::string> starts;
-  for (const auto& [start, heard_at] : this->last_heard) {
-    starts.push_back(start);
+std::vector<std::string> Departures::Names() const {
+  std::vector<std::string> names;
+  for (const auto& [name, heard_at] : this->last_heard) {
+    names.push_back(name);
   }
-  return starts;
+  return names;
 }
 
 }  // namespace kingcupstair::guard
--- a/components/guard/departures.h
+++ b/components/guard/departures.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "components/base/time.h"
+#include "components/guard/announcement.h"
 
 namespace kingcupstair::guard {
 
@@ -17,20 +18,26 @@
   static std::string StartName(const std::string& upstream,
                                const std::string& incarnation);
 
-  /// Records a departure. Returns true if it was not known.
-  bool Add(const std::string& start, Instant now);
+  /// Returns the name of the start that announces itself.
+  static std::string StartName(const Announcement& announcement);
 
-  bool Contains(const std::string& start) const;
+  /// Records the departure of a start. Returns true if it was not known.
+  bool Add(const std::string& name, Instant now);
+
+  bool Contains(const std::string& name) const;
+
+  /// Returns true if the start that announces itself has departed.
+  bool Covers(const Announcement& announcement) const;
 
   /// Forgets departures after the longest time that an announcement may be
   /// delayed.
   void Expire(Instant now);
 
-  /// Returns the names of the known starts, in order.
-  std::vector<std::string> Starts() const;
+  /// Returns the names of the known departures, in order.
+  std::vector<std::string> Names() const;
 
  private:
-  /// Time of the last message about the departure, by the name of the start.
+  /// Time of the last message about the departure, by its name.
   std::map<std::string, Instant> last_heard;
 };
 
--- a/components/guard/guard.cc
+++ b/components/guard/guard.cc
@@ -157,6 +157,7 @@
                         const std::string& start,
                         const UpstreamNotice& notice) {
   DeferredWakeups wakeups;
+  const std::string departure = Departures::StartName(id, start);
   bool departs = false;
   {
     const std::lock_guard lock(this->mutex);
@@ -179,11 +180,11 @@
     }
     if (notice.leaving && !upstream.announcement.draining) {
       this->Drain(upstream, "upstream_draining", wakeups);
-      departs = this->departures.Add(Departures::StartName(id, start), now);
+      departs = this->departures.Add(departure, now);
     }
   }
   if (departs) {
-    this->options.on_departure();
+    this->options.on_departure(departure);
   }
 }
 
--- a/components/guard/guard.h
+++ b/components/guard/guard.h
@@ -76,9 +76,10 @@
     /// Returns true once this host knows the departures that its earlier
     /// incarnations acknowledged. Its upstreams are not used before.
     std::function<bool()> departures_known = [] { return true; };
-    /// Called when a response tells of a departure that was not known. Must not
-    /// block.
-    std::function<void()> on_departure = [] {};
+    /// Called with the name of a departure of which a response has told, if it
+    /// was not known. Must not block.
+    std::function<void(const std::string& departure)> on_departure =
+        [](const std::string&) {};
     /// Names of the header fields exchanged with upstreams.
     std::shared_ptr<const HeaderNames> header_names =
         std::make_shared<const HeaderNames>();
@@ -90,18 +91,18 @@
         events::Recorder& recorder);
 
   /// Adds or updates an upstream of this host. Ignores announcements that are
-  /// out of date. Returns true if the announcement says that the upstream
-  /// leaves and this was not known.
-  bool Announce(const Announcement& announcement);
+  /// out of date. Returns the name of the departure if the announcement says
+  /// that the upstream leaves.
+  std::optional<std::string> Announce(const Announcement& announcement);
 
   /// Marks an upstream that has left as draining and refuses its waiting
-  /// requests. Returns true if its departure was not known.
-  bool Withdraw(const std::string& id);
+  /// requests. Returns the name of its departure if the upstream is known.
+  std::optional<std::string> Withdraw(const std::string& id);
 
-  /// Adds departures that an earlier incarnation of this host acknowledged.
-  void LearnDepartures(const std::vector<std::string>& starts);
+  /// Adds departures that an earlier incarnation of this host was told of.
+  void LearnDepartures(const std::vector<std::string>& names);
 
-  /// Returns the starts of upstreams whose departure is known, in order.
+  /// Returns the names of the known departures, in order.
   std::vector<std::string> KnownDepartures() const;
 
   /// Reserves a slot for a request that is submitted right after, or refuses
@@ -202,6 +203,8 @@
   void Drain(GuardedUpstream& upstream,
              const char* event,
              DeferredWakeups& wakeups);
+  /// Drains the upstreams in use whose departure is known.
+  void DrainDeparted(DeferredWakeups& wakeups);
   /// Returns the warm-up rate of a service according to its rules.
   double WarmUpRate(const std::string& service) const;
   void RecordUpstreamEvent(const char* kind,
--- a/components/guard/guard_announcements.cc
+++ b/components/guard/guard_announcements.cc
@@ -10,26 +10,24 @@
 /// service.
 constexpr double kWarmUpRateOfUnknownService = 1;
 
-std::string StartNameOf(const Announcement& announcement) {
-  return Departures::StartName(announcement.id, announcement.incarnation);
-}
-
 }  // namespace
 
-bool Guard::Announce(const Announcement& announcement) {
+std::optional<std::string> Guard::Announce(const Announcement& announcement) {
   DeferredWakeups wakeups;
   const std::lock_guard lock(this->mutex);
   if (this->IsStale(announcement)) {
-    return false;
+    return std::nullopt;
+  }
+  std::optional<std::string> departure;
+  if (announcement.draining) {
+    departure = Departures::StartName(announcement);
+    this->departures.Add(*departure, MonotonicNow());
   }
-  const bool departs =
-      announcement.draining &&
-      this->departures.Add(StartNameOf(announcement), MonotonicNow());
   this->RemovePredecessors(announcement, wakeups);
   const auto found = this->upstreams.find(announcement.id);
   if (found == this->upstreams.end()) {
     this->AddUpstream(announcement);
-    return departs;
+    return departure;
   }
   GuardedUpstream& upstream = found->second;
   const Announcement previous =
@@ -51,7 +49,7 @@
   if (announcement.draining && !previous.draining) {
     this->Drain(upstream, "upstream_draining", wakeups);
   }
-  return departs;
+  return departure;
 }
 
 void Guard::Drain(GuardedUpstream& upstream,
@@ -66,8 +64,7 @@
 // An announcement may be delayed until after its sender has left, crashed, or
 // been replaced by another upstream at the same endpoint.
 bool Guard::IsStale(const Announcement& announcement) const {
-  if (!announcement.draining &&
-      this->departures.Contains(StartNameOf(announcement))) {
+  if (!announcement.draining && this->departures.Covers(announcement)) {
     return true;
   }
   for (const auto& [id, upstream] : this->upstreams) {
@@ -110,27 +107,33 @@
   }
 }
 
-bool Guard::Withdraw(const std::string& id) {
+std::optional<std::string> Guard::Withdraw(const std::string& id) {
   DeferredWakeups wakeups;
   const std::lock_guard lock(this->mutex);
   const auto found = this->upstreams.find(id);
   if (found == this->upstreams.end()) {
-    return false;
+    return std::nullopt;
   }
-  this->Drain(found->second, "upstream_left", wakeups);
-  return this->departures.Add(StartNameOf(found->second.announcement),
-                              MonotonicNow());
+  const std::string departure =
+      Departures::StartName(found->second.announcement);
+  this->departures.Add(departure, MonotonicNow());
+  this->DrainDeparted(wakeups);
+  return departure;
 }
 
-void Guard::LearnDepartures(const std::vector<std::string>& starts) {
+void Guard::LearnDepartures(const std::vector<std::string>& names) {
   DeferredWakeups wakeups;
   const std::lock_guard lock(this->mutex);
-  for (const std::string& start : starts) {
-    this->departures.Add(start, MonotonicNow());
+  for (const std::string& name : names) {
+    this->departures.Add(name, MonotonicNow());
   }
+  this->DrainDeparted(wakeups);
+}
+
+void Guard::DrainDeparted(DeferredWakeups& wakeups) {
   for (auto& [id, upstream] : this->upstreams) {
     if (!upstream.announcement.draining &&
-        this->departures.Contains(StartNameOf(upstream.announcement))) {
+        this->departures.Covers(upstream.announcement)) {
       this->Drain(upstream, "upstream_left", wakeups);
     }
   }
@@ -138,7 +141,7 @@
 
 std::vector<std::string> Guard::KnownDepartures() const {
   const std::lock_guard lock(this->mutex);
-  return this->departures.Starts();
+  return this->departures.Names();
 }
 
 // Other hosts may know the service before this host does.
--- a/components/store/client.cc
+++ b/components/store/client.cc
@@ -19,15 +19,16 @@
     const char* step,
     const http::Request& request,
     Duration timeout,
-    const CancellationPtr& cancellation) const {
-  http::Result result =
-      http::Exchange({.server = this->options.server,
-                      .request = request,
-                      .timeout = timeout,
-                      .reuse_connection = request.method == "GET" &&
-                                          this->may_reuse_connections->load(),
-                      .detect_silence = true,
-                      .cancellation = cancellation});
+    const CancellationPtr& cancellation,
+    bool reuse_connection) const {
+  http::Result result = http::Exchange(
+      {.server = this->options.server,
+       .request = request,
+       .timeout = timeout,
+       .reuse_connection = reuse_connection && request.method == "GET" &&
+                           this->may_reuse_connections->load(),
+       .detect_silence = true,
+       .cancellation = cancellation});
   this->may_reuse_connections->store(result.ok());
   if (!result.ok()) {
     return ErrorAt(result.failure.status.code(),
@@ -54,9 +55,11 @@
   }
 }
 
-absl::StatusOr<Entry> Client::Get(const std::string& key) const {
+absl::StatusOr<Entry> Client::Get(const std::string& key,
+                                  const ReadOptions& read_options) const {
   const auto response = this->SendRequest(
-      "read", this->options.protocol.get(key), this->options.timeout);
+      "read", this->options.protocol.get(key), this->options.timeout, nullptr,
+      read_options.reuse_connection);
   return response.ok() ? this->options.protocol.read_entry(*response)
                        : response.status();
 }
--- a/components/store/client.h
+++ b/components/store/client.h
@@ -28,8 +28,17 @@
 
   explicit Client(Options options);
 
+  struct ReadOptions {
+    /// Allows a connection that was kept from an earlier call.
+    bool reuse_connection = true;
+  };
+
   /// Reads a key. Returns an entry with version 0 if the key does not exist.
-  absl::StatusOr<Entry> Get(const std::string& key) const;
+  absl::StatusOr<Entry> Get(const std::string& key) const {
+    return this->Get(key, {});
+  }
+  absl::StatusOr<Entry> Get(const std::string& key,
+                            const ReadOptions& read_options) const;
 
   /// Waits up to `wait` until the version of the key is above `after` and
   /// returns the entry. `cancellation` ends the wait; it may be null.
@@ -87,7 +96,8 @@
       const char* step,
       const http::Request& request,
       Duration timeout,
-      const CancellationPtr& cancellation = nullptr) const;
+      const CancellationPtr& cancellation = nullptr,
+      bool reuse_connection = true) const;
   absl::StatusOr<PutResult> Write(const PutCall& call) const;
 
   Options options;
--- a/components/store/keys.h
+++ b/components/store/keys.h
@@ -23,6 +23,11 @@
   return "kingcupstair/host/" + host;
 }
 
+/// Returns the key of the departures of the upstreams of a host.
+inline std::string DeparturesKey(const std::string& host) {
+  return "kingcupstair/departures/" + host;
+}
+
 /// Returns the key of a chunk of the configuration text.
 inline std::string ChunkKey(const std::string& id) {
   return "kingcupstair/chunk/" + id;
--- a/tests/guard/guard_test.cc
+++ b/tests/guard/guard_test.cc
@@ -26,13 +26,14 @@
   events::Recorder recorder{{.revision = [] { return 1; }}};
   bool departures_known = true;
   int departures_told = 0;
-  Guard guard{{.incarnation = [] { return kIncarnation; },
-               .isolated = [] { return false; },
-               .departures_known = [this] { return this->departures_known; },
-               .on_departure = [this] { ++this->departures_told; }},
-              this->configuration,
-              this->crashes,
-              this->recorder};
+  Guard guard{
+      {.incarnation = [] { return kIncarnation; },
+       .isolated = [] { return false; },
+       .departures_known = [this] { return this->departures_known; },
+       .on_departure = [this](const std::string&) { ++this->departures_told; }},
+      this->configuration,
+      this->crashes,
+      this->recorder};
 
   void setup() override {
     this->guard.Announce({.id = "lote-1", .service = "lote", .slots = 1});
@@ -277,15 +278,16 @@
   this->ReserveSlot("a");
 }
 
-TEST(Guard, ADepartureIsNewsOnceAndFinalForItsStart) {
+TEST(Guard, ADepartureHasOneNameAndIsFinalForItsStart) {
   Announcement leaving{.id = "lote-1", .service = "lote", .draining = true};
-  CHECK(this->guard.Announce(leaving));
-  CHECK_FALSE(this->guard.Announce(leaving));
-  CHECK_FALSE(this->guard.Withdraw("lote-1"));
+  const auto departure = this->guard.Announce(leaving);
+  CHECK(departure.has_value());
+  CHECK(departure == this->guard.Announce(leaving));
+  CHECK(departure == this->guard.Withdraw("lote-1"));
   leaving.draining = false;
-  CHECK_FALSE(this->guard.Announce(leaving));
+  CHECK_FALSE(this->guard.Announce(leaving).has_value());
   CHECK(this->guard.Upstreams().empty());
-  LONGS_EQUAL(1, this->guard.KnownDepartures().size());
+  CHECK(std::vector<std::string>{*departure} == this->guard.KnownDepartures());
 }
 
 // A request that may run once was sent although its caller had left while the
