A departure of an upstream that its host does not know is kept

Cause: Guard::Withdraw found no such upstream and recorded nothing; the call was answered with 200 all the same. The same happened if the host had just started, or if another upstream had been at the same endpoint.

Why this works: the departure names only the id, so it now stands for all starts of the id until the time at which it arrived; an announcement names its start. The clocks of host and upstream may differ by two seconds, and a later start begins later than that, since an upstream that leaves goes on serving.

--- a/components/guard/departures.cc
+++ b/components/guard/departures.cc
@@ -1,5 +1,6 @@
 #include "components/guard/departures.h"
 
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 
 namespace kingcupstair::guard {
@@ -8,6 +9,10 @@
 /// Longer than an announcement can be delayed on its way.
 constexpr Duration kRetention{std::chrono::seconds(60)};
 
+std::string StartsUntilPrefix(const std::string& upstream) {
+  return absl::StrCat(upstream, "/until@");
+}
+
 }  // namespace
 
 std::string Departures::StartName(const std::string& upstream,
@@ -19,6 +24,11 @@
   return StartName(announcement.id, announcement.incarnation);
 }
 
+std::string Departures::StartsUntilName(const std::string& upstream,
+                                        uint64_t until_millis) {
+  return absl::StrCat(StartsUntilPrefix(upstream), until_millis);
+}
+
 bool Departures::Add(const std::string& name, Instant now) {
   return this->last_heard.insert_or_assign(name, now).second;
 }
@@ -28,7 +38,19 @@
 }
 
 bool Departures::Covers(const Announcement& announcement) const {
-  return this->Contains(StartName(announcement));
+  if (this->Contains(StartName(announcement))) {
+    return true;
+  }
+  const std::string prefix = StartsUntilPrefix(announcement.id);
+  for (auto at = this->last_heard.lower_bound(prefix);
+       at != this->last_heard.end() && at->first.rfind(prefix, 0) == 0; ++at) {
+    uint64_t until_millis = 0;
+    if (absl::SimpleAtoi(at->first.substr(prefix.size()), &until_millis) &&
+        announcement.started_at <= until_millis) {
+      return true;
+    }
+  }
+  return false;
 }
 
 void Departures::Expire(Instant now) {
--- a/components/guard/departures.h
+++ b/components/guard/departures.h
@@ -1,6 +1,7 @@
 #ifndef COMPONENTS_GUARD_DEPARTURES_H_
 #define COMPONENTS_GUARD_DEPARTURES_H_
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -21,12 +22,20 @@
   /// Returns the name of the start that announces itself.
   static std::string StartName(const Announcement& announcement);
 
-  /// Records the departure of a start. Returns true if it was not known.
+  /// Returns a name for all starts of an upstream until a time, in milliseconds
+  /// since the Unix epoch. It stands for the departure of a start that is not
+  /// known.
+  static std::string StartsUntilName(const std::string& upstream,
+                                     uint64_t until_millis);
+
+  /// Records a departure by the name of a start or of several. Returns true if
+  /// it was not known.
   bool Add(const std::string& name, Instant now);
 
   bool Contains(const std::string& name) const;
 
-  /// Returns true if the start that announces itself has departed.
+  /// Returns true if the start that announces itself has departed. A start
+  /// without a start time counts as earlier than any time.
   bool Covers(const Announcement& announcement) const;
 
   /// Forgets departures after the longest time that an announcement may be
--- a/components/guard/guard.h
+++ b/components/guard/guard.h
@@ -95,9 +95,9 @@
   /// that the upstream leaves.
   std::optional<std::string> Announce(const Announcement& announcement);
 
-  /// Marks an upstream that has left as draining and refuses its waiting
-  /// requests. Returns the name of its departure if the upstream is known.
-  std::optional<std::string> Withdraw(const std::string& id);
+  /// Records that an upstream has left, also if it is not known, and refuses
+  /// its waiting requests. Returns the name of the departure.
+  std::string Withdraw(const std::string& id);
 
   /// Adds departures that an earlier incarnation of this host was told of.
   void LearnDepartures(const std::vector<std::string>& names);
--- a/components/guard/guard_announcements.cc
+++ b/components/guard/guard_announcements.cc
@@ -9,6 +9,10 @@
 /// New requests a second to a cold upstream while this host has no rules of its
 /// service.
 constexpr double kWarmUpRateOfUnknownService = 1;
+/// Greatest difference between the clocks of a host and its upstream. A start
+/// that follows a departure begins later than this after it, since an upstream
+/// that leaves goes on serving for some time.
+constexpr Duration kMaxClockDifference{std::chrono::seconds(2)};
 
 }  // namespace
 
@@ -107,16 +111,24 @@
   }
 }
 
-std::optional<std::string> Guard::Withdraw(const std::string& id) {
+// Only the id is known of an upstream that leaves. If its announcements have
+// been missing, earlier ones may still arrive, of a start that is not known.
+std::string Guard::Withdraw(const std::string& id) {
   DeferredWakeups wakeups;
   const std::lock_guard lock(this->mutex);
+  const Instant now = MonotonicNow();
   const auto found = this->upstreams.find(id);
-  if (found == this->upstreams.end()) {
-    return std::nullopt;
+  std::string departure;
+  if (found != this->upstreams.end() &&
+      now - found->second.last_seen <= this->options.announcement_lifetime) {
+    departure = Departures::StartName(found->second.announcement);
+  } else {
+    departure = Departures::StartsUntilName(
+        id, static_cast<uint64_t>(WallClockMillis() +
+                                  ToMillisRoundedUp(kMaxClockDifference)));
+    this->RecordUpstreamEvent("upstream_left", {.id = id}, departure);
   }
-  const std::string departure =
-      Departures::StartName(found->second.announcement);
-  this->departures.Add(departure, MonotonicNow());
+  this->departures.Add(departure, now);
   this->DrainDeparted(wakeups);
   return departure;
 }
--- a/tests/guard/departures_test.cc
+++ b/tests/guard/departures_test.cc
@@ -27,5 +27,19 @@
   CHECK_FALSE(this->departures.Contains("lote-1/1"));
 }
 
+TEST(Departures, CoverAllStartsOfAnUpstreamUntilATime) {
+  this->departures.Add(Departures::StartsUntilName("lote-1", 1'000), At(0));
+  const auto covers = [this](const char* id, uint64_t started_at) {
+    return this->departures.Covers(
+        {.id = id, .incarnation = "@", .started_at = started_at});
+  };
+  CHECK(covers("lote-1", 1'000));
+  CHECK(covers("lote-1", 0));
+  CHECK_FALSE(covers("lote-1", 1'001));
+  CHECK_FALSE(covers("lote-11", 1'000));
+  this->departures.Add(Departures::StartsUntilName("lote-1", 2'000), At(0));
+  CHECK(covers("lote-1", 1'001));
+}
+
 }  // namespace
 }  // namespace kingcupstair::guard
--- a/tests/guard/guard_test.cc
+++ b/tests/guard/guard_test.cc
@@ -290,6 +290,26 @@
   CHECK(std::vector<std::string>{*departure} == this->guard.KnownDepartures());
 }
 
+// A departure of an upstream that its host did not know, as after a silence of
+// the upstream, was acknowledged and not kept: a late announcement brought the
+// upstream back.
+TEST(Guard, AnUnknownUpstreamThatLeftIsNotBroughtBackByALateAnnouncement) {
+  const auto left_at = static_cast<uint64_t>(WallClockMillis());
+  const std::string departure = this->guard.Withdraw("lote-2");
+  CHECK(std::vector<std::string>{departure} == this->guard.KnownDepartures());
+  Announcement late{.id = "lote-2",
+                    .service = "lote",
+                    .endpoint = {.port = 2},
+                    .incarnation = "@1",
+                    .started_at = left_at - 1'000};
+  this->guard.Announce(late);
+  LONGS_EQUAL(1, this->guard.Upstreams().size());
+  late.incarnation = "@2";
+  late.started_at = left_at + 3'000;
+  this->guard.Announce(late);
+  LONGS_EQUAL(2, this->guard.Upstreams().size());
+}
+
 // A request that may run once was sent although its caller had left while the
 // connection to its upstream was opened.
 TEST(Guard, ARequestThatIsCancelledWhileItsConnectionOpensIsNotSent) {
