An announcement of a departure that arrives late is not dropped

A departure was answered with 200 and dropped as out of date if a later announcement of the same start, or one of another upstream at the same endpoint, had arrived before it.

Evidence: Guard, ADepartureThatIsAnnouncedLateHolds did not hold before: the upstream stayed in use.

Why this works: draining is final for one start, so the departure holds whatever was announced later.

--- a/components/guard/guard_announcements.cc
+++ b/components/guard/guard_announcements.cc
@@ -19,14 +19,15 @@
 std::optional<std::string> Guard::Announce(const Announcement& announcement) {
   DeferredWakeups wakeups;
   const std::lock_guard lock(this->mutex);
-  if (this->IsStale(announcement)) {
-    return std::nullopt;
-  }
   std::optional<std::string> departure;
   if (announcement.draining) {
     departure = Departures::StartName(announcement);
     this->departures.Add(*departure, MonotonicNow());
   }
+  if (this->IsStale(announcement)) {
+    this->DrainDeparted(wakeups);
+    return departure;
+  }
   this->RemovePredecessors(announcement, wakeups);
   const auto found = this->upstreams.find(announcement.id);
   if (found == this->upstreams.end()) {
--- a/tests/guard/guard_test.cc
+++ b/tests/guard/guard_test.cc
@@ -310,6 +310,23 @@
   LONGS_EQUAL(2, this->guard.Upstreams().size());
 }
 
+// A late announcement of a departure was dropped as out of date: the upstream
+// stayed in use.
+TEST(Guard, ADepartureThatIsAnnouncedLateHolds) {
+  Announcement announcement{.id = "lote-2",
+                            .service = "lote",
+                            .endpoint = {.port = 2},
+                            .incarnation = "@1",
+                            .started_at = 1,
+                            .sequence = 5};
+  this->guard.Announce(announcement);
+  LONGS_EQUAL(2, this->guard.Upstreams().size());
+  announcement.sequence = 4;
+  announcement.draining = true;
+  CHECK(this->guard.Announce(announcement).has_value());
+  LONGS_EQUAL(1, this->guard.Upstreams().size());
+}
+
 // A request that may run once was sent although its caller had left while the
 // connection to its upstream was opened.
 TEST(Guard, ARequestThatIsCancelledWhileItsConnectionOpensIsNotSent) {
