--- a/components/control/departure_loop.cc
+++ b/components/control/departure_loop.cc
@@ -205,6 +205,13 @@
   }
   this->LearnFromStore(*stored);
   const auto departures = this->upstreams.known();
+  const std::set<std::string> names(stored->names.begin(), stored->names.end());
+  if (std::includes(names.begin(), names.end(), departures.begin(),
+                    departures.end())) {
+    // An earlier write has taken effect without a response.
+    this->SetKept(stored->names, current_era);
+    return absl::OkStatus();
+  }
   const auto put =
       store::WriteDepartures(this->fleet.store, host, departures, *stored);
   if (!put.ok()) {
