The body of a request is in the memory of a process once

Cause: each part of the process that held the request had a copy of its body: the parser's message, the admitted request, the run, the text that is hashed, the call and the message that is sent.

What is left is one copy in the message between hosts.

The stand-in of an upstream takes bodies of 64 MB, so that the test sees them served.

--- a/apps/relay_standin/relay.cc
+++ b/apps/relay_standin/relay.cc
@@ -101,7 +101,7 @@
 }
 
 http::Response Relay::HandleControl(const http::Request& request) {
-  const auto json = nlohmann::json::parse(request.body, nullptr, false);
+  const auto json = nlohmann::json::parse(request.body.text(), nullptr, false);
   if (request.target != "/faults" || !json.is_object()) {
     return {.status = 400, .body = "POST a JSON object to /faults\n"};
   }
--- a/apps/store_standin/store_service.cc
+++ b/apps/store_standin/store_service.cc
@@ -62,7 +62,7 @@
     return PlainTextResponse(200, "");
   }
   if (request.target == "/v1/faults") {
-    return this->SetFaults(request.body);
+    return this->SetFaults(request.body.text());
   }
   if (request.target == "/v1/counts") {
     return this->Counts();
@@ -129,7 +129,7 @@
     return PlainTextResponse(413, "a value has at most 1 MB\n");
   }
   const Instant now = MonotonicNow();
-  StoredValue value{.value = request.body};
+  StoredValue value{.value = request.body.text()};
   int64_t lease_ms = 0;
   const std::string lease_text(http::FindHeader(request.headers, "X-Lease-Ms"));
   if (absl::SimpleAtoi(lease_text, &lease_ms)) {
--- a/apps/upstream_standin/main.cc
+++ b/apps/upstream_standin/main.cc
@@ -18,6 +18,8 @@
 /// Longer than kAnnounceInterval, so that the draining upstream announces
 /// itself at least once more before the process ends.
 constexpr Duration kDrainNoticeTime{std::chrono::milliseconds(700)};
+/// Longest request body that the upstream takes.
+constexpr int64_t kMaxBodyBytes = 64 * 1024 * 1024;
 
 struct UpstreamSettings {
   Endpoint listen;
@@ -104,10 +106,14 @@
                            .cold_requests = settings.cold_requests,
                            .run_log = settings.run_log});
   fibers::WorkerPool workers(1);
-  http::Server server(workers, {.listen = settings.listen},
-                      [&service](const http::Request& request) {
-                        return service.Handle(request);
-                      });
+  http::Server server(
+      workers,
+      {.listen = settings.listen,
+       .limits =
+           [] { return http::ServerLimits{.body_bytes = kMaxBodyBytes}; }},
+      [&service](const http::Request& request) {
+        return service.Handle(request);
+      });
   if (const auto status = server.Start(); !status.ok()) {
     return settings::ReportError("upstream-standin", status);
   }
--- a/apps/upstream_standin/upstream_service.cc
+++ b/apps/upstream_standin/upstream_service.cc
@@ -43,7 +43,7 @@
     return this->Counts();
   }
   if (request.target == "/faults" && request.method == "POST") {
-    return this->SetFaults(request.body);
+    return this->SetFaults(request.body.text());
   }
   return this->WithNotice(this->Work(request));
 }
--- a/components/base/hash.cc
+++ b/components/base/hash.cc
@@ -8,6 +8,7 @@
 #include <xxhash.h>
 
 #include <array>
+#include <memory>
 #include <stdexcept>
 
 #include "absl/strings/escaping.h"
@@ -28,6 +29,16 @@
   return XXH64(text.data(), text.size(), seed);
 }
 
+uint64_t StableHash(std::initializer_list<std::string_view> texts) {
+  const std::unique_ptr<XXH64_state_t, decltype(&XXH64_freeState)> state(
+      XXH64_createState(), &XXH64_freeState);
+  XXH64_reset(state.get(), 0);
+  for (const std::string_view text : texts) {
+    XXH64_update(state.get(), text.data(), text.size());
+  }
+  return XXH64_digest(state.get());
+}
+
 std::string Sha256Hex(std::string_view text) {
   std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
   SHA256(reinterpret_cast<const unsigned char*>(text.data()), text.size(),
--- a/components/base/hash.h
+++ b/components/base/hash.h
@@ -2,6 +2,7 @@
 #define COMPONENTS_BASE_HASH_H_
 
 #include <cstdint>
+#include <initializer_list>
 #include <string>
 #include <string_view>
 
@@ -10,6 +11,9 @@
 /// Returns a fast non-cryptographic hash (xxHash), equal on every host.
 uint64_t StableHash(std::string_view text, uint64_t seed = 0);
 
+/// Returns the hash of the texts one after the other.
+uint64_t StableHash(std::initializer_list<std::string_view> texts);
+
 /// Returns the SHA-256 of `text` in lower-case hexadecimal.
 std::string Sha256Hex(std::string_view text);
 
--- a/components/http/client.cc
+++ b/components/http/client.cc
@@ -183,7 +183,7 @@
 }
 
 beast::error_code Send(const Call& call, Connection& connection) {
-  beast::http::request<beast::http::string_body> message;
+  beast::http::request<beast::http::span_body<const char>> message;
   message.version(11);
   message.method_string(call.request.method);
   message.target(call.request.target);
@@ -191,7 +191,8 @@
   if (message.find(beast::http::field::host) == message.end()) {
     message.set(beast::http::field::host, ToText(call.server));
   }
-  message.body() = call.request.body;
+  const std::string& body = call.request.body.text();
+  message.body() = {body.data(), body.size()};
   message.prepare_payload();
   return fibers::Await([&](auto handler) {
            beast::http::async_write(connection.stream, message, handler);
--- a/components/http/message.h
+++ b/components/http/message.h
@@ -6,6 +6,8 @@
 #include <string_view>
 #include <vector>
 
+#include "components/http/body.h"
+
 namespace kingcupstair::http {
 
 /// One header field.
@@ -32,7 +34,7 @@
   std::string method = "GET";
   std::string target = "/";
   Headers headers;
-  std::string body;
+  Body body;
   /// Of a received request: the number of earlier requests of its connection
   /// that had no response when it was read. Its response waits for theirs.
   size_t requests_ahead = 0;
--- a/components/http/server_connection.cc
+++ b/components/http/server_connection.cc
@@ -222,15 +222,16 @@
 }
 
 bool ServerConnection::Write(const PendingResponse& pending, bool keep_alive) {
-  beast::http::response<beast::http::string_body> message;
+  beast::http::response<beast::http::span_body<const char>> message;
   message.version(pending.version);
   message.result(static_cast<unsigned>(pending.response.status));
   CopyInto(pending.response.headers, message);
-  message.body() = pending.response.body;
+  const std::string& body = pending.response.body;
+  message.body() = {body.data(), body.size()};
   message.keep_alive(keep_alive);
   message.prepare_payload();
   if (pending.head) {
-    message.body().clear();
+    message.body() = {};
   }
   this->StartWriteTimer();
   const auto result = fibers::Await([&](auto handler) {
--- a/components/ingress/ingress.cc
+++ b/components/ingress/ingress.cc
@@ -83,8 +83,8 @@
   const http::Request& request = admitted.request;
   admitted.request.headers = this->HeadersForUpstream(request.headers);
   admitted.fingerprint =
-      StableHash(absl::StrCat(admitted.organisation, "\n", request.method, "\n",
-                              request.target, "\n", request.body));
+      StableHash({admitted.organisation, "\n", request.method, "\n",
+                  request.target, "\n", request.body.text()});
   if (auto problem = this->CheckCrashes(admitted)) {
     return problem;
   }
--- a/components/rpc/convert_run.cc
+++ b/components/rpc/convert_run.cc
@@ -165,7 +165,7 @@
   out.setTimeLeftMicros(ToMicros(request.remaining_time));
   out.setMethod(request.request.method);
   out.setTarget(request.request.target);
-  out.setBody(ToData(request.request.body));
+  out.setBody(ToData(request.request.body.text()));
   WriteHeaders(
       request.request.headers,
       out.initHeaders(static_cast<unsigned>(request.request.headers.size())));
--- a/components/site/site_interface.cc
+++ b/components/site/site_interface.cc
@@ -8,7 +8,7 @@
   if (request.method != "POST" || request.target != "/announce") {
     return std::nullopt;
   }
-  auto announcement = guard::DecodeAnnouncement(request.body);
+  auto announcement = guard::DecodeAnnouncement(request.body.text());
   if (!announcement.ok()) {
     return announcement.status();
   }
--- a/tests/platform/store_protocol_test.cc
+++ b/tests/platform/store_protocol_test.cc
@@ -19,7 +19,7 @@
   const auto request = this->protocol.put(
       {.key = "kingcupstair/shares", .value = "node-1", .expected = 4});
   STRCMP_EQUAL("/v1/kv-txn", request.target.c_str());
-  const auto body = nlohmann::json::parse(request.body);
+  const auto body = nlohmann::json::parse(request.body.text());
   LONGS_EQUAL(4, body.at("expect").at(0).at("rev").get<int>());
   STRCMP_EQUAL("bm9kZS0x",
                body.at("puts").at(0).at("value").get<std::string>().c_str());
