A pool host is checked over a new connection before others take over

Cause: a call to the pool host over a silent connection failed after 0.2 s; the host was then asked through six others, whose connections to it were silent too, and all said that it did not respond. It was suspected although it ran, the pool moved to another host that was suspected in the same way, and so four or five times until connections had been closed for their silence; after each move nobody had permits until loans had moved.

Why this works: a call that fails is followed by a check over a new connection. If the host responds, the silent connection is closed and the call is made again over another; if not, the host is silent to the checks of all who ask. A check does not enter the connection, so runs over the present one go on.

--- a/components/control/permit_source.cc
+++ b/components/control/permit_source.cc
@@ -12,6 +12,9 @@
 namespace {
 
 constexpr Duration kAcquireTimeout{std::chrono::milliseconds(200)};
+/// A pool host in the region answers a check over a new connection within this
+/// time: three round trips and a wake-up.
+constexpr Duration kCheckTimeout{std::chrono::milliseconds(100)};
 constexpr Duration kRelayTimeout{std::chrono::milliseconds(300)};
 /// After a failed call, permits are requested through other hosts and not from
 /// the pool host directly for this long.
@@ -139,8 +142,10 @@
   if (pool_host == this->fleet.settings.host) {
     return this->fleet.rates.TryRetry(reporting);
   }
-  const auto granted = this->fleet.peers.AcquireRetryToken(pool_host, reporting,
-                                                           kAcquireTimeout);
+  const auto granted = this->CallPool<bool>(pool_host, [&] {
+    return this->fleet.peers.AcquireRetryToken(pool_host, reporting,
+                                               kAcquireTimeout);
+  });
   if (!granted.ok()) {
     this->RecordFailure(pool_host);
     this->RestoreCallCounts(reporting.call_counts);
@@ -148,6 +153,20 @@
   return granted.value_or(false);
 }
 
+// The connection to the pool host may have gone silent while the host runs. A
+// host that was taken for silent would give the pool to another one, and nobody
+// would have permits until the loans have moved.
+template <typename T, typename PoolCall>
+absl::StatusOr<T> PermitSource::CallPool(const std::string& pool_host,
+                                         PoolCall call) {
+  auto result = call();
+  if (!result.ok() &&
+      this->fleet.peers.RespondsOverNewConnection(pool_host, kCheckTimeout)) {
+    result = call();
+  }
+  return result;
+}
+
 void PermitSource::CountCall(const std::string& caller,
                              const std::string& service,
                              double repeat_probability) {
@@ -195,12 +214,14 @@
     this->fleet.rates.CountCalls(organisation, call_counts);
     return this->fleet.rates.Acquire(organisation, service, 1);
   }
-  auto grant = this->fleet.peers.Acquire(pool_host,
-                                         {.organisation = organisation,
-                                          .service = service,
-                                          .offer = this->MakeOfferTo(pool_host),
-                                          .call_counts = call_counts},
-                                         kAcquireTimeout);
+  const auto grant = this->CallPool<limits::PermitGrant>(pool_host, [&] {
+    return this->fleet.peers.Acquire(pool_host,
+                                     {.organisation = organisation,
+                                      .service = service,
+                                      .offer = this->MakeOfferTo(pool_host),
+                                      .call_counts = call_counts},
+                                     kAcquireTimeout);
+  });
   if (grant.ok()) {
     this->RecordSuccess(pool_host);
     this->StoreLoanSequence(pool_host, grant->loan_sequence_number);
--- a/components/control/permit_source.h
+++ b/components/control/permit_source.h
@@ -73,6 +73,10 @@
   absl::StatusOr<limits::PermitGrant> AcquireFromPool(
       const std::string& organisation,
       const std::string& service);
+  /// Calls the pool host, and calls it again if it did not respond and does
+  /// over a new connection.
+  template <typename T, typename PoolCall>
+  absl::StatusOr<T> CallPool(const std::string& pool_host, PoolCall call);
   /// Returns the pool host of the organisation's shard.
   const std::string PoolHostFor(const std::string& organisation) const;
   /// Returns true while calls to `pool_host` are in the back-off after a
--- a/components/rpc/peer_clients.cc
+++ b/components/rpc/peer_clients.cc
@@ -18,6 +18,9 @@
 /// Several of the kernel's first retransmissions (200 ms each) fit into this
 /// time, so lost packets alone do not close the connection.
 constexpr Duration kSilenceTimeout{std::chrono::seconds(1)};
+/// The same if the host responds over another connection meanwhile: then only
+/// the first retransmission may still be under way.
+constexpr Duration kSilenceWhileReachable{std::chrono::milliseconds(200)};
 /// Interval at which a connection with runs that await their results is checked
 /// for responses.
 constexpr Duration kWatchInterval{std::chrono::milliseconds(250)};
@@ -298,6 +301,57 @@
       });
 }
 
+// The connection is not entered: that would put an end to runs over the present
+// one, which may be as good.
+bool PeerClients::RespondsOverNewConnection(const std::string& host,
+                                            Duration timeout) {
+  struct Check {
+    kj::Own<kj::NetworkAddress> address;
+    kj::Own<kj::AsyncIoStream> stream;
+    kj::Own<capnp::TwoPartyClient> client;
+  };
+  const auto endpoint = ParseEndpoint(host);
+  if (!endpoint.ok()) {
+    return false;
+  }
+  auto reply = std::make_shared<boost::fibers::promise<bool>>();
+  auto future = reply->get_future();
+  this->loop.Post([this, host, endpoint = *endpoint, timeout, reply] {
+    auto address = ToNetworkAddress(this->loop, endpoint);
+    if (!address.ok()) {
+      reply->set_value(false);
+      return;
+    }
+    auto check = kj::heap<Check>();
+    check->address = kj::mv(*address);
+    kj::Promise<void> challenged = check->address->connect().then(
+        [check = check.get()](kj::Own<kj::AsyncIoStream> stream) {
+          check->stream = kj::mv(stream);
+          check->client = kj::heap<capnp::TwoPartyClient>(*check->stream);
+          return check->client->bootstrap()
+              .castAs<wire::Door>()
+              .challengeRequest()
+              .send()
+              .ignoreResult();
+        });
+    this->loop.AddTask(
+        WithTimeout(this->loop, kj::mv(challenged), timeout)
+            .attach(kj::mv(check))
+            .then(
+                [this, host, reply] {
+                  const auto found = this->state->links.find(host);
+                  if (found != this->state->links.end() &&
+                      MonotonicNow() - found->second->last_response_at >=
+                          kSilenceWhileReachable) {
+                    this->CloseLink(host);
+                  }
+                  reply->set_value(true);
+                },
+                [reply](kj::Exception&&) { reply->set_value(false); }));
+  });
+  return future.get();
+}
+
 absl::StatusOr<SyncAnswer> PeerClients::Sync(
     const std::string& host,
     const std::map<std::string, membership::RecordVersion>& versions,
--- a/components/rpc/peer_clients.h
+++ b/components/rpc/peer_clients.h
@@ -57,6 +57,10 @@
   absl::StatusOr<GossipMessage> Gossip(const std::string& host,
                                        const GossipMessage& message,
                                        Duration timeout);
+  /// Returns whether `host` responds over a new connection within `timeout`. If
+  /// so, and the present connection has brought no response for some time, that
+  /// one is closed, and the next call opens another.
+  bool RespondsOverNewConnection(const std::string& host, Duration timeout);
   /// Compares the versions of all records with those of `host`.
   absl::StatusOr<SyncAnswer> Sync(
       const std::string& host,
