--- a/tests/process/departed_upstream_test.sh
+++ b/tests/process/departed_upstream_test.sh
@@ -4,20 +4,7 @@
 # arrives late.
 . "$(dirname "$0")/lib.sh"
 site_begin "$dir" 13000
-rules_with "$(organisation growers 1000 1000 grower-key)" >"$dir/rules"
-site_store
-site_host 1 aqp-1
-site_host 2 aqp-1
-# lote-1 serves; the test announces it to its host.
-site_upstream lote-1 lote 1 --slots 7 --run-log "$dir/runs.log" --daemon 127.0.0.1:1
-site_upstream lote-2 lote 2 --slots 7 --run-log "$dir/runs.log"
-site_ctl apply "$dir/rules" >/dev/null
-site_wait_revision 1 1 2
-
-load() {
-  site_call --key grower-key --hosts "$(site_hosts 2)" --rate 60 --length-ms 2000 \
-    --target /lote/status/1 >"$dir/load.json"
-}
+site_with_announced_upstream
 announce false >/dev/null
 site_wait_upstreams 2 2
 wait_shares 2
--- a/tests/process/lib.sh
+++ b/tests/process/lib.sh
@@ -107,3 +107,22 @@
     curl -s -o /dev/null -w '%{http_code}' --max-time 2 -X POST --data @- \
       "http://127.0.0.1:$(site_admin_port 1)/announce"
 }
+
+# A site of two hosts, each with an upstream. lote-1 serves and announces itself to
+# nobody, so that the test does it for it.
+site_with_announced_upstream() {
+  rules_with "$(organisation growers 1000 1000 grower-key)" >"$dir/rules"
+  site_store
+  site_host 1 aqp-1
+  site_host 2 aqp-1
+  site_upstream lote-1 lote 1 --slots 7 --run-log "$dir/runs.log" --daemon 127.0.0.1:1
+  site_upstream lote-2 lote 2 --slots 7 --run-log "$dir/runs.log"
+  site_ctl apply "$dir/rules" >/dev/null
+  site_wait_revision 1 1 2
+}
+
+# Two seconds of requests through host 2 of that site.
+load() {
+  site_call --key grower-key --hosts "$(site_hosts 2)" --rate 60 --length-ms 2000 \
+    --target /lote/status/1 >"$dir/load.json"
+}
