Crash evidence is kept in the store and survives a restart of all hosts

Cause: the evidence that a request crashes upstreams was in the memory of the hosts only, so a restart of all of them let it crash two to four more.

--- a/apps/kingcupstaird/daemon.cc
+++ b/apps/kingcupstaird/daemon.cc
@@ -119,6 +119,7 @@
            .known = [this] { return this->guard.KnownDepartures(); },
            .publish =
                [this] { this->directory.PublishOwn(this->OwnRecord()); }}),
+      evidence(this->fleet, this->gossip_loop),
       loan_loop(this->fleet),
       share_loop(this->fleet),
       host_loop(this->fleet, this->gossip_loop),
@@ -127,13 +128,21 @@
              .warm_up = this->settings.warm_up,
              .incarnation = [this] { return this->directory.OwnIncarnation(); },
              .isolated = [this] { return this->IsIsolated(); },
-             .departures_known = [this] { return this->departures.IsKnown(); },
+             .departures_known =
+                 [this] {
+                   return this->departures.IsKnown() &&
+                          this->evidence.IsWaitOver();
+                 },
              .on_departure =
                  [this](const std::string& departure) {
                    this->workers.Spawn([this, departure] {
                      this->departures.Keep(departure).IgnoreError();
                    });
                  },
+             .keep_evidence =
+                 [this](once::Fingerprint fingerprint) {
+                   this->evidence.Keep(fingerprint);
+                 },
              .header_names = this->header_names},
             this->config.snapshot(),
             this->crashes,
@@ -253,6 +262,8 @@
   this->SpawnLoop([this] { this->gossip_loop.Step(); });
   this->SpawnLoop([this] { this->departures.AskWitnessesStep(); });
   this->SpawnLoop([this] { this->departures.FollowStoreStep(); });
+  this->SpawnLoop([this] { this->evidence.FollowStoreStep(); });
+  this->SpawnLoop([this] { this->evidence.AskPeersStep(); });
   this->SpawnLoop([this] { this->loan_loop.Step(); });
   this->SpawnLoop([this] { this->share_loop.Step(); });
   if (this->interface.hosts_in_store) {
--- a/apps/kingcupstaird/daemon.h
+++ b/apps/kingcupstaird/daemon.h
@@ -12,6 +12,7 @@
 #include "components/control/config_loop.h"
 #include "components/control/departure_loop.h"
 #include "components/control/directory_keeper.h"
+#include "components/control/evidence_loop.h"
 #include "components/control/fleet.h"
 #include "components/control/gossip_loop.h"
 #include "components/control/host_loop.h"
@@ -86,6 +87,7 @@
   control::ConfigLoop config_loop;
   control::GossipLoop gossip_loop;
   control::DepartureLoop departures;
+  control::EvidenceLoop evidence;
   control::LoanLoop loan_loop;
   control::ShareLoop share_loop;
   control::HostLoop host_loop;
--- a/components/control/gossip_loop.h
+++ b/components/control/gossip_loop.h
@@ -36,6 +36,10 @@
   /// known here yet.
   void ContactNewHost(const std::string& host);
 
+  /// Probes `host` and processes the response, with the crash evidence in it.
+  /// Returns false if `host` did not respond.
+  bool ExchangeNow(const std::string& host) { return this->Exchange(host); }
+
   /// Sends the record of this host to `host`. Returns true if `host` has it.
   bool SendOwnRecord(const std::string& host, Duration timeout);
 
--- a/components/guard/guard.cc
+++ b/components/guard/guard.cc
@@ -150,7 +150,12 @@
   }
   const bool crashed =
       BrokeConnection(outcome) && !AcceptsConnections(target.endpoint);
-  return this->FinishRun(request, accepted.ticket, outcome, crashed);
+  rpc::RunResult result =
+      this->FinishRun(request, accepted.ticket, outcome, crashed);
+  if (ReplyOf(outcome) == RunReply::kNone) {
+    this->options.keep_evidence(request.fingerprint);
+  }
+  return result;
 }
 
 void Guard::ApplyNotice(const std::string& id,
@@ -345,10 +350,10 @@
   const Instant now = MonotonicNow();
   for (const CrashSuspect& suspect : suspects) {
     const bool is_new_evidence =
-        this->crashes.Add({.fingerprint = suspect.fingerprint,
-                           .upstream = Departures::StartName(
-                               announcement.id, announcement.incarnation)},
-                          now - suspect.at, now);
+        this->crashes.AddOwn({.fingerprint = suspect.fingerprint,
+                              .upstream = Departures::StartName(
+                                  announcement.id, announcement.incarnation)},
+                             now - suspect.at, now);
     if (is_new_evidence) {
       this->RecordUpstreamEvent(
           "upstream_crashed", announcement,
--- a/components/guard/guard.h
+++ b/components/guard/guard.h
@@ -74,12 +74,17 @@
     /// Returns true while this host must not take new requests.
     std::function<bool()> isolated;
     /// Returns true once this host knows the departures that its earlier
-    /// incarnations acknowledged. Its upstreams are not used before.
+    /// incarnations acknowledged, and has learned of earlier crashes or waited
+    /// for long enough. Its upstreams are not used before.
     std::function<bool()> departures_known = [] { return true; };
     /// Called with the name of a departure of which a response has told, if it
     /// was not known. Must not block.
     std::function<void(const std::string& departure)> on_departure =
         [](const std::string&) {};
+    /// Waits until evidence about a request is in the store, for a bounded
+    /// time. Called before the result of a run without a response is returned.
+    std::function<void(once::Fingerprint fingerprint)> keep_evidence =
+        [](once::Fingerprint) {};
     /// Names of the header fields exchanged with upstreams.
     std::shared_ptr<const HeaderNames> header_names =
         std::make_shared<const HeaderNames>();
--- a/components/guard/shared_crash_ledger.h
+++ b/components/guard/shared_crash_ledger.h
@@ -1,11 +1,14 @@
 #ifndef COMPONENTS_GUARD_SHARED_CRASH_LEDGER_H_
 #define COMPONENTS_GUARD_SHARED_CRASH_LEDGER_H_
 
+#include <cstddef>
+#include <cstdint>
 #include <mutex>
 #include <utility>
 #include <vector>
 
 #include "components/once/crash_ledger.h"
+#include "components/once/kept_evidence.h"
 
 namespace kingcupstair::guard {
 
@@ -22,6 +25,17 @@
     return is_new;
   }
 
+  /// Adds evidence of a crash that was found by this host.
+  bool AddOwn(const once::CrashEvidence& evidence, Duration age, Instant now) {
+    const std::lock_guard lock(this->mutex);
+    const bool is_new = this->ledger.Add(evidence, now - age, now);
+    if (is_new) {
+      this->has_news = true;
+      this->kept.OnNews(evidence.fingerprint, now);
+    }
+    return is_new;
+  }
+
   /// Returns whether evidence was added since the last call.
   bool TakeNews() {
     const std::lock_guard lock(this->mutex);
@@ -32,7 +46,11 @@
   /// if there was evidence about it.
   bool Clear(once::Fingerprint fingerprint, Instant now) {
     const std::lock_guard lock(this->mutex);
-    return this->ledger.Clear(fingerprint, now);
+    const bool cleared = this->ledger.Clear(fingerprint, now);
+    if (cleared) {
+      this->kept.OnNews(fingerprint, now);
+    }
+    return cleared;
   }
 
   /// Records that a peer cleared this evidence `age` before `now`.
@@ -71,11 +89,50 @@
   void Expire(Instant now) {
     const std::lock_guard lock(this->mutex);
     this->ledger.Expire(now);
+    this->kept.Expire(now);
+  }
+
+  /// Returns the evidence that is to be in the store.
+  once::EvidenceContent SelectForStore(Instant now, size_t max_pieces) const {
+    const std::lock_guard lock(this->mutex);
+    return once::SelectEvidence(this->ledger, now, max_pieces);
+  }
+
+  /// Returns false if this host has evidence or a clearance about the request
+  /// that is not in the store.
+  bool IsKept(once::Fingerprint fingerprint) const {
+    const std::lock_guard lock(this->mutex);
+    return this->kept.IsKept(fingerprint);
+  }
+
+  /// Returns true if this host has news that is not in the store.
+  bool IsWriteDue() const {
+    const std::lock_guard lock(this->mutex);
+    return this->kept.IsWriteDue();
+  }
+
+  /// Returns the number of the latest news of this host.
+  uint64_t LatestNews() const {
+    const std::lock_guard lock(this->mutex);
+    return this->kept.LatestNews();
+  }
+
+  /// Records that the store has the news of this host up to this number.
+  void OnKept(uint64_t news) {
+    const std::lock_guard lock(this->mutex);
+    this->kept.OnKept(news);
+  }
+
+  /// Records that the store may have lost what was written to it.
+  void OnStoreRestored() {
+    const std::lock_guard lock(this->mutex);
+    this->kept.OnStoreRestored();
   }
 
  private:
   mutable std::mutex mutex;
   once::CrashLedger ledger{{}};
+  once::KeptEvidence kept{once::CrashLedger::Options{}.lifetime};
   bool has_news = false;
 };
 
--- a/components/store/keys.h
+++ b/components/store/keys.h
@@ -28,6 +28,9 @@
   return "kingcupstair/departures/" + host;
 }
 
+/// Key of the crash evidence of the fleet.
+inline constexpr char kCrashEvidenceKey[] = "kingcupstair/crashes";
+
 /// Returns the key of a chunk of the configuration text.
 inline std::string ChunkKey(const std::string& id) {
   return "kingcupstair/chunk/" + id;
--- a/tests/guard/guard_test.cc
+++ b/tests/guard/guard_test.cc
@@ -26,11 +26,14 @@
   events::Recorder recorder{{.revision = [] { return 1; }}};
   bool departures_known = true;
   int departures_told = 0;
+  int waits_for_evidence = 0;
   Guard guard{
       {.incarnation = [] { return kIncarnation; },
        .isolated = [] { return false; },
        .departures_known = [this] { return this->departures_known; },
-       .on_departure = [this](const std::string&) { ++this->departures_told; }},
+       .on_departure = [this](const std::string&) { ++this->departures_told; },
+       .keep_evidence =
+           [this](once::Fingerprint) { ++this->waits_for_evidence; }},
       this->configuration,
       this->crashes,
       this->recorder};
@@ -122,6 +125,9 @@
   announcement.incarnation = "@3";
   this->guard.Announce(announcement);
   LONGS_EQUAL(2, this->crashes.CountCrashes(kFingerprint, MonotonicNow()));
+  // The next attempt comes when the evidence is in the store.
+  LONGS_EQUAL(2, this->waits_for_evidence);
+  CHECK_FALSE(this->crashes.IsKept(kFingerprint));
   close(upstream.socket);
 }
 
