--- a/apps/kingcupstaird/daemon.cc
+++ b/apps/kingcupstaird/daemon.cc
@@ -68,7 +68,7 @@
       recorder({.host = ToText(this->settings.peer_address),
                 .revision = [this] { return this->config.Revision(); }}),
       directory(
-          {},
+          {.load_scope = membership::LoadScopeFor(this->settings.link_mbps)},
           MakeHostRecord(MakeHostSettings(this->settings), this->incarnation)),
       rates({.host = ToText(this->settings.peer_address),
              .tolerance = this->settings.rate_tolerance,
@@ -324,9 +324,12 @@
 void Daemon::RefreshBoard() {
   const uint64_t digest = this->directory.Digest();
   const uint64_t revision = this->config.Revision();
-  if (digest == this->registry_digest && revision == this->registry_revision) {
+  const uint64_t load_count = this->directory.AppliedLoadCount();
+  if (digest == this->registry_digest && revision == this->registry_revision &&
+      load_count == this->registry_load_count) {
     return;
   }
+  this->registry_load_count = load_count;
   this->registry_digest = digest;
   this->registry_revision = revision;
   this->permits.UpdatePoolHosts();
--- a/apps/kingcupstaird/daemon.h
+++ b/apps/kingcupstaird/daemon.h
@@ -103,6 +103,7 @@
 
   /// Directory digest and revision of the last RefreshBoard().
   uint64_t registry_digest = 0;
+  uint64_t registry_load_count = 0;
   uint64_t registry_revision = 0;
   /// From the record that PublishOwn() built last; the pools are a bit mask.
   size_t published_upstream_count = 0;
--- a/apps/kingcupstaird/daemon_settings.cc
+++ b/apps/kingcupstaird/daemon_settings.cc
@@ -105,6 +105,10 @@
   flags.Add({.name = "rate-slack",
              .help = "requests by which an organisation may exceed its burst",
              .set = settings::SetNumber(settings.rate_slack)});
+  flags.Add({.name = "link-mbps",
+             .help = "bandwidth of this host's network link in Mbit/s; 0: not "
+                     "known",
+             .set = settings::SetNumber(settings.link_mbps)});
   flags.Add({.name = "leave-ms",
              .help = "milliseconds for which a leaving host still accepts "
                      "requests, 0 to 60000; half of stop-grace-ms at most",
--- a/apps/kingcupstaird/daemon_settings.h
+++ b/apps/kingcupstaird/daemon_settings.h
@@ -45,6 +45,8 @@
   retry::RetryBudget::Options retries;
   /// How upstreams that announce when they are cold warm up.
   admission::RateLimitedWarmUp warm_up;
+  /// Bandwidth of the network link of this host in Mbit/s; 0 if not known.
+  double link_mbps = 0;
   /// How far the site lets an organisation exceed its rate limit: a fraction of
   /// rate and burst, and a number of requests on top of the burst.
   double rate_tolerance = 0;
--- a/components/control/directory_keeper.cc
+++ b/components/control/directory_keeper.cc
@@ -22,6 +22,27 @@
   return changed;
 }
 
+void DirectoryKeeper::MergeLoads(
+    const std::vector<membership::LoadUpdate>& updates) {
+  const std::lock_guard lock(this->mutex);
+  this->directory.MergeLoads(updates, MonotonicNow());
+}
+
+std::vector<membership::LoadUpdate> DirectoryKeeper::RecentLoads() const {
+  const std::lock_guard lock(this->mutex);
+  return this->directory.RecentLoads(MonotonicNow());
+}
+
+uint64_t DirectoryKeeper::AppliedLoadCount() const {
+  const std::lock_guard lock(this->mutex);
+  return this->directory.applied_load_count();
+}
+
+bool DirectoryKeeper::IsInOwnZone(const std::string& host) const {
+  const std::lock_guard lock(this->mutex);
+  return this->directory.IsInOwnZone(host);
+}
+
 void DirectoryKeeper::MarkSuspect(const std::string& host) {
   const std::lock_guard lock(this->mutex);
   this->directory.MarkSuspect(host, MonotonicNow());
--- a/components/control/directory_keeper.h
+++ b/components/control/directory_keeper.h
@@ -24,6 +24,10 @@
   /// directory.
   int Merge(const std::vector<membership::HostUpdate>& updates);
 
+  void MergeLoads(const std::vector<membership::LoadUpdate>& updates);
+  std::vector<membership::LoadUpdate> RecentLoads() const;
+  uint64_t AppliedLoadCount() const;
+  bool IsInOwnZone(const std::string& host) const;
   void MarkSuspect(const std::string& host);
   void MarkLeaving(const std::string& host);
   bool IsAlive(const std::string& host) const;
--- a/components/control/gossip_loop.cc
+++ b/components/control/gossip_loop.cc
@@ -112,7 +112,7 @@
 
 bool GossipLoop::Exchange(const std::string& host) {
   const auto reply =
-      this->fleet.peers.Gossip(host, this->MakeMessage(), kProbeTimeout);
+      this->fleet.peers.Gossip(host, this->MakeMessage(host), kProbeTimeout);
   if (!reply.ok()) {
     return false;
   }
@@ -149,7 +149,7 @@
   if (host_hashes.empty()) {
     return;
   }
-  rpc::GossipMessage message = this->MakeMessage();
+  rpc::GossipMessage message = this->MakeMessage(host);
   message.updates = this->fleet.directory.FindByHash(host_hashes);
   this->fleet.peers.Gossip(host, message, kSyncTimeout).status().IgnoreError();
 }
@@ -219,14 +219,14 @@
 }
 
 bool GossipLoop::SendOwnRecord(const std::string& host, Duration timeout) {
-  rpc::GossipMessage message = this->MakeMessage();
+  rpc::GossipMessage message = this->MakeMessage(host);
   message.updates =
       this->fleet.directory.FindByHash({StableHash(this->fleet.settings.host)});
   return this->fleet.peers.Gossip(host, message, timeout).ok();
 }
 
 bool GossipLoop::CanReach(const std::string& host) {
-  return this->fleet.peers.Gossip(host, this->MakeMessage(), kProbeTimeout)
+  return this->fleet.peers.Gossip(host, this->MakeMessage(host), kProbeTimeout)
       .ok();
 }
 
@@ -249,7 +249,7 @@
 
 rpc::GossipMessage GossipLoop::OnGossip(const rpc::GossipMessage& message) {
   this->MergeMessage(message);
-  rpc::GossipMessage reply = this->MakeMessage();
+  rpc::GossipMessage reply = this->MakeMessage(message.host);
   if (reply.digest != message.digest) {
     reply.wanted = this->fleet.directory.OutdatedAmongRecent(message.recent);
     reply.updates = this->fleet.directory.RecentUpdatesNewerThan(
@@ -268,7 +268,7 @@
   return peers.extract(std::prev(peers.end())).mapped();
 }
 
-rpc::GossipMessage GossipLoop::MakeMessage() {
+rpc::GossipMessage GossipLoop::MakeMessage(const std::string& receiver) {
   const Instant now = MonotonicNow();
   const uint64_t round = this->messages_made++;
   return {.host = this->fleet.settings.host,
@@ -276,6 +276,9 @@
           .revision = this->fleet.config.Revision(),
           .store_era = this->fleet.store.era(),
           .recent = this->fleet.directory.RecentVersions(),
+          .loads = this->fleet.directory.IsInOwnZone(receiver)
+                       ? this->fleet.directory.RecentLoads()
+                       : std::vector<membership::LoadUpdate>(),
           .crashes = once::SelectRumors(this->fleet.crashes.Current(now),
                                         kMaxCrashEvidencePerMessage, round),
           .clearances = once::SelectRumors(this->fleet.crashes.Clearances(now),
@@ -287,6 +290,7 @@
   this->fleet.isolation.RecordContact(now);
   this->fleet.store.RecordEra(message.store_era);
   this->fleet.directory.Merge(message.updates);
+  this->fleet.directory.MergeLoads(message.loads);
   for (const once::AgedEvidence& cleared : message.clearances) {
     this->fleet.crashes.AddClearance(cleared.evidence, cleared.age, now);
   }
--- a/components/control/gossip_loop.h
+++ b/components/control/gossip_loop.h
@@ -48,7 +48,7 @@
   std::optional<std::string> TakePeerWithNewerRevision();
 
  private:
-  rpc::GossipMessage MakeMessage();
+  rpc::GossipMessage MakeMessage(const std::string& receiver);
   /// Merges the updates, the crash evidence and the revision of a peer.
   void MergeMessage(const rpc::GossipMessage& message);
   /// Probes `host` and processes the response. Returns false if `host` did not
--- a/components/membership/directory.cc
+++ b/components/membership/directory.cc
@@ -36,10 +36,20 @@
   Member& member = this->members[this->own_host];
   changed.incarnation = member.update.record.incarnation;
   changed.version = member.update.record.version;
+  changed.load_sequence = member.update.record.load_sequence;
   if (changed == member.update.record) {
     return false;
   }
+  if (this->options.load_scope == LoadScope::kZone &&
+      HasSameUpstreams(changed, member.update.record) &&
+      now - member.changed_at < this->options.fleet_load_interval) {
+    ++changed.load_sequence;
+    member.update.record = std::move(changed);
+    member.loads_changed_at = now;
+    return true;
+  }
   ++changed.version;
+  changed.load_sequence = 0;
   member.update.record = std::move(changed);
   member.changed_at = now;
   return true;
@@ -70,6 +80,45 @@
   return true;
 }
 
+void Directory::MergeLoads(const std::vector<LoadUpdate>& updates,
+                           Instant now) {
+  std::map<uint64_t, const LoadUpdate*> by_host;
+  for (const LoadUpdate& update : updates) {
+    by_host[update.host_hash] = &update;
+  }
+  for (auto& [host, member] : this->members) {
+    const auto found = by_host.find(member.hash);
+    if (found != by_host.end() && host != this->own_host &&
+        ApplyLoads(*found->second, member.update.record)) {
+      member.loads_changed_at = now;
+      ++this->load_count;
+    }
+  }
+}
+
+std::vector<LoadUpdate> Directory::RecentLoads(Instant now) const {
+  std::vector<LoadUpdate> recent;
+  const std::string& zone = this->own().zone;
+  for (const auto& [host, member] : this->members) {
+    const HostRecord& record = member.update.record;
+    if (record.load_sequence > 0 && record.zone == zone &&
+        now - member.loads_changed_at < this->options.load_gossip_duration) {
+      recent.push_back({.host_hash = member.hash,
+                        .incarnation = record.incarnation,
+                        .version = record.version,
+                        .sequence = record.load_sequence,
+                        .loads = LoadsOf(record)});
+    }
+  }
+  return recent;
+}
+
+bool Directory::IsInOwnZone(const std::string& host) const {
+  const auto found = this->members.find(host);
+  return found != this->members.end() &&
+         found->second.update.record.zone == this->own().zone;
+}
+
 // A peer has a newer version of this host's record in two cases: the peer
 // suspects this host or counts it as dead, or the wall clock stepped back and
 // an earlier incarnation at this address had the higher number. This host then
--- a/components/membership/directory.h
+++ b/components/membership/directory.h
@@ -9,6 +9,7 @@
 #include "components/base/time.h"
 #include "components/limits/shard.h"
 #include "components/membership/host_record.h"
+#include "components/membership/load_update.h"
 
 namespace kingcupstair::membership {
 
@@ -48,12 +49,20 @@
     /// Time for which departures of a host's earlier incarnation are kept after
     /// a record of its next incarnation has arrived.
     Duration departure_retention{std::chrono::seconds(60)};
+    LoadScope load_scope = LoadScope::kFleet;
+    /// With LoadScope::kZone, a change of the loads raises the version after
+    /// this time all the same, so that other zones have no older loads.
+    Duration fleet_load_interval{std::chrono::seconds(30)};
+    /// Time for which probes within the zone carry a changed load.
+    Duration load_gossip_duration{std::chrono::seconds(10)};
   };
 
   Directory(Options options, HostRecord own, Instant now);
 
-  /// Replaces the record of this host and raises its version. The incarnation
-  /// and version in `own` are ignored. Returns false if nothing else changed.
+  /// Replaces the record of this host and raises its version, or with
+  /// LoadScope::kZone its load sequence if only loads changed. The incarnation,
+  /// version and load sequence in `own` are ignored. Returns false if nothing
+  /// else changed.
   bool UpdateOwn(HostRecord own, Instant now);
 
   /// Applies an update from a peer. Returns true if the update is about another
@@ -62,6 +71,21 @@
   /// and the function returns false.
   bool Merge(const HostUpdate& update, Instant now);
 
+  /// Applies load updates from a peer. Updates for a record version that is not
+  /// known here are ignored.
+  void MergeLoads(const std::vector<LoadUpdate>& updates, Instant now);
+
+  /// Returns the loads of hosts of the own zone that changed within
+  /// `load_gossip_duration`. Empty with LoadScope::kFleet.
+  std::vector<LoadUpdate> RecentLoads(Instant now) const;
+
+  /// Returns how many load updates were applied. Changes of loads don't change
+  /// the digest.
+  uint64_t applied_load_count() const { return this->load_count; }
+
+  /// Returns whether `host` is known and in the zone of this host.
+  bool IsInOwnZone(const std::string& host) const;
+
   /// Marks `host` as suspect if it is alive. To be called when `host` did not
   /// respond over any path. Has no effect on this host itself.
   void MarkSuspect(const std::string& host, Instant now);
@@ -135,6 +159,8 @@
     uint64_t hash = 0;
     /// Time at which the record or the liveness last changed here.
     Instant changed_at;
+    /// Time at which the loads last changed here without a new version.
+    Instant loads_changed_at;
     /// Departures in records of earlier incarnations, in order.
     std::vector<std::string> former_departures;
     /// Time at which the first record of the present incarnation arrived.
@@ -150,6 +176,7 @@
 
   Options options;
   std::string own_host;
+  uint64_t load_count = 0;
   std::map<std::string, Member> members;
 };
 
--- a/components/membership/host_record.h
+++ b/components/membership/host_record.h
@@ -38,6 +38,9 @@
   uint64_t incarnation = 0;
   /// Increases with each change within an incarnation.
   uint64_t version = 0;
+  /// Number of the loads in `upstreams` within this version. Increases with
+  /// each load update.
+  uint64_t load_sequence = 0;
   std::string zone;
   std::string region;
   std::string admin;
--- a/components/rpc/convert.cc
+++ b/components/rpc/convert.cc
@@ -29,6 +29,7 @@
   out.setLiveness(static_cast<uint8_t>(update.liveness));
   out.setLeaving(record.leaving);
   out.setPools(record.pools);
+  out.setLoadSequence(static_cast<uint32_t>(record.load_sequence));
   out.setZone(record.zone);
   out.setRegion(record.region);
   out.setAdmin(record.admin);
@@ -44,15 +45,17 @@
 }
 
 membership::HostUpdate ReadHostUpdate(wire::HostUpdate::Reader in) {
-  membership::HostUpdate update{.record = {.host = ToString(in.getHost()),
-                                           .incarnation = in.getIncarnation(),
-                                           .version = in.getVersion(),
-                                           .zone = ToString(in.getZone()),
-                                           .region = ToString(in.getRegion()),
-                                           .admin = ToString(in.getAdmin()),
-                                           .leaving = in.getLeaving(),
-                                           .pools = in.getPools()},
-                                .liveness = ToLiveness(in.getLiveness())};
+  membership::HostUpdate update{
+      .record = {.host = ToString(in.getHost()),
+                 .incarnation = in.getIncarnation(),
+                 .version = in.getVersion(),
+                 .load_sequence = in.getLoadSequence(),
+                 .zone = ToString(in.getZone()),
+                 .region = ToString(in.getRegion()),
+                 .admin = ToString(in.getAdmin()),
+                 .leaving = in.getLeaving(),
+                 .pools = in.getPools()},
+      .liveness = ToLiveness(in.getLiveness())};
   for (const auto upstream : in.getUpstreams()) {
     if (upstream.getService().size() == 0) {
       update.record.departures.push_back(ToString(upstream.getId()));
@@ -87,6 +90,51 @@
   return recent;
 }
 
+void WriteLoads(const std::vector<membership::LoadUpdate>& updates,
+                capnp::List<wire::HostLoad>::Builder out) {
+  for (unsigned i = 0; i < updates.size(); ++i) {
+    const membership::LoadUpdate& update = updates[i];
+    out[i].setHostHash(update.host_hash);
+    out[i].setIncarnation(update.incarnation);
+    out[i].setVersion(static_cast<uint32_t>(update.version));
+    out[i].setSequence(static_cast<uint32_t>(update.sequence));
+    auto loads = out[i].initLoads(static_cast<unsigned>(update.loads.size()));
+    for (unsigned j = 0; j < update.loads.size(); ++j) {
+      const membership::UpstreamLoad& load = update.loads[j];
+      loads[j].setLimit(static_cast<uint16_t>(load.limit));
+      loads[j].setLatencyMicros(ClampToUint32(load.latency.count()));
+      loads[j].setErrorPermille(
+          static_cast<uint16_t>(load.error_share * kPermille));
+      loads[j].setFailurePermille(
+          static_cast<uint16_t>(load.failure_probability * kPermille));
+      loads[j].setFinished(load.finished);
+      loads[j].setNamedRate(load.named_rate);
+    }
+  }
+}
+
+std::vector<membership::LoadUpdate> ReadLoads(
+    capnp::List<wire::HostLoad>::Reader in) {
+  std::vector<membership::LoadUpdate> updates;
+  for (const auto host : in) {
+    membership::LoadUpdate update{.host_hash = host.getHostHash(),
+                                  .incarnation = host.getIncarnation(),
+                                  .version = host.getVersion(),
+                                  .sequence = host.getSequence()};
+    for (const auto load : host.getLoads()) {
+      update.loads.push_back(
+          {.limit = load.getLimit(),
+           .latency = Duration(load.getLatencyMicros()),
+           .error_share = load.getErrorPermille() / kPermille,
+           .finished = load.getFinished(),
+           .failure_probability = load.getFailurePermille() / kPermille,
+           .named_rate = load.getNamedRate()});
+    }
+    updates.push_back(std::move(update));
+  }
+  return updates;
+}
+
 }  // namespace
 
 void Write(const GossipMessage& message, wire::Gossip::Builder out) {
@@ -101,6 +149,8 @@
       out.initRecent(static_cast<unsigned>(message.recent.size())));
   WriteHashes(message.wanted,
               out.initWanted(static_cast<unsigned>(message.wanted.size())));
+  WriteLoads(message.loads,
+             out.initLoads(static_cast<unsigned>(message.loads.size())));
   auto crashes = out.initCrashes(static_cast<unsigned>(message.crashes.size()));
   for (unsigned i = 0; i < message.crashes.size(); ++i) {
     const once::AgedEvidence& aged = message.crashes[i];
@@ -125,7 +175,8 @@
                         .store_era = in.getStoreEra(),
                         .recent = ReadRecentVersions(in.getRecent()),
                         .wanted = ReadHashes(in.getWanted()),
-                        .updates = Read(in.getUpdates())};
+                        .updates = Read(in.getUpdates()),
+                        .loads = ReadLoads(in.getLoads())};
   for (const auto crash : in.getCrashes()) {
     message.crashes.push_back(
         {.evidence = {.fingerprint = crash.getFingerprint(),
--- a/components/rpc/messages.h
+++ b/components/rpc/messages.h
@@ -9,6 +9,7 @@
 #include "components/limits/share_lender.h"
 #include "components/membership/directory.h"
 #include "components/membership/host_record.h"
+#include "components/membership/load_update.h"
 #include "components/once/crash_ledger.h"
 #include "components/once/outcome.h"
 #include "components/once/run_ledger.h"
@@ -78,6 +79,8 @@
   /// Hashes of the hosts whose records the sender requests.
   std::vector<uint64_t> wanted;
   std::vector<membership::HostUpdate> updates;
+  /// Only in messages between hosts of one availability zone.
+  std::vector<membership::LoadUpdate> loads;
   std::vector<once::AgedEvidence> crashes;
   /// Evidence that was cleared.
   std::vector<once::AgedEvidence> clearances;
--- a/components/rpc/peer.capnp
+++ b/components/rpc/peer.capnp
@@ -123,6 +123,27 @@
   wanted @6 :List(UInt64);
   clearances @7 :List(Clearance);
   storeEra @8 :UInt64;
+  loads @9 :List(HostLoad);
+  # Only between hosts of one availability zone.
+}
+
+struct HostLoad {
+  # Loads of the upstreams in the record of a host, in the order of the record.
+
+  hostHash @0 :UInt64;
+  incarnation @1 :UInt64;
+  version @2 :UInt32;
+  sequence @3 :UInt32;
+  loads @4 :List(UpstreamLoad);
+}
+
+struct UpstreamLoad {
+  limit @0 :UInt16;
+  errorPermille @1 :UInt16;
+  failurePermille @2 :UInt16;
+  latencyMicros @3 :UInt32;
+  finished @4 :UInt64;
+  namedRate @5 :Float64;
 }
 
 struct RecentVersion {
@@ -152,6 +173,7 @@
   # An entry without a service is the departure of an upstream: its id names the
   # start of the upstream that has left. No route leads to it.
   pools @9 :UInt32;
+  loadSequence @10 :UInt32;
 }
 
 struct Upstream {
--- a/components/rpc/peer.capnp.h
+++ b/components/rpc/peer.capnp.h
@@ -56,6 +56,8 @@
 CAPNP_DECLARE_SCHEMA(fa7f906901066f7a);
 CAPNP_DECLARE_SCHEMA(e503ce3515f34194);
 CAPNP_DECLARE_SCHEMA(d9899d4dcf2f46c0);
+CAPNP_DECLARE_SCHEMA(8599461e267fda87);
+CAPNP_DECLARE_SCHEMA(d5e37ec43a006092);
 CAPNP_DECLARE_SCHEMA(e8e7866678329ec0);
 CAPNP_DECLARE_SCHEMA(d7533715fca8b6f7);
 CAPNP_DECLARE_SCHEMA(cacea78627fbf470);
@@ -666,7 +668,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d9899d4dcf2f46c0, 3, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(d9899d4dcf2f46c0, 3, 7)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct HostLoad {
+  HostLoad() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8599461e267fda87, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct UpstreamLoad {
+  UpstreamLoad() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d5e37ec43a006092, 4, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -711,7 +743,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cacea78627fbf470, 3, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(cacea78627fbf470, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -4190,6 +4222,9 @@
 
   inline  ::uint64_t getStoreEra() const;
 
+  inline bool hasLoads() const;
+  inline  ::capnp::List< ::kingcupstair::rpc::wire::HostLoad,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4270,6 +4305,13 @@
   inline  ::uint64_t getStoreEra();
   inline void setStoreEra( ::uint64_t value);
 
+  inline bool hasLoads();
+  inline  ::capnp::List< ::kingcupstair::rpc::wire::HostLoad,  ::capnp::Kind::STRUCT>::Builder getLoads();
+  inline void setLoads( ::capnp::List< ::kingcupstair::rpc::wire::HostLoad,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::kingcupstair::rpc::wire::HostLoad,  ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
+  inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::HostLoad,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::HostLoad,  ::capnp::Kind::STRUCT>> disownLoads();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4296,6 +4338,208 @@
 };
 #endif  // !CAPNP_LITE
 
+class HostLoad::Reader {
+public:
+  typedef HostLoad Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getHostHash() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline  ::uint32_t getVersion() const;
+
+  inline  ::uint32_t getSequence() const;
+
+  inline bool hasLoads() const;
+  inline  ::capnp::List< ::kingcupstair::rpc::wire::UpstreamLoad,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class HostLoad::Builder {
+public:
+  typedef HostLoad Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getHostHash();
+  inline void setHostHash( ::uint64_t value);
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline  ::uint32_t getVersion();
+  inline void setVersion( ::uint32_t value);
+
+  inline  ::uint32_t getSequence();
+  inline void setSequence( ::uint32_t value);
+
+  inline bool hasLoads();
+  inline  ::capnp::List< ::kingcupstair::rpc::wire::UpstreamLoad,  ::capnp::Kind::STRUCT>::Builder getLoads();
+  inline void setLoads( ::capnp::List< ::kingcupstair::rpc::wire::UpstreamLoad,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::kingcupstair::rpc::wire::UpstreamLoad,  ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
+  inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::UpstreamLoad,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::UpstreamLoad,  ::capnp::Kind::STRUCT>> disownLoads();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class HostLoad::Pipeline {
+public:
+  typedef HostLoad Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class UpstreamLoad::Reader {
+public:
+  typedef UpstreamLoad Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint16_t getLimit() const;
+
+  inline  ::uint16_t getErrorPermille() const;
+
+  inline  ::uint16_t getFailurePermille() const;
+
+  inline  ::uint32_t getLatencyMicros() const;
+
+  inline  ::uint64_t getFinished() const;
+
+  inline double getNamedRate() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class UpstreamLoad::Builder {
+public:
+  typedef UpstreamLoad Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint16_t getLimit();
+  inline void setLimit( ::uint16_t value);
+
+  inline  ::uint16_t getErrorPermille();
+  inline void setErrorPermille( ::uint16_t value);
+
+  inline  ::uint16_t getFailurePermille();
+  inline void setFailurePermille( ::uint16_t value);
+
+  inline  ::uint32_t getLatencyMicros();
+  inline void setLatencyMicros( ::uint32_t value);
+
+  inline  ::uint64_t getFinished();
+  inline void setFinished( ::uint64_t value);
+
+  inline double getNamedRate();
+  inline void setNamedRate(double value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class UpstreamLoad::Pipeline {
+public:
+  typedef UpstreamLoad Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class RecentVersion::Reader {
 public:
   typedef RecentVersion Reads;
@@ -4525,6 +4769,8 @@
 
   inline  ::uint32_t getPools() const;
 
+  inline  ::uint32_t getLoadSequence() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4603,6 +4849,9 @@
   inline  ::uint32_t getPools();
   inline void setPools( ::uint32_t value);
 
+  inline  ::uint32_t getLoadSequence();
+  inline void setLoadSequence( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -8417,6 +8666,214 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Gossip::Reader::hasLoads() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool Gossip::Builder::hasLoads() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::kingcupstair::rpc::wire::HostLoad,  ::capnp::Kind::STRUCT>::Reader Gossip::Reader::getLoads() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::HostLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::kingcupstair::rpc::wire::HostLoad,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::getLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::HostLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void Gossip::Builder::setLoads( ::capnp::List< ::kingcupstair::rpc::wire::HostLoad,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::HostLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::kingcupstair::rpc::wire::HostLoad,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::initLoads(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::HostLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void Gossip::Builder::adoptLoads(
+    ::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::HostLoad,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::HostLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::HostLoad,  ::capnp::Kind::STRUCT>> Gossip::Builder::disownLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::HostLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t HostLoad::Reader::getHostHash() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HostLoad::Builder::getHostHash() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void HostLoad::Builder::setHostHash( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t HostLoad::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HostLoad::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void HostLoad::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t HostLoad::Reader::getVersion() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t HostLoad::Builder::getVersion() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void HostLoad::Builder::setVersion( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t HostLoad::Reader::getSequence() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t HostLoad::Builder::getSequence() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void HostLoad::Builder::setSequence( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HostLoad::Reader::hasLoads() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool HostLoad::Builder::hasLoads() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::kingcupstair::rpc::wire::UpstreamLoad,  ::capnp::Kind::STRUCT>::Reader HostLoad::Reader::getLoads() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::UpstreamLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::kingcupstair::rpc::wire::UpstreamLoad,  ::capnp::Kind::STRUCT>::Builder HostLoad::Builder::getLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::UpstreamLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void HostLoad::Builder::setLoads( ::capnp::List< ::kingcupstair::rpc::wire::UpstreamLoad,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::UpstreamLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::kingcupstair::rpc::wire::UpstreamLoad,  ::capnp::Kind::STRUCT>::Builder HostLoad::Builder::initLoads(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::UpstreamLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void HostLoad::Builder::adoptLoads(
+    ::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::UpstreamLoad,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::UpstreamLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::UpstreamLoad,  ::capnp::Kind::STRUCT>> HostLoad::Builder::disownLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::UpstreamLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint16_t UpstreamLoad::Reader::getLimit() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t UpstreamLoad::Builder::getLimit() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLoad::Builder::setLimit( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t UpstreamLoad::Reader::getErrorPermille() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t UpstreamLoad::Builder::getErrorPermille() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLoad::Builder::setErrorPermille( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t UpstreamLoad::Reader::getFailurePermille() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t UpstreamLoad::Builder::getFailurePermille() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLoad::Builder::setFailurePermille( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t UpstreamLoad::Reader::getLatencyMicros() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t UpstreamLoad::Builder::getLatencyMicros() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLoad::Builder::setLatencyMicros( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t UpstreamLoad::Reader::getFinished() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t UpstreamLoad::Builder::getFinished() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLoad::Builder::setFinished( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline double UpstreamLoad::Reader::getNamedRate() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline double UpstreamLoad::Builder::getNamedRate() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLoad::Builder::setNamedRate(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t RecentVersion::Reader::getHostHash() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -8789,6 +9246,20 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t HostUpdate::Reader::getLoadSequence() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t HostUpdate::Builder::getLoadSequence() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void HostUpdate::Builder::setLoadSequence( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Upstream::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
