Wire: work class, body size and remaining work

SlotRequest and Run carry the work class of the request, SlotRequest also the size of its body, and Upstream the expected time until a new request gets a slot. 0 means unknown, as sent by peers without the fields. The ingress fills work class and body size. Nothing decides by them yet. A change of the remaining work alone publishes no record.

--- a/components/health/upstream_view.h
+++ b/components/health/upstream_view.h
@@ -22,6 +22,8 @@
   int limit = 1;
   int slots = 1;
   Duration latency{};
+  /// Expected time until a new request gets a slot; 0 if not known.
+  Duration remaining_work{};
   /// Fraction of failed requests, 0 to 1.
   double error_share = 0;
   /// Requests finished since the upstream started.
--- a/components/ingress/fleet_board.cc
+++ b/components/ingress/fleet_board.cc
@@ -32,6 +32,7 @@
           .limit = upstream.limit,
           .slots = upstream.slots,
           .latency = upstream.latency,
+          .remaining_work = upstream.remaining_work,
           .error_share = upstream.error_share,
           .finished = upstream.finished,
           .failure_probability = upstream.failure_probability};
@@ -145,6 +146,7 @@
   view.queued = result.queued;
   view.limit = result.report.limit;
   view.latency = result.report.latency;
+  view.remaining_work = result.report.remaining_work;
   view.error_share = result.report.error_share;
   view.finished = result.report.finished;
   view.failure_probability = result.report.failure_probability;
--- a/components/ingress/request_run.cc
+++ b/components/ingress/request_run.cc
@@ -11,6 +11,7 @@
 #include "components/fibers/await.h"
 #include "components/fibers/worker_pool.h"
 #include "components/ingress/slot_search.h"
+#include "components/ingress/work_class.h"
 #include "components/retry/hedge_time.h"
 
 namespace kingcupstair::ingress {
@@ -80,6 +81,9 @@
 RequestRun::RequestRun(Context context, const AdmittedRequest& admitted)
     : context(std::move(context)),
       admitted(admitted),
+      work_class(WorkClassOf(admitted.route,
+                             admitted.service,
+                             admitted.request.method)),
       results(std::make_shared<Results>()) {}
 
 std::optional<once::Outcome> RequestRun::Execute() {
@@ -290,6 +294,8 @@
                            ? this->context.registry.HalfMeanInFlight(
                                  this->admitted.service, MonotonicNow())
                            : once::kUnlimitedInFlight,
+      .work_class = this->work_class,
+      .body_bytes = this->admitted.request.body.size(),
       .max_wait = waits ? this->MaxQueueWait() : Duration{},
       .remaining_time = this->RemainingTime()};
   const rpc::SlotAnswer answer =
@@ -405,6 +411,7 @@
               this->has_reached_upstream || this->running.size() > 1
                   ? 1
                   : this->admitted.repeat_probability,
+          .work_class = this->work_class,
           .request = this->admitted.request};
 }
 
--- a/components/ingress/request_run.h
+++ b/components/ingress/request_run.h
@@ -1,6 +1,7 @@
 #ifndef COMPONENTS_INGRESS_REQUEST_RUN_H_
 #define COMPONENTS_INGRESS_REQUEST_RUN_H_
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -108,6 +109,7 @@
 
   Context context;
   const AdmittedRequest& admitted;
+  uint64_t work_class;
   std::shared_ptr<Results> results;
   std::string next_attempt_id;
   std::map<std::string, Attempt> running;
--- a/components/membership/directory.cc
+++ b/components/membership/directory.cc
@@ -36,7 +36,13 @@
   Member& member = this->members[this->own_host];
   changed.incarnation = member.update.record.incarnation;
   changed.version = member.update.record.version;
-  if (changed == member.update.record) {
+  HostRecord before = member.update.record;
+  if (before.upstreams.size() == changed.upstreams.size()) {
+    for (size_t i = 0; i < before.upstreams.size(); ++i) {
+      before.upstreams[i].remaining_work = changed.upstreams[i].remaining_work;
+    }
+  }
+  if (changed == before) {
     return false;
   }
   ++changed.version;
--- a/components/membership/directory.h
+++ b/components/membership/directory.h
@@ -53,7 +53,8 @@
   Directory(Options options, HostRecord own, Instant now);
 
   /// Replaces the record of this host and raises its version. The incarnation
-  /// and version in `own` are ignored. Returns false if nothing else changed.
+  /// and version in `own` are ignored. Returns false if nothing else changed,
+  /// or only the remaining work of upstreams.
   bool UpdateOwn(HostRecord own, Instant now);
 
   /// Applies an update from a peer. Returns true if the update is about another
--- a/components/membership/host_record.h
+++ b/components/membership/host_record.h
@@ -26,6 +26,9 @@
   double failure_probability = 0;
   /// Limit on new requests a second that the upstream has named; 0 for none.
   double named_rate = 0;
+  /// Expected time until a new request gets a slot; 0 if not known. Not
+  /// published on its own.
+  Duration remaining_work{};
 
   bool operator==(const UpstreamRecord&) const = default;
 };
--- a/components/once/run_request.h
+++ b/components/once/run_request.h
@@ -43,6 +43,11 @@
   /// Limit on new requests a second that the upstream named in the last
   /// response that this ingress passed on; 0 for none.
   double named_rate = 0;
+  /// Requests with the same number need about the same time to run; 0 if not
+  /// known.
+  uint64_t work_class = 0;
+  /// Size of the request's body.
+  uint64_t body_bytes = 0;
   /// Timeout of the wait for a slot. Zero accepts only a slot that is free now.
   Duration max_wait{};
   /// Remaining time until the request's deadline.
@@ -74,6 +79,8 @@
   /// Probability that this run repeats an earlier one: 1 for a retry or hedge,
   /// and for the first attempt of a call that of the run which made the call.
   double repeat_probability = 0;
+  /// As in SlotRequest.
+  uint64_t work_class = 0;
   http::Request request;
 
   bool operator==(const RunRequest&) const = default;
--- a/components/rpc/convert.cc
+++ b/components/rpc/convert.cc
@@ -206,6 +206,7 @@
   out.setErrorPermille(static_cast<uint16_t>(record.error_share * kPermille));
   out.setFinished(record.finished);
   out.setNamedRate(record.named_rate);
+  out.setRemainingMicros(ClampToUint32(record.remaining_work.count()));
   out.setFailurePermille(
       static_cast<uint16_t>(record.failure_probability * kPermille));
 }
@@ -219,7 +220,8 @@
           .error_share = in.getErrorPermille() / kPermille,
           .finished = in.getFinished(),
           .failure_probability = in.getFailurePermille() / kPermille,
-          .named_rate = in.getNamedRate()};
+          .named_rate = in.getNamedRate(),
+          .remaining_work = Duration(in.getRemainingMicros())};
 }
 
 void Write(const limits::PermitGrant& grant, wire::Grant::Builder out) {
--- a/components/rpc/convert_run.cc
+++ b/components/rpc/convert_run.cc
@@ -114,6 +114,8 @@
   out.setObjectiveMicros(ToMicros(request.objective));
   out.setMostInFlight(static_cast<uint16_t>(request.max_in_flight));
   out.setNamedRate(request.named_rate);
+  out.setWorkClass(request.work_class);
+  out.setBodyBytes(request.body_bytes);
   out.setMaxWaitMicros(ToMicros(request.max_wait));
   out.setTimeLeftMicros(ToMicros(request.remaining_time));
 }
@@ -130,6 +132,8 @@
           .objective = FromMicros(in.getObjectiveMicros()),
           .max_in_flight = in.getMostInFlight(),
           .named_rate = in.getNamedRate(),
+          .work_class = in.getWorkClass(),
+          .body_bytes = in.getBodyBytes(),
           .max_wait = FromMicros(in.getMaxWaitMicros()),
           .remaining_time = FromMicros(in.getTimeLeftMicros())};
 }
@@ -162,6 +166,7 @@
   out.setObjectiveMicros(ToMicros(request.objective));
   out.setCallerService(request.caller_service);
   out.setRepeatProbability(request.repeat_probability);
+  out.setWorkClass(request.work_class);
   out.setTimeLeftMicros(ToMicros(request.remaining_time));
   out.setMethod(request.request.method);
   out.setTarget(request.request.target);
@@ -183,6 +188,7 @@
           .objective = FromMicros(in.getObjectiveMicros()),
           .caller_service = ToString(in.getCallerService()),
           .repeat_probability = in.getRepeatProbability(),
+          .work_class = in.getWorkClass(),
           .request = {.method = ToString(in.getMethod()),
                       .target = ToString(in.getTarget()),
                       .headers = ReadHeaders(in.getHeaders()),
--- a/components/rpc/peer.capnp
+++ b/components/rpc/peer.capnp
@@ -104,6 +104,11 @@
   namedRate @12 :Float64;
   # Limit that the sender last heard the upstream name; 0 for none. A receiver
   # that has restarted learns it from here.
+  workClass @13 :UInt64;
+  # Requests with the same number need about the same time to run; 0 if not
+  # known.
+  bodyBytes @14 :UInt64;
+  # Size of the request's body.
 }
 
 struct SlotAnswer {
@@ -165,6 +170,8 @@
   failurePermille @7 :UInt16;
   namedRate @8 :Float64;
   # Limit on new requests a second that the upstream has named; 0 for none.
+  remainingMicros @9 :UInt32;
+  # Expected time until a new request gets a slot; 0 if not known.
 }
 
 struct Crash {
@@ -224,6 +231,8 @@
   objectiveMicros @12 :UInt64;
   callerService @13 :Text;
   repeatProbability @14 :Float64;
+  workClass @15 :UInt64;
+  # As in SlotRequest.
 }
 
 interface Ticket {
--- a/components/rpc/peer.capnp.h
+++ b/components/rpc/peer.capnp.h
@@ -636,7 +636,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fa7f906901066f7a, 6, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(fa7f906901066f7a, 8, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -831,7 +831,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a761dc9d05e2daa7, 6, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(a761dc9d05e2daa7, 7, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3935,6 +3935,10 @@
 
   inline double getNamedRate() const;
 
+  inline  ::uint64_t getWorkClass() const;
+
+  inline  ::uint64_t getBodyBytes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4014,6 +4018,12 @@
   inline double getNamedRate();
   inline void setNamedRate(double value);
 
+  inline  ::uint64_t getWorkClass();
+  inline void setWorkClass( ::uint64_t value);
+
+  inline  ::uint64_t getBodyBytes();
+  inline void setBodyBytes( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4666,6 +4676,8 @@
 
   inline double getNamedRate() const;
 
+  inline  ::uint32_t getRemainingMicros() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4729,6 +4741,9 @@
   inline double getNamedRate();
   inline void setNamedRate(double value);
 
+  inline  ::uint32_t getRemainingMicros();
+  inline void setRemainingMicros( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5363,6 +5378,8 @@
 
   inline double getRepeatProbability() const;
 
+  inline  ::uint64_t getWorkClass() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -5472,6 +5489,9 @@
   inline double getRepeatProbability();
   inline void setRepeatProbability(double value);
 
+  inline  ::uint64_t getWorkClass();
+  inline void setWorkClass( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -8036,6 +8056,34 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t SlotRequest::Reader::getWorkClass() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SlotRequest::Builder::getWorkClass() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void SlotRequest::Builder::setWorkClass( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t SlotRequest::Reader::getBodyBytes() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SlotRequest::Builder::getBodyBytes() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void SlotRequest::Builder::setBodyBytes( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool SlotAnswer::Reader::getGranted() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -8955,6 +9003,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Upstream::Reader::getRemainingMicros() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Upstream::Builder::getRemainingMicros() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Upstream::Builder::setRemainingMicros( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Crash::Reader::getFingerprint() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -9730,6 +9792,20 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Run::Reader::getWorkClass() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Run::Builder::getWorkClass() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void Run::Builder::setWorkClass( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Ticket::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/tests/membership/directory_test.cc
+++ b/tests/membership/directory_test.cc
@@ -167,6 +167,23 @@
   CHECK(HasSameUpstreams(before, after));
 }
 
+TEST_GROUP(RemainingWork){};
+
+// Remaining work changes with every request, and each record that is published
+// goes to every host.
+TEST(RemainingWork, IsNotPublishedOnItsOwn) {
+  HostRecord record = MakeRecord("a", 5);
+  record.upstreams = {{.id = "u", .service = "s"}};
+  Directory directory({}, record, At(0));
+  HostRecord changed = record;
+  changed.upstreams[0].remaining_work = Millis(5'000);
+  CHECK_FALSE(HasSignificantChange(record, changed));
+  CHECK_FALSE(directory.UpdateOwn(changed, At(1)));
+  changed.upstreams[0].limit = 7;
+  CHECK(directory.UpdateOwn(changed, At(2)));
+  CHECK(directory.own().upstreams[0].remaining_work == Millis(5'000));
+}
+
 TEST_GROUP(Prober){};
 
 TEST(Prober, ReturnsEveryHostOnceARound) {
--- /dev/null
+++ b/tests/rpc/convert_test.cc
@@ -0,0 +1,42 @@
+#include "components/rpc/convert.h"
+
+#include <CppUTest/TestHarness.h>
+#include <capnp/message.h>
+
+namespace kingcupstair::rpc {
+namespace {
+
+constexpr uint64_t kClass = 0xfedc'ba98'7654'3210;
+
+template <typename Wire, typename Value>
+Value RoundTrip(const Value& value) {
+  capnp::MallocMessageBuilder message;
+  auto builder = message.initRoot<Wire>();
+  Write(value, builder);
+  return Read(builder.asReader());
+}
+
+TEST_GROUP(Convert){};
+
+// A field that is left out of one direction reads as unknown at the receiver.
+TEST(Convert, MessagesKeepWorkClassBodySizeAndRemainingWork) {
+  const once::SlotRequest slot{.request_id = "r",
+                               .named_rate = 2,
+                               .work_class = kClass,
+                               .body_bytes = uint64_t{5} << 32U};
+  CHECK(RoundTrip<wire::SlotRequest>(slot) == slot);
+  const once::RunRequest run{
+      .request_id = "r", .repeat_probability = 0.5, .work_class = kClass};
+  CHECK(RoundTrip<wire::Run>(run) == run);
+  const membership::UpstreamRecord record{
+      .id = "u",
+      .service = "s",
+      .latency = Duration(4),
+      .finished = 5,
+      .named_rate = 2,
+      .remaining_work = Duration(3'000'000'000)};
+  CHECK(RoundTrip<wire::Upstream>(record) == record);
+}
+
+}  // namespace
+}  // namespace kingcupstair::rpc
