--- a/components/membership/directory.h
+++ b/components/membership/directory.h
@@ -62,7 +62,7 @@
   /// Replaces the record of this host and raises its version, or with
   /// LoadScope::kZone its load sequence if only loads changed. The incarnation,
   /// version and load sequence in `own` are ignored. Returns false if nothing
-  /// else changed.
+  /// else changed, or only the remaining work of upstreams.
   bool UpdateOwn(HostRecord own, Instant now);
 
   /// Applies an update from a peer. Returns true if the update is about another
--- a/components/membership/load_update.cc
+++ b/components/membership/load_update.cc
@@ -22,7 +22,8 @@
                      .error_share = upstream.error_share,
                      .finished = upstream.finished,
                      .failure_probability = upstream.failure_probability,
-                     .named_rate = upstream.named_rate});
+                     .named_rate = upstream.named_rate,
+                     .remaining_work = upstream.remaining_work});
   }
   return loads;
 }
@@ -44,6 +45,7 @@
     upstream.finished = load.finished;
     upstream.failure_probability = load.failure_probability;
     upstream.named_rate = load.named_rate;
+    upstream.remaining_work = load.remaining_work;
   }
   return true;
 }
--- a/components/membership/load_update.h
+++ b/components/membership/load_update.h
@@ -27,6 +27,7 @@
   uint64_t finished = 0;
   double failure_probability = 0;
   double named_rate = 0;
+  Duration remaining_work{};
 
   bool operator==(const UpstreamLoad&) const = default;
 };
--- a/components/rpc/convert.cc
+++ b/components/rpc/convert.cc
@@ -109,6 +109,7 @@
           static_cast<uint16_t>(load.failure_probability * kPermille));
       loads[j].setFinished(load.finished);
       loads[j].setNamedRate(load.named_rate);
+      loads[j].setRemainingMicros(ClampToUint32(load.remaining_work.count()));
     }
   }
 }
@@ -128,7 +129,8 @@
            .error_share = load.getErrorPermille() / kPermille,
            .finished = load.getFinished(),
            .failure_probability = load.getFailurePermille() / kPermille,
-           .named_rate = load.getNamedRate()});
+           .named_rate = load.getNamedRate(),
+           .remaining_work = Duration(load.getRemainingMicros())});
     }
     updates.push_back(std::move(update));
   }
@@ -257,6 +259,7 @@
   out.setErrorPermille(static_cast<uint16_t>(record.error_share * kPermille));
   out.setFinished(record.finished);
   out.setNamedRate(record.named_rate);
+  out.setRemainingMicros(ClampToUint32(record.remaining_work.count()));
   out.setFailurePermille(
       static_cast<uint16_t>(record.failure_probability * kPermille));
 }
@@ -270,7 +273,8 @@
           .error_share = in.getErrorPermille() / kPermille,
           .finished = in.getFinished(),
           .failure_probability = in.getFailurePermille() / kPermille,
-          .named_rate = in.getNamedRate()};
+          .named_rate = in.getNamedRate(),
+          .remaining_work = Duration(in.getRemainingMicros())};
 }
 
 void Write(const limits::PermitGrant& grant, wire::Grant::Builder out) {
