--- a/components/membership/host_record.h
+++ b/components/membership/host_record.h
@@ -26,6 +26,9 @@
   double failure_probability = 0;
   /// Limit on new requests a second that the upstream has named; 0 for none.
   double named_rate = 0;
+  /// Expected time until a new request gets a slot; 0 if not known. Not
+  /// published on its own.
+  Duration remaining_work{};
 
   bool operator==(const UpstreamRecord&) const = default;
 };
@@ -38,6 +41,9 @@
   uint64_t incarnation = 0;
   /// Increases with each change within an incarnation.
   uint64_t version = 0;
+  /// Number of the loads in `upstreams` within this version. Increases with
+  /// each load update.
+  uint64_t load_sequence = 0;
   std::string zone;
   std::string region;
   std::string admin;
--- a/components/rpc/peer.capnp
+++ b/components/rpc/peer.capnp
@@ -104,6 +104,11 @@
   namedRate @12 :Float64;
   # Limit that the sender last heard the upstream name; 0 for none. A receiver
   # that has restarted learns it from here.
+  workClass @13 :UInt64;
+  # Requests with the same number need about the same time to run; 0 if not
+  # known.
+  bodyBytes @14 :UInt64;
+  # Size of the request's body.
 }
 
 struct SlotAnswer {
@@ -123,6 +128,28 @@
   wanted @6 :List(UInt64);
   clearances @7 :List(Clearance);
   storeEra @8 :UInt64;
+  loads @9 :List(HostLoad);
+  # Only between hosts of one availability zone.
+}
+
+struct HostLoad {
+  # Loads of the upstreams in the record of a host, in the order of the record.
+
+  hostHash @0 :UInt64;
+  incarnation @1 :UInt64;
+  version @2 :UInt32;
+  sequence @3 :UInt32;
+  loads @4 :List(UpstreamLoad);
+}
+
+struct UpstreamLoad {
+  limit @0 :UInt16;
+  errorPermille @1 :UInt16;
+  failurePermille @2 :UInt16;
+  latencyMicros @3 :UInt32;
+  finished @4 :UInt64;
+  namedRate @5 :Float64;
+  remainingMicros @6 :UInt32;
 }
 
 struct RecentVersion {
@@ -152,6 +179,7 @@
   # An entry without a service is the departure of an upstream: its id names the
   # start of the upstream that has left. No route leads to it.
   pools @9 :UInt32;
+  loadSequence @10 :UInt32;
 }
 
 struct Upstream {
@@ -165,6 +193,8 @@
   failurePermille @7 :UInt16;
   namedRate @8 :Float64;
   # Limit on new requests a second that the upstream has named; 0 for none.
+  remainingMicros @9 :UInt32;
+  # Expected time until a new request gets a slot; 0 if not known.
 }
 
 struct Crash {
@@ -224,6 +254,8 @@
   objectiveMicros @12 :UInt64;
   callerService @13 :Text;
   repeatProbability @14 :Float64;
+  workClass @15 :UInt64;
+  # As in SlotRequest.
 }
 
 interface Ticket {
