--- a/components/control/gossip_loop.cc
+++ b/components/control/gossip_loop.cc
@@ -131,9 +131,13 @@
 // persistent unexplained difference justifies a comparison of all versions.
 void GossipLoop::ReconcileWith(const std::string& host,
                                const rpc::GossipMessage& reply) {
-  this->SendRecords(host, reply.wanted);
   const bool differs = reply.digest != this->fleet.directory.Digest();
-  const bool explained = !reply.wanted.empty() || !reply.updates.empty();
+  const std::vector<uint64_t> outdated =
+      differs ? this->fleet.directory.OutdatedAmongRecent(reply.recent)
+              : std::vector<uint64_t>();
+  this->SendRecords(host, reply.wanted, outdated);
+  const bool explained =
+      !reply.wanted.empty() || !reply.updates.empty() || !outdated.empty();
   this->unexplained_differences =
       differs && !explained ? this->unexplained_differences + 1 : 0;
   const bool is_only_host = this->fleet.directory.size() == 1;
@@ -145,13 +149,18 @@
 }
 
 void GossipLoop::SendRecords(const std::string& host,
-                             const std::vector<uint64_t>& host_hashes) {
-  if (host_hashes.empty()) {
+                             const std::vector<uint64_t>& host_hashes,
+                             const std::vector<uint64_t>& outdated) {
+  if (host_hashes.empty() && outdated.empty()) {
     return;
   }
   rpc::GossipMessage message = this->MakeMessage(host);
   message.updates = this->fleet.directory.FindByHash(host_hashes);
-  this->fleet.peers.Gossip(host, message, kSyncTimeout).status().IgnoreError();
+  message.wanted = outdated;
+  const auto reply = this->fleet.peers.Gossip(host, message, kSyncTimeout);
+  if (reply.ok()) {
+    this->MergeMessage(*reply);
+  }
 }
 
 void GossipLoop::SyncWith(const std::string& host) {
@@ -159,7 +168,7 @@
       host, this->fleet.directory.Versions(), kSyncTimeout);
   if (answer.ok()) {
     this->fleet.directory.Merge(answer->updates);
-    this->SendRecords(host, answer->wanted);
+    this->SendRecords(host, answer->wanted, {});
   }
 }
 
@@ -255,6 +264,8 @@
     reply.updates = this->fleet.directory.RecentUpdatesNewerThan(
         message.recent, kMaxUpdatesPerMessage);
   }
+  const auto asked_for = this->fleet.directory.FindByHash(message.wanted);
+  reply.updates.insert(reply.updates.end(), asked_for.begin(), asked_for.end());
   return reply;
 }
 
--- a/components/control/gossip_loop.h
+++ b/components/control/gossip_loop.h
@@ -63,9 +63,11 @@
   /// Probes `host` through other hosts, and suspects it if none of them reaches
   /// it.
   void ProbeIndirectly(const std::string& host);
-  /// Sends the records of the hosts with these hashes.
+  /// Sends the records of the hosts with these hashes, and requests those of
+  /// the hosts in `outdated`. Does nothing if both are empty.
   void SendRecords(const std::string& host,
-                   const std::vector<uint64_t>& host_hashes);
+                   const std::vector<uint64_t>& host_hashes,
+                   const std::vector<uint64_t>& outdated);
   /// Compares all versions with `host` and exchanges the differing records.
   void SyncWith(const std::string& host);
   std::vector<std::string> Targets() const;
--- a/components/membership/directory.cc
+++ b/components/membership/directory.cc
@@ -241,7 +241,7 @@
   std::vector<HostUpdate> updates;
   for (const Member* member : this->RecentMembers(now)) {
     const auto found = peer_versions.find(member->hash);
-    const bool is_outdated = found == peer_versions.end() ||
+    const bool is_outdated = found != peer_versions.end() &&
                              found->second < VersionOf(member->update);
     if (is_outdated && updates.size() < count) {
       updates.push_back(member->update);
--- a/components/membership/directory.h
+++ b/components/membership/directory.h
@@ -110,8 +110,10 @@
   std::vector<uint64_t> OutdatedAmongRecent(
       const std::vector<RecentVersion>& peer_recent) const;
 
-  /// Returns the records that changed here recently and are missing or older in
-  /// `peer_recent`, the recent versions that a peer sent. At most `count`.
+  /// Returns the records that changed here recently and are older in
+  /// `peer_recent`, the recent versions that a peer sent. At most `count`. A
+  /// record that the peer does not list may be there in the same version, so
+  /// the peer asks for it if it is not.
   std::vector<HostUpdate> RecentUpdatesNewerThan(
       const std::vector<RecentVersion>& peer_recent,
       size_t count,
--- a/tests/membership/directory_test.cc
+++ b/tests/membership/directory_test.cc
@@ -92,6 +92,23 @@
   }
 }
 
+// A list of recent versions is short. Peers that had a record for longer than
+// their list reaches back were sent it again and again.
+TEST(Directory, SendsNoRecordThatThePeerDoesNotList) {
+  this->Receive(MakeRecord("a", 5));
+  CHECK(this->directory.RecentUpdatesNewerThan({}, 8, At(1)).empty());
+}
+
+TEST(Directory, SendsARecordOfWhichThePeerListsAnOlderVersion) {
+  Directory peer({}, MakeRecord("peer", 1), At(0));
+  peer.Merge({.record = MakeRecord("a", 4)}, At(0));
+  this->Receive(MakeRecord("a", 5));
+  const auto updates = this->directory.RecentUpdatesNewerThan(
+      peer.RecentVersions(At(1)), 8, At(1));
+  LONGS_EQUAL(1, updates.size());
+  LONGS_EQUAL(5, updates.front().record.incarnation);
+}
+
 TEST(Directory, ANewHostIsMissingAtItsPeers) {
   Directory peer({}, MakeRecord("peer", 1), At(0));
   LONGS_EQUAL(
