A response with an invalid status is broken: unknown outcome and 502

Statuses from 600 on were passed to callers, and a response under 100 was skipped, so that the next one on the connection was taken for the response. Responses between hosts were not checked at all. A store response with such a status is a failed call, and its era is not taken over.

--- a/components/http/message.h
+++ b/components/http/message.h
@@ -42,6 +42,15 @@
   bool operator==(const Request&) const = default;
 };
 
+/// Returns true for the statuses of final responses, 200 to 599. A response
+/// with another status is broken (RFC 9110 section 15), except for interim ones
+/// before the final one.
+constexpr bool IsFinalStatus(int status) {
+  constexpr int kFirstFinal = 200;
+  constexpr int kFirstInvalid = 600;
+  return status >= kFirstFinal && status < kFirstInvalid;
+}
+
 /// Response status with which a handler makes the server close the connection
 /// without sending a response.
 inline constexpr int kCloseWithoutResponse = 0;
--- a/components/http/response_reader.cc
+++ b/components/http/response_reader.cc
@@ -9,6 +9,7 @@
 
 #include "components/fibers/await.h"
 #include "components/fibers/worker_pool.h"
+#include "components/http/message.h"
 #include "components/http/response_memory.h"
 
 namespace kingcupstair::http {
@@ -26,8 +27,9 @@
 constexpr size_t kMaxFramingBytes = size_t{4} * kMaxHeadBytes;
 constexpr size_t kMaxFramingPerBodyByte = 8;
 constexpr Duration kMemoryPollInterval{std::chrono::milliseconds(5)};
+constexpr int kFirstInterimStatus = 100;
 constexpr int kSwitchingProtocols = 101;
-constexpr int kFirstFinalStatus = 200;
+constexpr int kLastInterimStatus = 199;
 
 /// The part of one response in the memory for responses of its server. Several
 /// threads read from one server.
@@ -85,6 +87,11 @@
   size_t held = 0;
 };
 
+bool IsInterimStatus(int status) {
+  return status >= kFirstInterimStatus && status <= kLastInterimStatus &&
+         status != kSwitchingProtocols;
+}
+
 beast::error_code WaitForMemory(MemoryShare& share,
                                 size_t bytes,
                                 const beast::tcp_stream& stream,
@@ -110,16 +117,17 @@
 
 // A server may send interim responses that the request did not ask for (RFC
 // 9110 section 15.2). A change of protocol is not one of them: what follows it
-// is no HTTP response.
+// is no HTTP response. A response with an invalid status is not skipped either,
+// since it may be the one to this request.
 ReadResult ResponseReader::ReadNext() {
   while (true) {
     ReadResult result = this->ReadOne();
-    if (!result.error && result.status == kSwitchingProtocols) {
-      result.error = beast::http::error::bad_status;
-    }
-    if (result.error || result.status >= kFirstFinalStatus) {
+    if (result.error || IsFinalStatus(result.status)) {
       return result;
     }
+    if (!IsInterimStatus(result.status)) {
+      return {.error = beast::http::error::bad_status};
+    }
   }
 }
 
--- a/components/rpc/convert_run.cc
+++ b/components/rpc/convert_run.cc
@@ -5,6 +5,12 @@
 namespace kingcupstair::rpc {
 namespace {
 
+/// The outcome of a run whose response has an invalid status.
+once::Unknown BrokenResponse() {
+  return {.detail = "the response had an invalid status",
+          .upstream_broke = true};
+}
+
 std::string ToString(capnp::Text::Reader text) {
   return {text.begin(), text.size()};
 }
@@ -57,7 +63,12 @@
  public:
   explicit OutcomeWriter(wire::Outcome::Builder out) : out(out) {}
 
+  // An invalid status might not fit into the field and arrive as a valid one.
   void operator()(const once::Ran& ran) {
+    if (!http::IsFinalStatus(ran.response.status)) {
+      (*this)(BrokenResponse());
+      return;
+    }
     auto response = this->out.initRan();
     response.setStatus(static_cast<uint16_t>(ran.response.status));
     response.setBody(ToData(ran.response.body));
@@ -197,6 +208,9 @@
   switch (in.which()) {
     case wire::Outcome::RAN: {
       const auto ran = in.getRan();
+      if (!http::IsFinalStatus(ran.getStatus())) {
+        return BrokenResponse();
+      }
       return once::Ran{.response = {.status = ran.getStatus(),
                                     .headers = ReadHeaders(ran.getHeaders()),
                                     .body = ToString(ran.getBody())}};
--- a/tests/guard/guard_test.cc
+++ b/tests/guard/guard_test.cc
@@ -10,6 +10,8 @@
 #include <thread>
 
 #include "components/fibers/worker_pool.h"
+#include "components/guard/upstream_call.h"
+#include "components/ingress/caller_response.h"
 #include "tests/http/listener.h"
 #include "tests/http/raw_server.h"
 #include "tests/support/times.h"
@@ -153,6 +155,26 @@
                   .granted);
 }
 
+// A status from 600 on reached the caller, and counted as an error of the
+// upstream only since it is not below 500. One below 100 was waited out.
+TEST(Guard, AResponseWithAnInvalidStatusIsAnUnknownOutcome) {
+  static auto* workers = new fibers::WorkerPool(1);
+  for (const std::string status : {"099", "600"}) {
+    const RawServer upstream(
+        {{.text = "HTTP/1.1 " + status + " Odd\r\nContent-Length: 0\r\n\r\n",
+          .hold_open = true}});
+    this->guard.Announce({.id = "lote-2",
+                          .service = "lote",
+                          .endpoint = upstream.Address(),
+                          .incarnation = status,
+                          .slots = 1});
+    const once::Outcome outcome = this->Run(*workers, status);
+    CHECK(BrokeConnection(outcome));
+    CHECK(DetectorResultOf(outcome) == health::RequestResult::kFailure);
+    LONGS_EQUAL(502, ingress::MakeResponse(outcome, {}).status);
+  }
+}
+
 // The last response of a start that left came after the next start under its id
 // had announced itself, which was then taken for departed.
 TEST(Guard, AResponseOfTheLastStartSaysNothingAboutTheNext) {
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -85,6 +85,41 @@
   STRCMP_EQUAL("hello", result.response.body.c_str());
 }
 
+// Statuses from 600 on reached callers, and the response after one under 100
+// was taken for that to the request.
+TEST(HttpClient, AResponseWithAnInvalidStatusIsAFailure) {
+  std::string accepted;
+  for (const char* status :
+       {"000 Odd", "000", "099 Odd", "600 Odd", "999 Odd", "1000 Odd",
+        "65736 Odd", "20 Odd", "-20 Odd", "abc Odd", "", " 200 OK", "OK",
+        "101 Switching Protocols"}) {
+    RawServer server({{.text = "HTTP/1.1 " + std::string(status) +
+                               "\r\nContent-Length: 0\r\n\r\n" +
+                               CompleteReply("hello").text}});
+    const Result result = RunExchange(server.Address());
+    if (result.ok() || result.failure.stage != Stage::kReceive) {
+      accepted += std::string("[") + status + "]";
+    }
+  }
+  STRCMP_EQUAL("", accepted.c_str());
+}
+
+TEST(HttpClient, AnInterimResponseWithoutAFinalOneIsAFailure) {
+  for (const char* status : {"100 Continue", "103 Early Hints", "199 Odd"}) {
+    RawServer server(
+        {{.text = "HTTP/1.1 " + std::string(status) + "\r\n\r\n"}});
+    CHECK_TEXT(!RunExchange(server.Address()).ok(), status);
+  }
+}
+
+TEST(HttpClient, TheLowestAndTheHighestFinalStatusAreResponses) {
+  for (const char* status : {"200 OK", "599 Odd"}) {
+    RawServer server({{.text = "HTTP/1.1 " + std::string(status) +
+                               "\r\nContent-Length: 0\r\n\r\n"}});
+    CHECK_TEXT(RunExchange(server.Address()).ok(), status);
+  }
+}
+
 TEST(HttpClient, ATruncatedResponseIsAFailure) {
   RawServer server(
       {{.text = "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhello"}});
--- /dev/null
+++ b/tests/store/client_test.cc
@@ -0,0 +1,61 @@
+#include "components/store/client.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <functional>
+#include <future>
+#include <string>
+
+#include "components/fibers/worker_pool.h"
+#include "tests/http/raw_server.h"
+#include "tests/support/times.h"
+
+namespace kingcupstair::store {
+namespace {
+
+/// Runs `call` with a client whose store replies with `status` and the era 7.
+/// The pool is never destroyed, since idle connections belong to its thread.
+void CallStore(const std::string& status,
+               const std::function<void(const Client&)>& call) {
+  static auto* workers = new fibers::WorkerPool(1);
+  const RawServer server(
+      {{.text = "HTTP/1.1 " + status + " Odd\r\nContent-Length: 0\r\n\r\n"}});
+  Protocol protocol = FleetProtocol();
+  protocol.read_era = [](const http::Response&) { return 7; };
+  const Client client({.server = server.Address(),
+                       .timeout = Millis(300),
+                       .protocol = protocol});
+  std::promise<void> ended;
+  workers->Spawn([&] {
+    call(client);
+    ended.set_value();
+  });
+  ended.get_future().get();
+}
+
+TEST_GROUP(StoreClient){};
+
+// Otherwise a write of unknown effect counts as done, and an era that no store
+// has makes the client reject the responses of the store for good.
+TEST(StoreClient, AResponseWithAnInvalidStatusIsAFailedCall) {
+  std::string accepted;
+  for (const std::string status : {"000", "099", "101", "600", "999"}) {
+    const auto check = [&](const char* call, bool failed) {
+      accepted += failed ? "" : "[" + status + " " + call + "]";
+    };
+    CallStore(status, [&](const Client& client) {
+      check("get", !client.Get("a").ok());
+      check("era", client.era() == 0);
+    });
+    CallStore(status, [&](const Client& client) {
+      check("put", !client.Put("a", "b", 0).ok());
+    });
+    CallStore(status, [&](const Client& client) {
+      check("delete", !client.Delete("a").ok());
+    });
+  }
+  STRCMP_EQUAL("", accepted.c_str());
+}
+
+}  // namespace
+}  // namespace kingcupstair::store
