Admission by the expected work of requests, off by default

Shares of organisations are by the time that their requests took. A refused caller is told a time at which capacity is kept for it, or one that is longer than callers wait. remaining_work is reported with each load report.

--- a/apps/kingcupstaird/daemon_settings.cc
+++ b/apps/kingcupstaird/daemon_settings.cc
@@ -25,6 +25,16 @@
   };
 }
 
+settings::Setter SetAdmission(bool& by_work) {
+  return [&by_work](const std::string& text) -> absl::Status {
+    if (text != "work" && text != "latency") {
+      return absl::InvalidArgumentError("expected work or latency");
+    }
+    by_work = text == "work";
+    return absl::OkStatus();
+  };
+}
+
 settings::FlagSet MakeFlags(DaemonSettings& settings) {
   settings::FlagSet flags(
       "kingcupstaird",
@@ -105,6 +115,10 @@
   flags.Add({.name = "rate-slack",
              .help = "requests by which an organisation may exceed its burst",
              .set = settings::SetNumber(settings.rate_slack)});
+  flags.Add({.name = "admission",
+             .help = "how upstreams admit requests: latency (by the average "
+                     "latency) or work (by the expected work of each request)",
+             .set = SetAdmission(settings.admission_by_work)});
   flags.Add({.name = "leave-ms",
              .help = "milliseconds for which a leaving host still accepts "
                      "requests, 0 to 60000; half of stop-grace-ms at most",
--- a/apps/kingcupstaird/daemon_settings.h
+++ b/apps/kingcupstaird/daemon_settings.h
@@ -45,6 +45,9 @@
   retry::RetryBudget::Options retries;
   /// How upstreams that announce when they are cold warm up.
   admission::RateLimitedWarmUp warm_up;
+  /// Upstreams admit requests by their expected work instead of the average
+  /// latency.
+  bool admission_by_work = false;
   /// How far the site lets an organisation exceed its rate limit: a fraction of
   /// rate and burst, and a number of requests on top of the burst.
   double rate_tolerance = 0;
--- a/components/admission/fair_queue.cc
+++ b/components/admission/fair_queue.cc
@@ -42,51 +42,57 @@
   return true;
 }
 
-std::optional<TicketId> FairQueue::PopUnexpired(
+std::optional<QueuedRequest> FairQueue::PopFrom(
     std::deque<QueuedRequest>& waiting,
-    Instant now) {
-  const auto ready = std::find_if(
-      waiting.begin(), waiting.end(),
-      [&](const QueuedRequest& request) { return request.expires > now; });
+    const Startable& startable) {
+  const auto ready = std::find_if(waiting.begin(), waiting.end(), startable);
   if (ready == waiting.end()) {
     return std::nullopt;
   }
-  const TicketId ticket = ready->ticket;
+  const QueuedRequest request = *ready;
   waiting.erase(ready);
-  return ticket;
+  return request;
+}
+
+std::optional<TicketId> FairQueue::Pop(Instant now) {
+  auto request = this->PopWhere({.now = now});
+  if (!request.has_value()) {
+    request = this->PopWhere({.now = now, .late_too = true});
+  }
+  return request.has_value() ? std::optional(request->ticket) : std::nullopt;
 }
 
 // Only served requests advance the virtual finish time of a flow: a request
 // that expired while waiting must not delay the next requests of its
 // organisation. Expired requests stay in the queue until RemoveExpired returns
 // them to be refused.
-std::optional<TicketId> FairQueue::Pop(Instant now) {
+std::optional<QueuedRequest> FairQueue::PopWhere(const Startable& startable) {
   const bool callers_turn = this->internal_in_row >= kMaxInternalInRow;
   if (callers_turn) {
-    if (const auto ticket = this->PopFromFlows(now)) {
-      return ticket;
+    if (const auto request = this->PopFromFlows(startable)) {
+      return request;
     }
   }
-  if (const auto ticket = PopUnexpired(this->internal, now)) {
+  if (const auto request = PopFrom(this->internal, startable)) {
     this->internal_in_row = callers_turn ? 1 : this->internal_in_row + 1;
     --this->total;
-    return ticket;
+    return request;
   }
-  return this->PopFromFlows(now);
+  return this->PopFromFlows(startable);
 }
 
-std::optional<TicketId> FairQueue::PopFromFlows(Instant now) {
+std::optional<QueuedRequest> FairQueue::PopFromFlows(
+    const Startable& startable) {
   Flow* best = nullptr;
   std::deque<QueuedRequest>::iterator best_request;
   double best_finish = 0;
   for (auto& [organisation, flow] : this->flows) {
-    const auto ready = std::find_if(
-        flow.waiting.begin(), flow.waiting.end(),
-        [&](const QueuedRequest& request) { return request.expires > now; });
+    const auto ready =
+        std::find_if(flow.waiting.begin(), flow.waiting.end(), startable);
     if (ready == flow.waiting.end()) {
       continue;
     }
-    const double cost = VirtualCost(ready->weight);
+    const double cost = VirtualCost(*ready);
     const double finish = this->VirtualStart(flow, cost) + cost;
     if (best == nullptr || finish < best_finish) {
       best = &flow;
@@ -97,15 +103,15 @@
   if (best == nullptr) {
     return std::nullopt;
   }
-  const TicketId ticket = best_request->ticket;
+  const QueuedRequest request = *best_request;
   best->virtual_finish = best_finish;
-  this->virtual_time = std::max(
-      this->virtual_time, best_finish - VirtualCost(best_request->weight));
+  this->virtual_time =
+      std::max(this->virtual_time, best_finish - VirtualCost(request));
   best->waiting.erase(best_request);
   this->internal_in_row = 0;
   --this->total;
   this->EraseIdleFlows();
-  return ticket;
+  return request;
 }
 
 std::vector<TicketId> FairQueue::RemoveExpired(Instant now) {
@@ -134,7 +140,7 @@
     return static_cast<int>(this->internal.size());
   }
   const std::string& organisation = request.organisation;
-  const double cost = VirtualCost(request.weight);
+  const double cost = VirtualCost(request);
   const auto own_flow = this->flows.find(organisation);
   const Flow empty_flow;
   const Flow& flow =
@@ -146,7 +152,7 @@
     if (other == organisation || other_flow.waiting.empty()) {
       continue;
     }
-    const double other_cost = VirtualCost(other_flow.waiting.front().weight);
+    const double other_cost = VirtualCost(other_flow.waiting.front());
     const double served_before =
         (finish - this->VirtualStart(other_flow, other_cost)) / other_cost;
     ahead += std::clamp(std::floor(served_before), 0.0,
@@ -158,8 +164,98 @@
   return static_cast<int>(internal_ahead + ahead);
 }
 
-double FairQueue::VirtualCost(double weight) {
-  return 1 / std::max(weight, kMinWeight);
+double FairQueue::WorkAhead(const QueuedRequest& request) const {
+  double internal_work = 0;
+  for (const QueuedRequest& each : this->internal) {
+    internal_work += each.work;
+  }
+  if (request.internal) {
+    return internal_work;
+  }
+  const auto own = this->flows.find(request.organisation);
+  const Flow empty_flow;
+  const Flow& flow = own == this->flows.end() ? empty_flow : own->second;
+  const double cost = VirtualCost(request);
+  double finish = this->VirtualStart(flow, cost) + cost;
+  double ahead = 0;
+  for (const QueuedRequest& each : flow.waiting) {
+    finish += VirtualCost(each);
+    ahead += each.work;
+  }
+  for (const auto& [organisation, other] : this->flows) {
+    if (&other == &flow || other.waiting.empty()) {
+      continue;
+    }
+    double other_finish =
+        this->VirtualStart(other, VirtualCost(other.waiting.front()));
+    for (const QueuedRequest& each : other.waiting) {
+      other_finish += VirtualCost(each);
+      if (other_finish > finish) {
+        break;
+      }
+      ahead += each.work;
+    }
+  }
+  return internal_work + ahead;
+}
+
+double FairQueue::WorkOfFlow(const QueuedRequest& request) const {
+  const auto flow = this->flows.find(request.organisation);
+  double work = 0;
+  if (!request.internal && flow != this->flows.end()) {
+    for (const QueuedRequest& each : flow->second.waiting) {
+      work += each.work;
+    }
+  }
+  return work;
+}
+
+double FairQueue::TotalWork() const {
+  double work = 0;
+  for (const QueuedRequest& each : this->internal) {
+    work += each.work;
+  }
+  for (const auto& [organisation, flow] : this->flows) {
+    for (const QueuedRequest& each : flow.waiting) {
+      work += each.work;
+    }
+  }
+  return work;
+}
+
+void FairQueue::Charge(const QueuedRequest& request, double work) {
+  const auto flow = this->flows.find(request.organisation);
+  if (!request.internal && flow != this->flows.end()) {
+    flow->second.virtual_finish += work / std::max(request.weight, kMinWeight);
+  }
+}
+
+std::vector<QueuedRequest> FairQueue::InOrder(Instant now) const {
+  std::vector<QueuedRequest> order;
+  FairQueue copy = *this;
+  for (const bool late_too : {false, true}) {
+    while (const auto next =
+               copy.PopWhere({.now = now, .late_too = late_too})) {
+      order.push_back(*next);
+    }
+  }
+  return order;
+}
+
+bool FairQueue::Remove(TicketId ticket) {
+  const auto matches = [&](const QueuedRequest& request) {
+    return request.ticket == ticket;
+  };
+  size_t removed = std::erase_if(this->internal, matches);
+  for (auto& [organisation, flow] : this->flows) {
+    removed += std::erase_if(flow.waiting, matches);
+  }
+  this->total -= removed;
+  return removed > 0;
+}
+
+double FairQueue::VirtualCost(const QueuedRequest& request) {
+  return request.work / std::max(request.weight, kMinWeight);
 }
 
 double FairQueue::VirtualStart(const Flow& flow, double cost) const {
--- a/components/admission/fair_queue.h
+++ b/components/admission/fair_queue.h
@@ -25,8 +25,13 @@
   /// Set for a request made on behalf of another request that already occupies
   /// a slot of another upstream. Most internal requests start before others.
   bool internal = false;
+  /// Expected work in seconds; 1 for each request if fairness is by count.
+  double work = 1;
   /// When the request stops waiting.
   Instant expires;
+  /// From this time on the request can only end late. It then starts only if no
+  /// other request can start.
+  Instant late_from = Instant::max();
 
   bool operator==(const QueuedRequest&) const = default;
 };
@@ -51,6 +56,7 @@
   bool Push(const QueuedRequest& request);
 
   /// Removes and returns the next request that has not expired, or nothing.
+  /// Requests that can only end late come after all others.
   std::optional<TicketId> Pop(Instant now);
 
   /// Removes and returns the expired requests.
@@ -63,6 +69,26 @@
   /// `request` were added now.
   int CountAhead(const QueuedRequest& request) const;
 
+  /// Returns the work of the waiting requests that would be served before
+  /// `request` if `request` were added now.
+  double WorkAhead(const QueuedRequest& request) const;
+
+  /// Returns the work of the waiting requests of the flow of `request`.
+  double WorkOfFlow(const QueuedRequest& request) const;
+
+  /// Returns the work of all waiting requests.
+  double TotalWork() const;
+
+  /// Corrects the service that the flow of `request` has received by work that
+  /// was not expected, or by expected work that was not needed.
+  void Charge(const QueuedRequest& request, double work);
+
+  /// Returns the waiting requests in the order in which they are served.
+  std::vector<QueuedRequest> InOrder(Instant now) const;
+
+  /// Removes a waiting request. Returns false if it is not waiting.
+  bool Remove(TicketId ticket);
+
   size_t size() const { return this->total; }
 
  private:
@@ -74,15 +100,27 @@
     double virtual_finish = 0;
   };
 
-  static double VirtualCost(double weight);
+  /// Selects requests that may start.
+  struct Startable {
+    Instant now;
+    bool late_too = false;
+
+    bool operator()(const QueuedRequest& request) const {
+      return request.expires > this->now &&
+             (this->late_too || request.late_from > this->now);
+    }
+  };
+
+  static double VirtualCost(const QueuedRequest& request);
   double VirtualStart(const Flow& flow, double cost) const;
   void EraseIdleFlows();
 
+  std::optional<QueuedRequest> PopWhere(const Startable& startable);
   /// Removes and returns the next request that is not internal.
-  std::optional<TicketId> PopFromFlows(Instant now);
-  static std::optional<TicketId> PopUnexpired(
+  std::optional<QueuedRequest> PopFromFlows(const Startable& startable);
+  static std::optional<QueuedRequest> PopFrom(
       std::deque<QueuedRequest>& waiting,
-      Instant now);
+      const Startable& startable);
 
   Options options;
   std::deque<QueuedRequest> internal;
--- a/components/admission/upstream_gate.cc
+++ b/components/admission/upstream_gate.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 
@@ -35,6 +36,18 @@
 /// Ratio of the weights of two successive priorities: one step of priority
 /// outweighs a rate limit this many times as high.
 constexpr double kPriorityFactor = 8;
+/// Prefix of the flows of requests that come back as told after a refusal. They
+/// rank one priority higher than before.
+constexpr char kReturnedFlowPrefix[] = "returned/";
+/// A waiting request is refused if its expected wait is longer than the time it
+/// has left by this factor. Expectations within it change with each response.
+constexpr double kHopelessFactor = 1.25;
+/// A request is queued if its expected wait is at most this fraction of the
+/// time it can wait. A refusal at once is worth more to its caller than one
+/// after a wait: with the whole time, one refusal in six came after a wait.
+constexpr double kAdmittedFraction = 0.7;
+/// Interval of that check, which takes time in proportion to the queue.
+constexpr Duration kHopelessInterval{std::chrono::milliseconds(40)};
 
 // Each priority of an organisation has its own flow, so that urgent requests
 // don't wait behind less urgent ones of the same organisation.
@@ -57,10 +70,20 @@
 }  // namespace
 
 UpstreamGate::UpstreamGate(Options options)
-    : options(options), concurrency({.slots = options.slots}), queue({}) {}
+    : options(std::move(options)),
+      concurrency({.slots = this->options.slots}),
+      queue({}) {
+  if (const auto* by_work =
+          std::get_if<WorkAdmission>(&this->options.admission)) {
+    this->work.emplace(*by_work);
+  }
+}
 
 std::vector<GateDecision> UpstreamGate::Offer(const GateRequest& request,
                                               Instant now) {
+  if (this->work.has_value()) {
+    return this->OfferByWork(request, now);
+  }
   std::vector<GateDecision> decisions;
   const Duration max_wait = request.max_wait.value_or(this->options.max_wait);
   const bool can_start_now = this->queue.size() == 0 &&
@@ -92,6 +115,131 @@
   return decisions;
 }
 
+// The wait is bounded as with admission by latency, so that a wrong estimate
+// refuses requests too early or too late, but doesn't keep them longer.
+std::vector<GateDecision> UpstreamGate::OfferByWork(const GateRequest& request,
+                                                    Instant now) {
+  std::vector<GateDecision> decisions;
+  const Duration max_wait = request.max_wait.value_or(this->options.max_wait);
+  const bool can_start_now = this->queue.size() == 0 &&
+                             this->in_flight() < this->Limit() &&
+                             this->CanStart(now);
+  if (max_wait == Duration{} && !can_start_now) {
+    decisions.push_back(this->RefuseByWork(
+        request, once::RefusalReason::kQueueFull, false, now));
+    return decisions;
+  }
+  const ExpectedRun run = this->work->Expect(request.work_key);
+  const Instant expires = std::min(request.deadline - run.least,
+                                   now + std::max(max_wait, kMinWait));
+  if (expires <= now) {
+    decisions.push_back(this->RefuseByWork(
+        request, once::RefusalReason::kQueueTimeout, false, now));
+    return decisions;
+  }
+  const bool returns =
+      !can_start_now && this->work->RedeemReturn(FlowKey(request), now);
+  const QueuedRequest usual{
+      .ticket = request.ticket,
+      .organisation = FlowKey(request),
+      .weight = FlowWeight(request),
+      .internal = request.internal,
+      .work = ToSeconds(run.mean),
+      .expires = expires,
+      .late_from = request.objective > Duration{}
+                       ? now + request.objective - run.median
+                       : Instant::max()};
+  QueuedRequest queued = usual;
+  if (returns) {
+    queued.organisation = kReturnedFlowPrefix + usual.organisation;
+    queued.weight = usual.weight * kPriorityFactor;
+  }
+  const bool in_time =
+      can_start_now || this->ExpectedWaitByWork(queued, returns, now) <
+                           FractionOf(expires - now, kAdmittedFraction);
+  if (!in_time || !this->queue.Push(queued)) {
+    decisions.push_back(this->RefuseByWork(
+        request, once::RefusalReason::kQueueFull, !returns, now));
+    return decisions;
+  }
+  this->queued_objectives[request.ticket] = request.objective;
+  this->queued_requests[request.ticket] = {
+      .request = request, .queued = usual, .returned = returns};
+  if (returns) {
+    this->queue.Charge(usual, usual.work);
+  }
+  this->StartQueued(now, decisions);
+  return decisions;
+}
+
+// A request that can only end late waits for all others.
+Duration UpstreamGate::ExpectedWaitByWork(const QueuedRequest& queued,
+                                          bool returns,
+                                          Instant now) const {
+  const int ahead = this->queue.CountAhead(queued);
+  const double work = this->queue.WorkAhead(queued);
+  Duration wait = this->work->WaitBehind(work, this->Limit(), now);
+  if (!returns) {
+    const double to_return = this->work->WorkToReturn(now + wait, now);
+    wait = this->work->WaitBehind(work + to_return, this->Limit(), now);
+  }
+  if (now + wait >= queued.late_from) {
+    wait = this->work->WaitBehind(this->queue.TotalWork(), this->Limit(), now);
+  }
+  const Duration in_flow =
+      queued.internal
+          ? Duration{}
+          : this->work->WaitInFlow(queued, this->queue.WorkOfFlow(queued),
+                                   this->Limit(), now);
+  return std::max({wait, in_flow, this->TimeToNamedStart(ahead)});
+}
+
+// Only a request that would have waited is told when to come back: a search for
+// a free slot asks several upstreams and is told by one.
+RefuseTicket UpstreamGate::RefuseByWork(const GateRequest& request,
+                                        once::RefusalReason reason,
+                                        bool may_return,
+                                        Instant now) {
+  RefuseTicket refused = Refuse(request.ticket, reason);
+  if (may_return) {
+    refused.refusal.retry_after = this->work->RetryAfter(
+        FlowKey(request), this->work->Expect(request.work_key),
+        this->queue.TotalWork(), this->Limit(), request.deadline - now, now);
+  }
+  refused.refusal.retry_after =
+      std::max(refused.refusal.retry_after,
+               this->TimeToNamedStart(static_cast<double>(this->queue.size())));
+  return refused;
+}
+
+// The sooner a caller is refused, the more time is left to send the request
+// elsewhere or again.
+void UpstreamGate::RefuseHopeless(Instant now,
+                                  std::vector<GateDecision>& decisions) {
+  if (this->queue.size() == 0 ||
+      now - this->hopeless_checked_at < kHopelessInterval) {
+    return;
+  }
+  this->hopeless_checked_at = now;
+  const Duration first = this->work->WaitBehind(0, this->Limit(), now);
+  double ahead = 0;
+  for (const QueuedRequest& queued : this->queue.InOrder(now)) {
+    const Duration wait =
+        first + Duration(static_cast<int64_t>(ahead / this->Limit() * 1e6));
+    if (wait <= FractionOf(queued.expires - now, kHopelessFactor)) {
+      ahead += queued.work;
+      continue;
+    }
+    this->queue.Remove(queued.ticket);
+    const auto found = this->queued_requests.find(queued.ticket);
+    decisions.push_back(this->RefuseByWork(found->second.request,
+                                           once::RefusalReason::kQueueTimeout,
+                                           !found->second.returned, now));
+    this->queued_requests.erase(found);
+    this->queued_objectives.erase(queued.ticket);
+  }
+}
+
 // A caller can't do better than to come back when the limit that the upstream
 // has named permits the next request.
 RefuseTicket UpstreamGate::RefuseAsFull(const GateRequest& request) const {
@@ -114,6 +262,13 @@
   const Duration latency = now - found->second.since;
   const Duration objective = found->second.objective;
   this->running.erase(found);
+  if (this->work.has_value()) {
+    const bool rate_limited =
+        std::holds_alternative<RateLimitedWarmUp>(this->options.warm_up);
+    const bool is_cold = rate_limited ? this->cold : this->concurrency.cold();
+    this->work->OnEnd(ticket, end == RunEnd::kSuccess,
+                      !is_cold && !this->suspected, this->queue, now);
+  }
   const bool had_enough_time =
       latency > this->AverageLatency() * kFullTimeMultiple;
   if (end == RunEnd::kSuccess) {
@@ -133,7 +288,18 @@
   std::vector<GateDecision> decisions;
   for (const TicketId ticket : this->queue.RemoveExpired(now)) {
     this->queued_objectives.erase(ticket);
-    decisions.push_back(Refuse(ticket, once::RefusalReason::kQueueTimeout));
+    const auto queued = this->queued_requests.find(ticket);
+    if (queued == this->queued_requests.end()) {
+      decisions.push_back(Refuse(ticket, once::RefusalReason::kQueueTimeout));
+      continue;
+    }
+    decisions.push_back(this->RefuseByWork(queued->second.request,
+                                           once::RefusalReason::kQueueTimeout,
+                                           !queued->second.returned, now));
+    this->queued_requests.erase(queued);
+  }
+  if (this->work.has_value()) {
+    this->RefuseHopeless(now, decisions);
   }
   this->StartQueued(now, decisions);
   return decisions;
@@ -146,6 +312,7 @@
     decisions.push_back(Refuse(ticket, reason));
   }
   this->queued_objectives.clear();
+  this->queued_requests.clear();
   return decisions;
 }
 
@@ -189,6 +356,9 @@
   this->finished = 0;
   this->cold = true;
   this->named.reset();
+  if (this->work.has_value()) {
+    this->work->OnRestart();
+  }
 }
 
 // A hanging upstream completes no requests, so the age of its running requests
@@ -207,10 +377,26 @@
           .cold = !rate_limited && this->concurrency.cold(),
           .latency = rate_limited ? this->RelativeLatency()
                                   : std::max(this->AverageLatency(), oldest),
+          .remaining_work = this->RemainingWork(now),
           .error_share = this->error_share,
           .finished = this->finished};
 }
 
+Duration UpstreamGate::RemainingWork(Instant now) const {
+  if (!this->work.has_value()) {
+    return {};
+  }
+  const bool has_free_slot =
+      this->queue.size() == 0 && this->in_flight() < this->Limit();
+  const Duration wait =
+      has_free_slot
+          ? Duration{}
+          : this->work->WaitBehind(this->queue.TotalWork(), this->Limit(), now);
+  return std::max(
+      {wait, this->TimeToNamedStart(static_cast<double>(this->queue.size())),
+       Duration(1)});
+}
+
 void UpstreamGate::StartQueued(Instant now,
                                std::vector<GateDecision>& decisions) {
   while (this->in_flight() < this->Limit() && this->CanStart(now)) {
@@ -221,6 +407,13 @@
     this->running[*next] = {.since = now,
                             .objective = this->queued_objectives[*next]};
     this->queued_objectives.erase(*next);
+    if (const auto queued = this->queued_requests.find(*next);
+        queued != this->queued_requests.end()) {
+      this->work->OnStart(queued->second.queued,
+                          queued->second.request.work_key,
+                          queued->second.returned, now);
+      this->queued_requests.erase(queued);
+    }
     this->recent_starts.push_back(now);
     if (this->named.has_value()) {
       this->named->bucket.Take(1);
--- a/components/admission/upstream_gate.h
+++ b/components/admission/upstream_gate.h
@@ -10,6 +10,7 @@
 
 #include "components/admission/concurrency_limit.h"
 #include "components/admission/fair_queue.h"
+#include "components/admission/work_model.h"
 #include "components/base/time.h"
 #include "components/limits/token_bucket.h"
 #include "components/once/outcome.h"
@@ -64,6 +65,9 @@
 
 using WarmUp = std::variant<AdaptiveWarmUp, RateLimitedWarmUp>;
 
+/// How requests are queued and refused.
+using Admission = std::variant<LatencyAdmission, WorkAdmission>;
+
 /// A request that is offered to the gate.
 struct GateRequest {
   TicketId ticket = 0;
@@ -81,6 +85,8 @@
   Duration objective{};
   /// Longest wait for a slot; replaces that of the gate's options if set.
   std::optional<Duration> max_wait;
+  /// What is known about the request's work.
+  WorkKey work_key;
 
   bool operator==(const GateRequest&) const = default;
 };
@@ -104,6 +110,9 @@
   /// the objective, but at least a quarter, where 1 s stands for the whole
   /// objective.
   Duration latency{};
+  /// With admission by work, the expected time until a new request gets a slot,
+  /// at least 1 us; otherwise 0.
+  Duration remaining_work{};
   /// Exponentially weighted share of failed requests, 0 to 1.
   double error_share = 0;
   /// Requests that succeeded or failed since the upstream started.
@@ -123,6 +132,7 @@
     /// Longest wait for a slot, unless the request sets its own.
     Duration max_wait{std::chrono::seconds(1)};
     WarmUp warm_up = AdaptiveWarmUp{};
+    Admission admission = LatencyAdmission{};
   };
 
   explicit UpstreamGate(Options options);
@@ -155,6 +165,10 @@
   /// cold before its first announcement and after a restart.
   void SetCold(bool cold) { this->cold = cold; }
 
+  /// Records whether the upstream is suspected of failing. The work of requests
+  /// is not learned from such an upstream.
+  void SetSuspected(bool suspected) { this->suspected = suspected; }
+
   /// Discards the adaptive limit, latencies, errors and the number of finished
   /// requests after a restart of the upstream. Running and waiting requests
   /// are kept.
@@ -173,6 +187,19 @@
   int in_flight() const { return static_cast<int>(this->running.size()); }
 
  private:
+  std::vector<GateDecision> OfferByWork(const GateRequest& request,
+                                        Instant now);
+  /// Returns the expected time until `queued` gets a slot, with admission by
+  /// work.
+  Duration ExpectedWaitByWork(const QueuedRequest& queued,
+                              bool returns,
+                              Instant now) const;
+  RefuseTicket RefuseByWork(const GateRequest& request,
+                            once::RefusalReason reason,
+                            bool may_return,
+                            Instant now);
+  /// Refuses the waiting requests that are not expected to start in time.
+  void RefuseHopeless(Instant now, std::vector<GateDecision>& decisions);
   void StartQueued(Instant now, std::vector<GateDecision>& decisions);
   void RecordLatency(Duration latency, Duration objective);
   /// Returns the average fraction of the latency objective that responses took,
@@ -192,6 +219,7 @@
   Duration TimeToNamedStart(double ahead) const;
   void RecordFailure(Instant now);
   Duration AverageLatency() const;
+  Duration RemainingWork(Instant now) const;
   Duration MinLatency() const;
   /// Returns the expected time until a slot is free for `request`.
   Duration ExpectedWait(const GateRequest& request) const;
@@ -207,6 +235,18 @@
   std::map<TicketId, Running> running;
   /// Latency objectives of the waiting requests.
   std::map<TicketId, Duration> queued_objectives;
+  /// Set with admission by work.
+  std::optional<WorkModel> work;
+  /// The waiting requests, with admission by work.
+  struct QueuedByWork {
+    GateRequest request;
+    /// As queued without the rank of a request that comes back. Its flow is
+    /// charged for the work.
+    QueuedRequest queued;
+    bool returned = false;
+  };
+  std::map<TicketId, QueuedByWork> queued_requests;
+  Instant hopeless_checked_at;
   /// Times of the starts within the last second, the oldest first.
   std::deque<Instant> recent_starts;
   double average_latency_micros = 0;
@@ -217,6 +257,7 @@
   double error_share = 0;
   uint64_t finished = 0;
   bool cold = true;
+  bool suspected = false;
   struct NamedLimit {
     limits::RateLimit limit;
     limits::TokenBucket bucket;
--- a/components/guard/guard.cc
+++ b/components/guard/guard.cc
@@ -303,6 +303,7 @@
   if (crashed || unreachable) {
     this->MarkUnreachable(upstream);
   }
+  upstream.gate->SetSuspected(upstream.failure_detector.IsSuspected(now));
   this->waiters.Dispatch(upstream.gate->Finish(ticket, RunEndOf(outcome), now),
                          wakeups);
   return this->ResultFor(request.upstream, outcome);
--- a/components/guard/guard.h
+++ b/components/guard/guard.h
@@ -69,6 +69,9 @@
     /// How upstreams that announce when they are cold warm up. The rate is that
     /// of their service.
     admission::RateLimitedWarmUp warm_up;
+    /// Admits requests by their expected work instead of the average latency of
+    /// the upstream.
+    bool admission_by_work = false;
     /// Returns the incarnation of this host in the fleet.
     std::function<uint64_t()> incarnation;
     /// Returns true while this host must not take new requests.
@@ -220,6 +223,11 @@
   std::atomic<bool> runs_ended{false};
 
   mutable std::mutex mutex;
+  /// Learns the work of the requests to all upstreams of this host, with
+  /// admission by work.
+  const std::shared_ptr<admission::WorkEstimator> work_estimator =
+      std::make_shared<admission::WorkEstimator>(
+          admission::WorkEstimator::Options{});
   std::map<std::string, GuardedUpstream> upstreams;
   once::RunLedger ledger;
   once::KeyIndex keys;
--- a/components/guard/guard_announcements.cc
+++ b/components/guard/guard_announcements.cc
@@ -183,8 +183,14 @@
       announcement.reports_cold_state
           ? admission::WarmUp(rate_limited)
           : admission::WarmUp(admission::AdaptiveWarmUp{});
+  const admission::Admission admission =
+      this->options.admission_by_work
+          ? admission::Admission(admission::WorkAdmission{
+                .estimator = this->work_estimator, .upstream = announcement.id})
+          : admission::Admission(admission::LatencyAdmission{});
   upstream.gate = std::make_unique<admission::UpstreamGate>(
-      admission::UpstreamGate::Options{.slots = slots, .warm_up = warm_up});
+      admission::UpstreamGate::Options{
+          .slots = slots, .warm_up = warm_up, .admission = admission});
   upstream.gate->SetCold(announcement.cold);
   upstream.last_seen = MonotonicNow();
   this->RecordUpstreamEvent("upstream_started", announcement, "");
--- a/components/guard/guard_slots.cc
+++ b/components/guard/guard_slots.cc
@@ -117,7 +117,11 @@
         .internal = request.internal,
         .deadline = now + request.remaining_time,
         .objective = request.objective,
-        .max_wait = request.max_wait};
+        .max_wait = request.max_wait,
+        .work_key = {.service = found->second.announcement.service,
+                     .work_class = request.work_class,
+                     .body_bytes = request.body_bytes,
+                     .objective = request.objective}};
     this->waiters.Dispatch(found->second.gate->Offer(offered, now), wakeups);
   }
   return decided.get();
--- a/components/guard/guarded_upstream.cc
+++ b/components/guard/guarded_upstream.cc
@@ -41,7 +41,8 @@
               upstream.announcement.reports_cold_state
                   ? upstream.failure_detector.FailureProbability(now)
                   : 0,
-          .named_rate = report.named_rate};
+          .named_rate = report.named_rate,
+          .remaining_work = report.remaining_work};
 }
 
 bool IsShed(const once::Outcome& outcome) {
