--- a/apps/kingcupstaird/daemon.cc
+++ b/apps/kingcupstaird/daemon.cc
@@ -126,6 +126,7 @@
       permits(this->fleet),
       guard({.zone = this->settings.zone,
              .warm_up = this->settings.warm_up,
+             .admission_by_work = this->settings.admission_by_work,
              .incarnation = [this] { return this->directory.OwnIncarnation(); },
              .isolated = [this] { return this->IsIsolated(); },
              .departures_known =
--- a/apps/kingcupstaird/daemon_settings.h
+++ b/apps/kingcupstaird/daemon_settings.h
@@ -47,6 +47,9 @@
   admission::RateLimitedWarmUp warm_up;
   /// Bandwidth of the network link of this host in Mbit/s; 0 if not known.
   double link_mbps = 0;
+  /// Upstreams admit requests by their expected work instead of the average
+  /// latency.
+  bool admission_by_work = false;
   /// How far the site lets an organisation exceed its rate limit: a fraction of
   /// rate and burst, and a number of requests on top of the burst.
   double rate_tolerance = 0;
--- a/tests/rpc/convert_test.cc
+++ b/tests/rpc/convert_test.cc
@@ -3,7 +3,9 @@
 #include <CppUTest/TestHarness.h>
 #include <capnp/message.h>
 
-<<<<<<< HEAD
+#include <string>
+#include <variant>
+
 namespace kingcupstair::rpc {
 namespace {
 
@@ -37,12 +39,7 @@
       .named_rate = 2,
       .remaining_work = Duration(3'000'000'000)};
   CHECK(RoundTrip<wire::Upstream>(record) == record);
-=======
-#include <string>
-#include <variant>
-
-namespace kingcupstair::rpc {
-namespace {
+}
 
 TEST_GROUP(OutcomeConversion){};
 
@@ -77,7 +74,6 @@
     }
   }
   STRCMP_EQUAL("", accepted.c_str());
->>>>>>> evidence
 }
 
 }  // namespace
