--- a/CI/mutants.sh
+++ b/CI/mutants.sh
@@ -75,6 +75,7 @@
 mutant crash_silence components/guard/crash_suspects.cc 's/} else if (reply == RunReply::kNone) {/} else if (false) {/' unit CrashSuspects
 mutant crash_at_guard components/guard/guard.cc 's/      refused_for > Duration{}) {/      false) {/' io
 mutant crash_rumors components/once/rumor_selection.h 's/(round \* (room - newest) + i)/(0 * round + i)/' unit RumorSelection
+mutant crash_kept components/store/crash_evidence.cc 's/stored.content = std::move(content);/;/' process crash_evidence_outlives_all_hosts
 mutant leave_time apps/kingcupstaird/daemon.cc 's/std::this_thread::sleep_for(schedule.accept_until - MonotonicNow());/;/' process shutdown
 mutant respond_by components/ingress/request_run.cc 's/return std::min(this->admitted.deadline, this->context.respond_by());/return this->admitted.deadline;/' io StoppingIngress
 mutant end_runs components/guard/guard.cc 's/  for (const CancellationPtr\& call : calls) {/  for (const CancellationPtr\& call : std::vector<CancellationPtr>()) {/' io StoppingIngress
