Counters of the bytes sent to other hosts, by purpose and zone

The bytes that cross zones are charged for, and nothing showed what they are. kingcupstair_peer_bytes_total{purpose,zone} counts requests at the caller and replies at the server: one relaxed addition a message, since the zone of a connection's host is looked up once. The headers of the RPC library are not counted. A host that is not in the directory yet counts as unknown.

--- a/apps/kingcupstaird/daemon.cc
+++ b/apps/kingcupstaird/daemon.cc
@@ -76,10 +76,14 @@
              .retries = this->settings.retries},
             this->config.snapshot()),
       isolation({.start = MonotonicNow()}),
+      traffic(
+          this->recorder.counters(),
+          [this](const std::string& host) { return this->RelationTo(host); }),
       peers(this->rpc_loop,
             {.own_host = ToText(this->settings.peer_address),
              .incarnation = this->incarnation,
-             .fleet_key = this->settings.fleet_key}),
+             .fleet_key = this->settings.fleet_key,
+             .traffic = &this->traffic}),
       store(
           {.server = this->settings.store, .protocol = this->interface.store}),
       fleet{
@@ -177,7 +181,8 @@
               this->recorder),
       peer_server(this->rpc_loop,
                   {.listen = this->settings.peer_listen,
-                   .fleet_key = this->settings.fleet_key},
+                   .fleet_key = this->settings.fleet_key,
+                   .traffic = &this->traffic},
                   this->MakeHandlers()),
       caller_server(
           this->workers,
@@ -356,6 +361,19 @@
          this->isolation.IsIsolated(this->directory.size(), MonotonicNow());
 }
 
+rpc::ZoneRelation Daemon::RelationTo(const std::string& host) const {
+  const auto found = this->directory.FindByHash({StableHash(host)});
+  if (found.empty()) {
+    return rpc::ZoneRelation::kUnknown;
+  }
+  const membership::HostRecord& record = found.front().record;
+  if (record.region != this->settings.region) {
+    return rpc::ZoneRelation::kOtherRegion;
+  }
+  return record.zone == this->settings.zone ? rpc::ZoneRelation::kOwnZone
+                                            : rpc::ZoneRelation::kOtherZone;
+}
+
 rpc::PeerHandlers Daemon::MakeHandlers() {
   return {
       .gossip =
--- a/apps/kingcupstaird/daemon.h
+++ b/apps/kingcupstaird/daemon.h
@@ -60,6 +60,7 @@
   /// Fetches the configuration from a peer that has a higher revision.
   void FetchNewerConfiguration();
   bool IsIsolated() const;
+  rpc::ZoneRelation RelationTo(const std::string& host) const;
   /// Waits until no request and no run is in progress, at most until `until`.
   void WaitUntilIdle(Instant until) const;
 
@@ -80,6 +81,7 @@
   control::DirectoryKeeper directory;
   control::RateKeeper rates;
   membership::IsolationDetector isolation;
+  rpc::TrafficCounters traffic;
   rpc::PeerClients peers;
   store::Client store;
   control::Fleet fleet;
--- a/components/control/departure_loop.cc
+++ b/components/control/departure_loop.cc
@@ -106,7 +106,8 @@
 bool DepartureLoop::AskHost(const std::string& host) {
   auto versions = this->fleet.directory.Versions();
   versions.erase(this->fleet.settings.host);
-  const auto answer = this->fleet.peers.Sync(host, versions, kCallTimeout);
+  const auto answer = this->fleet.peers.Sync(host, versions, kCallTimeout,
+                                             rpc::TrafficPurpose::kDepartures);
   if (!answer.ok()) {
     return false;
   }
--- a/components/metrics/counters.cc
+++ b/components/metrics/counters.cc
@@ -34,6 +34,11 @@
       .fetch_add(count, std::memory_order_relaxed);
 }
 
+std::atomic<uint64_t>& Counters::Reference(const std::string& name,
+                                           const std::vector<Label>& labels) {
+  return this->FindOrCreate(KeyOf(name, labels));
+}
+
 // Buckets are cumulative, as metric collectors expect: a duration counts in
 // every bucket with an upper bound at or above it.
 void Counters::Observe(const std::string& name,
--- a/components/metrics/counters.h
+++ b/components/metrics/counters.h
@@ -31,6 +31,11 @@
            const std::vector<Label>& labels,
            uint64_t count = 1);
 
+  /// Returns a counter, which lives as long as this object. For counts that are
+  /// too frequent for a search by name. Creates the counter if it is missing.
+  std::atomic<uint64_t>& Reference(const std::string& name,
+                                   const std::vector<Label>& labels);
+
   /// Counts a duration in a histogram, in milliseconds rounded up:
   /// NAME_ms_bucket by upper bound, and NAME_ms_sum.
   void Observe(const std::string& name,
--- a/components/rpc/peer_clients.cc
+++ b/components/rpc/peer_clients.cc
@@ -74,6 +74,7 @@
   bool is_watched = false;
   /// Consecutive checks without a response.
   int quiet_checks = 0;
+  std::shared_ptr<HostTraffic> traffic;
   kj::Own<kj::NetworkAddress> address;
   kj::Own<kj::AsyncIoStream> stream;
   kj::Own<capnp::TwoPartyClient> client;
@@ -106,6 +107,7 @@
   Link* link = slot.get();
   link->number = ++this->state->last_number;
   link->last_response_at = MonotonicNow();
+  link->traffic = std::make_shared<HostTraffic>(this->options.traffic, host);
   const ConnectionId connection{.host = this->options.own_host,
                                 .incarnation = this->options.incarnation,
                                 .link = link->number};
@@ -253,8 +255,10 @@
   this->loop.AddTask(
       KJ_ASSERT_NONNULL(link.peer)
           .addBranch()
-          .then([](wire::Peer::Client peer) {
-            return peer.chunksRequest().send().ignoreResult();
+          .then([traffic = link.traffic](wire::Peer::Client peer) {
+            auto request = peer.chunksRequest();
+            traffic->AddMessage(TrafficPurpose::kGossip, request);
+            return request.send().ignoreResult();
           })
           .then([this, host,
                  number = link.number] { this->RecordResponse(host, number); },
@@ -273,7 +277,9 @@
     const uint64_t number = link.number;
     auto peer = KJ_ASSERT_NONNULL(link.peer).addBranch();
     kj::Promise<T> call =
-        peer.then([start](wire::Peer::Client client) { return start(client); });
+        peer.then([start, traffic = link.traffic](wire::Peer::Client client) {
+          return start(client, *traffic);
+        });
     this->loop.AddTask(
         WithTimeout(this->loop, kj::mv(call), timeout)
             .then(
@@ -293,9 +299,12 @@
                                                   const GossipMessage& message,
                                                   Duration timeout) {
   return this->Call<GossipMessage>(
-      host, "gossip", timeout, [message](wire::Peer::Client& peer) {
+      host, "gossip", timeout,
+      [message](wire::Peer::Client& peer, HostTraffic& traffic) {
         auto request = peer.gossipRequest();
-        Write(message, request.initMessage());
+        auto out = request.initMessage();
+        Write(message, out);
+        traffic.AddGossip(request, out.getUpdates());
         return request.send().then(
             [](auto response) { return Read(response.getMessage()); });
       });
@@ -355,12 +364,15 @@
 absl::StatusOr<SyncAnswer> PeerClients::Sync(
     const std::string& host,
     const std::map<std::string, membership::RecordVersion>& versions,
-    Duration timeout) {
+    Duration timeout,
+    TrafficPurpose purpose) {
   return this->Call<SyncAnswer>(
-      host, "sync", timeout, [versions](wire::Peer::Client& peer) {
+      host, "sync", timeout,
+      [versions, purpose](wire::Peer::Client& peer, HostTraffic& traffic) {
         auto request = peer.syncRequest();
         Write(versions,
               request.initVersions(static_cast<unsigned>(versions.size())));
+        traffic.AddMessage(purpose, request);
         return request.send().then([](auto response) {
           return SyncAnswer{.updates = Read(response.getUpdates()),
                             .wanted = ReadHashes(response.getWanted())};
@@ -372,9 +384,11 @@
                                         const std::string& target,
                                         Duration timeout) {
   return this->Call<bool>(
-      helper, "probe", timeout, [target](wire::Peer::Client& peer) {
+      helper, "probe", timeout,
+      [target](wire::Peer::Client& peer, HostTraffic& traffic) {
         auto request = peer.probeRequest();
         request.setHost(target);
+        traffic.AddMessage(TrafficPurpose::kGossip, request);
         return request.send().then(
             [](auto response) { return response.getReached(); });
       });
@@ -383,8 +397,11 @@
 absl::StatusOr<std::string> PeerClients::Head(const std::string& host,
                                               Duration timeout) {
   return this->Call<std::string>(
-      host, "head", timeout, [](wire::Peer::Client& peer) {
-        return peer.headRequest().send().then([](auto response) {
+      host, "head", timeout,
+      [](wire::Peer::Client& peer, HostTraffic& traffic) {
+        auto request = peer.headRequest();
+        traffic.AddMessage(TrafficPurpose::kConfiguration, request);
+        return request.send().then([](auto response) {
           return std::string(response.getHead().cStr());
         });
       });
@@ -395,12 +412,14 @@
     const std::vector<std::string>& ids,
     Duration timeout) {
   return this->Call<std::vector<std::string>>(
-      host, "chunks", timeout, [ids](wire::Peer::Client& peer) {
+      host, "chunks", timeout,
+      [ids](wire::Peer::Client& peer, HostTraffic& traffic) {
         auto request = peer.chunksRequest();
         auto out = request.initIds(static_cast<unsigned>(ids.size()));
         for (unsigned i = 0; i < ids.size(); ++i) {
           out.set(i, ids[i]);
         }
+        traffic.AddMessage(TrafficPurpose::kConfiguration, request);
         return request.send().then([](auto response) {
           std::vector<std::string> texts;
           for (const auto text : response.getTexts()) {
@@ -418,13 +437,15 @@
     Duration timeout) {
   return this->Call<std::vector<limits::LoanGrant>>(
       host, "lend", timeout,
-      [shards, loan_sequence_number](wire::Peer::Client& peer) {
+      [shards, loan_sequence_number](wire::Peer::Client& peer,
+                                     HostTraffic& traffic) {
         auto request = peer.lendRequest();
         request.setMark(loan_sequence_number);
         auto out = request.initShards(static_cast<unsigned>(shards.size()));
         for (unsigned i = 0; i < shards.size(); ++i) {
           out.set(i, static_cast<uint16_t>(shards[i]));
         }
+        traffic.AddMessage(TrafficPurpose::kLoans, request);
         return request.send().then([](auto response) {
           std::vector<limits::LoanGrant> grants;
           for (const auto loan : response.getLoans()) {
@@ -441,7 +462,7 @@
   return this
       ->Call<bool>(
           host, "give back", timeout,
-          [returned](wire::Peer::Client& peer) {
+          [returned](wire::Peer::Client& peer, HostTraffic& traffic) {
             auto request = peer.giveBackRequest();
             request.setLeaving(returned.leaving);
             request.setMark(returned.loan_sequence_number);
@@ -450,6 +471,7 @@
             for (unsigned i = 0; i < shards.size(); ++i) {
               out.set(i, static_cast<uint16_t>(shards[i]));
             }
+            traffic.AddMessage(TrafficPurpose::kLoans, request);
             return request.send().then([](auto) { return true; });
           })
       .status();
@@ -460,7 +482,8 @@
     const RetryTokenRequest& call,
     Duration timeout) {
   return this->Call<bool>(
-      host, "retry", timeout, [call](wire::Peer::Client& peer) {
+      host, "retry", timeout,
+      [call](wire::Peer::Client& peer, HostTraffic& traffic) {
         auto request = peer.retryRequest();
         request.setService(call.service);
         request.setOrganisation(call.organisation);
@@ -468,6 +491,7 @@
             static_cast<uint32_t>(call.requests_without_permit));
         Write(call.call_counts, request.initRepeatedCalls(static_cast<unsigned>(
                                     call.call_counts.size())));
+        traffic.AddMessage(TrafficPurpose::kPermits, request);
         return request.send().then(
             [](auto response) { return response.getGranted(); });
       });
@@ -478,7 +502,8 @@
     const PermitRequest& call,
     Duration timeout) {
   return this->Call<limits::PermitGrant>(
-      host, "acquire", timeout, [call](wire::Peer::Client& peer) {
+      host, "acquire", timeout,
+      [call](wire::Peer::Client& peer, HostTraffic& traffic) {
         auto request = peer.acquireRequest();
         request.setRelay(call.relay);
         request.setOrganisation(call.organisation);
@@ -489,6 +514,7 @@
         }
         Write(call.call_counts, request.initRepeatedCalls(static_cast<unsigned>(
                                     call.call_counts.size())));
+        traffic.AddMessage(TrafficPurpose::kPermits, request);
         return request.send().then(
             [](auto response) { return Read(response.getGrant()); });
       });
@@ -501,10 +527,12 @@
     Duration timeout) {
   return this->Call<ResolveAnswer>(
       host, "resolve", timeout,
-      [request_id, incarnation](wire::Peer::Client& peer) {
+      [request_id, incarnation](wire::Peer::Client& peer,
+                                HostTraffic& traffic) {
         auto request = peer.resolveRequest();
         request.setRequestId(request_id);
         request.setIncarnation(incarnation);
+        traffic.AddMessage(TrafficPurpose::kRun, request);
         return request.send().then(
             [](auto response) { return Read(response.getResolution()); });
       });
@@ -514,9 +542,11 @@
                                                 const once::SlotRequest& slot,
                                                 Duration timeout) {
   return this->Call<SlotAnswer>(
-      host, "reserve", timeout, [slot](wire::Peer::Client& peer) {
+      host, "reserve", timeout,
+      [slot](wire::Peer::Client& peer, HostTraffic& traffic) {
         auto request = peer.reserveRequest();
         Write(slot, request.initSlot());
+        traffic.AddMessage(TrafficPurpose::kSlot, request);
         return request.send().then(
             [](auto response) { return Read(response.getAnswer()); });
       });
@@ -528,10 +558,12 @@
                                  Duration timeout) {
   return this
       ->Call<bool>(host, "cancel", timeout,
-                   [request_id, incarnation](wire::Peer::Client& peer) {
+                   [request_id, incarnation](wire::Peer::Client& peer,
+                                             HostTraffic& traffic) {
                      auto request = peer.cancelRequest();
                      request.setRequestId(request_id);
                      request.setIncarnation(incarnation);
+                     traffic.AddMessage(TrafficPurpose::kRun, request);
                      return request.send().then([](auto) { return true; });
                    })
       .status();
@@ -551,9 +583,10 @@
     const std::weak_ptr<Link> weak = this->state->links[host];
     auto stage = std::make_shared<SubmitStage>(SubmitStage::kNotAccepted);
     auto sent = KJ_ASSERT_NONNULL(link.peer).addBranch().then(
-        [=, this](wire::Peer::Client peer) {
+        [=, this, traffic = link.traffic](wire::Peer::Client peer) {
           auto request = peer.submitRequest();
           Write(run, request.initRun());
+          traffic->AddMessage(TrafficPurpose::kRun, request);
           auto accepted = request.send();
           auto result = accepted.getTicket().outcomeRequest().send();
           kj::Promise<void> acceptance =
--- a/components/rpc/peer_clients.h
+++ b/components/rpc/peer_clients.h
@@ -13,6 +13,7 @@
 #include "components/once/run_request.h"
 #include "components/rpc/loop.h"
 #include "components/rpc/messages.h"
+#include "components/rpc/traffic_counters.h"
 
 namespace kingcupstair::rpc {
 
@@ -48,6 +49,8 @@
     std::string own_host;
     uint64_t incarnation = 0;
     std::string fleet_key;
+    /// Counts the bytes of the requests; may be null.
+    TrafficCounters* traffic = nullptr;
   };
 
   PeerClients(EventLoop& loop, Options options);
@@ -61,11 +64,13 @@
   /// so, and the present connection has brought no response for some time, that
   /// one is closed, and the next call opens another.
   bool RespondsOverNewConnection(const std::string& host, Duration timeout);
-  /// Compares the versions of all records with those of `host`.
+  /// Compares the versions of all records with those of `host`. `purpose` is
+  /// kDepartures if the record of this host itself is asked for.
   absl::StatusOr<SyncAnswer> Sync(
       const std::string& host,
       const std::map<std::string, membership::RecordVersion>& versions,
-      Duration timeout);
+      Duration timeout,
+      TrafficPurpose purpose = TrafficPurpose::kRecords);
   /// Returns whether `helper` could reach `target`.
   absl::StatusOr<bool> Probe(const std::string& helper,
                              const std::string& target,
--- a/components/rpc/peer_server.cc
+++ b/components/rpc/peer_server.cc
@@ -38,58 +38,79 @@
 /// returns the same result.
 class PeerServer::TicketImpl final : public wire::Ticket::Server {
  public:
-  explicit TicketImpl(kj::Promise<RunResult> result) : result(result.fork()) {}
+  TicketImpl(kj::Promise<RunResult> result,
+             std::shared_ptr<HostTraffic> traffic)
+      : result(result.fork()), traffic(std::move(traffic)) {}
 
   kj::Promise<void> outcome(OutcomeContext context) override {
-    return this->result.addBranch().then([context](RunResult run) mutable {
-      auto out = context.getResults();
-      Write(run.outcome, out.initOutcome());
-      Write(run.report, out.initReport());
-      auto load = out.initLoad();
-      load.setInFlight(static_cast<uint32_t>(run.in_flight));
-      load.setQueued(static_cast<uint32_t>(run.queued));
-    });
+    return this->result.addBranch().then(
+        [context, traffic = this->traffic](RunResult run) mutable {
+          auto out = context.getResults();
+          Write(run.outcome, out.initOutcome());
+          Write(run.report, out.initReport());
+          auto load = out.initLoad();
+          load.setInFlight(static_cast<uint32_t>(run.in_flight));
+          load.setQueued(static_cast<uint32_t>(run.queued));
+          traffic->AddMessage(TrafficPurpose::kRun, out);
+        });
   }
 
  private:
   kj::ForkedPromise<RunResult> result;
+  std::shared_ptr<HostTraffic> traffic;
 };
 
 /// Implements wire::Peer for one authenticated connection.
 class PeerServer::PeerImpl final : public wire::Peer::Server {
  public:
   PeerImpl(EventLoop& loop, State& state, ConnectionId connection)
-      : loop(loop), state(state), connection(std::move(connection)) {}
+      : loop(loop),
+        state(state),
+        connection(std::move(connection)),
+        traffic(std::make_shared<HostTraffic>(state.options.traffic,
+                                              this->connection.host)) {}
 
   kj::Promise<void> gossip(GossipContext context) override {
     const GossipMessage reply =
         this->state.handlers.gossip(Read(context.getParams().getMessage()));
-    Write(reply, context.getResults().initMessage());
+    auto out = context.getResults().initMessage();
+    Write(reply, out);
+    this->traffic->AddGossip(context.getResults(), out.getUpdates());
     return kj::READY_NOW;
   }
 
   kj::Promise<void> sync(SyncContext context) override {
-    const SyncAnswer answer =
-        this->state.handlers.sync(Read(context.getParams().getVersions()));
+    const auto versions = Read(context.getParams().getVersions());
+    const SyncAnswer answer = this->state.handlers.sync(versions);
     auto results = context.getResults();
     Write(answer.updates,
           results.initUpdates(static_cast<unsigned>(answer.updates.size())));
     WriteHashes(
         answer.wanted,
         results.initWanted(static_cast<unsigned>(answer.wanted.size())));
+    // A host that starts leaves its own version out to get back its departures.
+    this->traffic->AddMessage(versions.contains(this->connection.host)
+                                  ? TrafficPurpose::kRecords
+                                  : TrafficPurpose::kDepartures,
+                              results);
     return kj::READY_NOW;
   }
 
   kj::Promise<void> probe(ProbeContext context) override {
     auto [promise, done] = this->MakeReply<bool>();
     this->state.handlers.probe(context.getParams().getHost(), done);
-    return promise.then([context](bool reached) mutable {
-      context.getResults().setReached(reached);
-    });
+    return promise.then(
+        [context, traffic = this->traffic](bool reached) mutable {
+          auto results = context.getResults();
+          results.setReached(reached);
+          traffic->AddMessage(TrafficPurpose::kGossip, results);
+        });
   }
 
   kj::Promise<void> head(HeadContext context) override {
-    context.getResults().setHead(this->state.handlers.head());
+    auto results = context.getResults();
+    results.setHead(this->state.handlers.head());
+    this->traffic->AddMessage(TrafficPurpose::kConfiguration, results);
     return kj::READY_NOW;
   }
 
@@ -99,11 +120,15 @@
       ids.emplace_back(id.cStr());
     }
     const auto texts = this->state.handlers.chunks(ids);
-    auto out =
-        context.getResults().initTexts(static_cast<unsigned>(texts.size()));
+    auto results = context.getResults();
+    auto out = results.initTexts(static_cast<unsigned>(texts.size()));
     for (unsigned i = 0; i < texts.size(); ++i) {
       out.set(i, texts[i]);
     }
+    // A call without ids only checks that the connection brings responses.
+    this->traffic->AddMessage(
+        ids.empty() ? TrafficPurpose::kGossip : TrafficPurpose::kConfiguration,
+        results);
     return kj::READY_NOW;
   }
 
@@ -117,6 +142,7 @@
               out[i]);
       }
     }
+    this->traffic->AddMessage(TrafficPurpose::kLoans, context.getResults());
     return kj::READY_NOW;
   }
 
@@ -144,9 +170,12 @@
          .offer = Read(params.getOffer()),
          .call_counts = Read(params.getRepeatedCalls())},
         this->connection.host, done);
-    return promise.then([context](limits::PermitGrant grant) mutable {
-      Write(grant, context.getResults().initGrant());
-    });
+    return promise.then(
+        [context, traffic = this->traffic](limits::PermitGrant grant) mutable {
+          auto results = context.getResults();
+          Write(grant, results.initGrant());
+          traffic->AddMessage(TrafficPurpose::kPermits, results);
+        });
   }
 
   kj::Promise<void> retry(RetryContext context) override {
@@ -156,6 +185,7 @@
          .service = params.getService(),
          .requests_without_permit = static_cast<int>(params.getUncounted()),
          .call_counts = Read(params.getRepeatedCalls())}));
+    this->traffic->AddMessage(TrafficPurpose::kPermits, context.getResults());
     return kj::READY_NOW;
   }
 
@@ -170,16 +200,20 @@
     } else {
       this->state.handlers.submit(request, done);
     }
-    context.getResults().setTicket(kj::heap<TicketImpl>(kj::mv(promise)));
+    context.getResults().setTicket(
+        kj::heap<TicketImpl>(kj::mv(promise), this->traffic));
     return kj::READY_NOW;
   }
 
   kj::Promise<void> reserve(ReserveContext context) override {
     auto [promise, done] = this->MakeReply<SlotAnswer>();
     this->state.handlers.reserve(Read(context.getParams().getSlot()), done);
-    return promise.then([context](SlotAnswer answer) mutable {
-      Write(answer, context.getResults().initAnswer());
-    });
+    return promise.then(
+        [context, traffic = this->traffic](SlotAnswer answer) mutable {
+          auto results = context.getResults();
+          Write(answer, results.initAnswer());
+          traffic->AddMessage(TrafficPurpose::kSlot, results);
+        });
   }
 
   kj::Promise<void> cancel(CancelContext context) override {
@@ -192,7 +226,9 @@
     const auto params = context.getParams();
     const ResolveAnswer answer = this->state.handlers.resolve(
         params.getRequestId(), params.getIncarnation());
-    Write(answer, context.getResults().initResolution());
+    auto results = context.getResults();
+    Write(answer, results.initResolution());
+    this->traffic->AddMessage(TrafficPurpose::kRun, results);
     return kj::READY_NOW;
   }
 
@@ -226,6 +262,7 @@
   EventLoop& loop;
   State& state;
   ConnectionId connection;
+  std::shared_ptr<HostTraffic> traffic;
 };
 
 /// Implements wire::Door, which gives access to wire::Peer to those that prove
--- a/components/rpc/peer_server.h
+++ b/components/rpc/peer_server.h
@@ -8,6 +8,7 @@
 #include "components/base/endpoint.h"
 #include "components/rpc/loop.h"
 #include "components/rpc/peer_handlers.h"
+#include "components/rpc/traffic_counters.h"
 
 namespace kingcupstair::rpc {
 
@@ -18,6 +19,8 @@
   struct Options {
     Endpoint listen;
     std::string fleet_key;
+    /// Counts the bytes of the replies; may be null.
+    TrafficCounters* traffic = nullptr;
   };
 
   PeerServer(EventLoop& loop, Options options, PeerHandlers handlers);
--- a/tests/rpc/peer_clients_test.cc
+++ b/tests/rpc/peer_clients_test.cc
@@ -79,13 +79,15 @@
 
   /// Submits a run that waits for its result for `result_timeout`, and returns
   /// once its acceptance has arrived.
-  std::future<SubmitResult> Submit(Duration result_timeout) {
+  std::future<SubmitResult> Submit(Duration result_timeout,
+                                   const std::string& body = "") {
     auto result = std::make_shared<std::promise<SubmitResult>>();
     auto future = result->get_future();
     this->accepted = std::promise<RunDone>();
-    this->workers.Spawn([this, result, result_timeout] {
-      result->set_value(
-          this->clients.Submit(this->name, {}, Millis(1'000), result_timeout));
+    this->workers.Spawn([this, result, result_timeout, body] {
+      result->set_value(this->clients.Submit(this->name,
+                                             {.request = {.body = body}},
+                                             Millis(1'000), result_timeout));
     });
     this->done = this->accepted.get_future().get();
     // Responses arrive in order, and so that of the acceptance has arrived.
@@ -120,6 +122,8 @@
 
   EventLoop server_loop;
   EventLoop client_loop;
+  metrics::Counters sent_by_server;
+  metrics::Counters sent_by_client;
 
  private:
   static constexpr int kStatus = 200;
@@ -131,16 +135,19 @@
         server(
             this->server_loop,
             {.listen = {.address = "127.0.0.1", .port = kRunServerPort},
-             .fleet_key = kKey},
+             .fleet_key = kKey,
+             .traffic = &this->server_traffic},
             {.head = [] { return std::string("head"); },
              .chunks = [](const auto&) { return std::vector<std::string>(); },
              .submit =
                  [this](const once::RunRequest&, RunDone run_done) {
                    this->accepted.set_value(std::move(run_done));
                  }}),
-        clients(
-            this->client_loop,
-            {.own_host = "127.0.0.1:1", .incarnation = 1, .fleet_key = kKey}) {
+        clients(this->client_loop,
+                {.own_host = "127.0.0.1:1",
+                 .incarnation = 1,
+                 .fleet_key = kKey,
+                 .traffic = &this->client_traffic}) {
     CHECK(this->server.Start().ok());
     this->relay_worker.Spawn([this] { this->relay.Run(); });
     // The relay may not listen yet.
@@ -155,6 +162,11 @@
   Relay relay;
   std::promise<RunDone> accepted;
   RunDone done;
+  TrafficCounters server_traffic{
+      this->sent_by_server, [](const auto&) { return ZoneRelation::kOwnZone; }};
+  TrafficCounters client_traffic{this->sent_by_client, [](const auto&) {
+                                   return ZoneRelation::kOtherZone;
+                                 }};
   PeerServer server;
   PeerClients clients;
 };
@@ -181,6 +193,28 @@
   CHECK(peer.IsReached());
 }
 
+// Guards against bytes between zones that no counter shows, and against runs
+// and replies that are counted under another purpose or zone.
+TEST(PeerClients, BytesOfRequestsAndRepliesAreCounted) {
+  constexpr int kBodyBytes = 5'000;
+  RunPeer& peer = RunPeer::Get();
+  const auto sent = [&](const metrics::Counters& counters, const char* zone) {
+    return static_cast<int>(counters.Value("kingcupstair_peer_bytes_total",
+                                           {{.name = "purpose", .value = "run"},
+                                            {.name = "zone", .value = zone}}));
+  };
+  const int requests_before = sent(peer.sent_by_client, "other");
+  const int replies_before = sent(peer.sent_by_server, "own");
+  auto result = peer.Submit(Millis(8'000), std::string(kBodyBytes, 'x'));
+  peer.EndRun();
+  CHECK(result.get().ok());
+  const int requests = sent(peer.sent_by_client, "other") - requests_before;
+  const int replies = sent(peer.sent_by_server, "own") - replies_before;
+  CHECK(requests >= kBodyBytes && requests < kBodyBytes + 500);
+  CHECK(replies > 0 && replies < 500);
+  LONGS_EQUAL(0, sent(peer.sent_by_client, "own"));
+}
+
 // Guards against a long run on a connection without other calls that counts as
 // silence.
 TEST(PeerClients, LongRunIsNoSilence) {
