--- a/apps/kingcupstaird/daemon_settings.cc
+++ b/apps/kingcupstaird/daemon_settings.cc
@@ -7,6 +7,7 @@
 
 constexpr size_t kMinFleetKeyLength = 16;
 constexpr int kMaxThreads = 64;
+constexpr int kMaxLinkMbps = 1'000'000;
 constexpr int64_t kMaxLeaveMillis = 60'000;
 constexpr int64_t kMinStopGraceMillis = 100;
 constexpr int64_t kMaxStopGraceMillis = 600'000;
@@ -25,6 +26,16 @@
   };
 }
 
+settings::Setter SetPlacement(bool& by_work) {
+  return [&by_work](const std::string& text) -> absl::Status {
+    if (text != "work" && text != "random") {
+      return absl::InvalidArgumentError("expected work or random");
+    }
+    by_work = text == "work";
+    return absl::OkStatus();
+  };
+}
+
 settings::FlagSet MakeFlags(DaemonSettings& settings) {
   settings::FlagSet flags(
       "kingcupstaird",
@@ -91,6 +102,16 @@
              .help = "service of the upstream on this host; sent to "
                      "upstreams with each request",
              .set = settings::SetText(settings.caller_service)});
+  flags.Add({.name = "placement",
+             .help =
+                 "how upstreams are chosen: work (by the time in which they "
+                 "are expected to be done) or random",
+             .set = SetPlacement(settings.place_by_work)});
+  flags.Add({.name = "link-mbps",
+             .help = "bandwidth of this host's link in Mbit/s, for the time "
+                     "that bodies take to other availability zones; 0: not "
+                     "known",
+             .set = settings::SetInteger(settings.link_mbps, 0, kMaxLinkMbps)});
   flags.Add({.name = "retry-ratio",
              .help = "retry budget of all hosts together: retries for each "
                      "request, 0 to 1",
--- a/apps/kingcupstaird/daemon_settings.h
+++ b/apps/kingcupstaird/daemon_settings.h
@@ -41,6 +41,10 @@
   /// Service of the upstream on this host, sent to upstreams with each request;
   /// may be empty.
   std::string caller_service;
+  /// Requests are placed by the work at the upstreams instead of at random.
+  bool place_by_work = false;
+  /// Bandwidth of the link of this host in Mbit/s; 0 if not known.
+  int link_mbps = 0;
   /// Retry budget of the site over all hosts.
   retry::RetryBudget::Options retries;
   /// How upstreams that announce when they are cold warm up.
--- a/components/balancing/placement.cc
+++ b/components/balancing/placement.cc
@@ -69,8 +69,9 @@
   return static_cast<double>(duration.count());
 }
 
-bool IsRecent(const PlacementCandidate& candidate) {
-  return candidate.reported_wait.has_value() && candidate.age <= kMaxReportAge;
+bool HasRecentReport(const PlacementCandidate& candidate) {
+  return candidate.reported_wait.has_value() &&
+         Placement::IsRecent(candidate.age);
 }
 
 /// Returns true if a young report says that no slot is free, also if the work
@@ -134,9 +135,8 @@
           .expects_wait = this->expects_wait};
 }
 
-bool Placement::HasRecentReport(
-    const std::vector<PlacementCandidate>& candidates) {
-  return std::any_of(candidates.begin(), candidates.end(), IsRecent);
+bool Placement::IsRecent(Duration age) {
+  return age <= kMaxReportAge;
 }
 
 void Placement::OnRoundTrip(const std::string& zone, Duration time) {
@@ -182,7 +182,7 @@
                           : mean_latency;
   std::map<std::string, double> weights;
   for (const PlacementCandidate* each : usable) {
-    if (IsRecent(*each)) {
+    if (HasRecentReport(*each)) {
       const double weight = WeightOf(*each);
       mean_waits[each->view.zone] += weight * KnownWait(*each, work);
       weights[each->view.zone] += weight;
@@ -199,7 +199,7 @@
     const health::UpstreamView& view = each->view;
     const auto mean = mean_waits.find(view.zone);
     double wait = mean == mean_waits.end() ? unknown_wait : mean->second;
-    if (IsRecent(*each)) {
+    if (HasRecentReport(*each)) {
       wait += WeightOf(*each) * (KnownWait(*each, work) - wait);
     }
     const bool is_slow =
--- a/components/balancing/placement.h
+++ b/components/balancing/placement.h
@@ -96,10 +96,9 @@
 
   explicit Placement(Options options);
 
-  /// Returns true if the wait at some upstream is known from a recent report.
-  /// Otherwise there is nothing to base a placement on.
-  static bool HasRecentReport(
-      const std::vector<PlacementCandidate>& candidates);
+  /// Returns true if a report of this age counts. Without any that counts,
+  /// there is nothing to base a placement on.
+  static bool IsRecent(Duration age);
 
   /// Returns the upstream for the next attempt, or nullopt if none is left.
   /// Leaves out upstreams in `tried`, and those whose path is closed. A
--- a/components/ingress/attempt_runner.cc
+++ b/components/ingress/attempt_runner.cc
@@ -40,6 +40,7 @@
   if (choice.host == this->options.own_host) {
     answer = this->guard.Reserve(informed);
   } else {
+    const Instant called_at = MonotonicNow();
     const auto reply = this->peers.Reserve(
         choice.host, informed,
         std::min(request.max_wait + kAcceptTimeout, request.remaining_time));
@@ -49,6 +50,9 @@
     }
     answer = *reply;
     this->registry.OnPathReached(choice.host);
+    if (request.max_wait == Duration{}) {
+      this->registry.OnRoundTrip(choice.upstream, MonotonicNow() - called_at);
+    }
   }
   this->registry.OnLoadReport({.report = answer.report,
                                .in_flight = answer.in_flight,
--- a/components/ingress/chosen_upstream.h
+++ b/components/ingress/chosen_upstream.h
@@ -13,6 +13,8 @@
   /// Incarnation of the host that the attempt is meant for; the host refuses
   /// the attempt in any other incarnation.
   uint64_t incarnation = 0;
+  /// The host is in another availability zone than this one.
+  bool in_other_zone = false;
 
   bool operator==(const ChosenUpstream&) const = default;
 };
--- a/components/ingress/fleet_board.cc
+++ b/components/ingress/fleet_board.cc
@@ -38,6 +38,18 @@
           .failure_probability = upstream.failure_probability};
 }
 
+/// Returns the time until a new request gets a slot. Without a report of that
+/// time, the requests ahead of the new one and the latency tell it.
+Duration WaitFrom(const rpc::RunResult& result) {
+  const membership::UpstreamRecord& report = result.report;
+  if (report.remaining_work > Duration{}) {
+    return report.remaining_work;
+  }
+  const int limit = std::max(1, report.limit);
+  const int ahead = std::max(0, result.in_flight + result.queued + 1 - limit);
+  return report.latency * ahead / limit;
+}
+
 /// Returns what a failure probability that was reported `age` ago is now. Old
 /// reports say little: a fault episode may have begun or ended since.
 double AgedFailureProbability(double reported, Duration age) {
@@ -49,8 +61,12 @@
 
 }  // namespace
 
-UpstreamRegistry::UpstreamRegistry(Options options)
-    : chooser({.own_zone = options.own_zone, .seed = options.seed}) {}
+UpstreamRegistry::UpstreamRegistry(Options initial_options)
+    : options(std::move(initial_options)),
+      chooser({.own_zone = this->options.own_zone, .seed = this->options.seed}),
+      placement({.own_zone = this->options.own_zone,
+                 .seed = this->options.seed,
+                 .link_mbps = this->options.link_mbps}) {}
 
 void UpstreamRegistry::Update(const std::vector<membership::HostRecord>& hosts,
                               const config::Configuration& configuration,
@@ -95,7 +111,13 @@
     for (const membership::UpstreamRecord& upstream : host.upstreams) {
       if (!configuration.IsUpstreamOutOfService(upstream.id)) {
         listed[upstream.service][upstream.id] = {
-            .view = MakeView(host, upstream), .incarnation = host.incarnation};
+            .view = MakeView(host, upstream),
+            .incarnation = host.incarnation,
+            .record_version = host.version};
+        if (upstream.remaining_work > Duration{}) {
+          listed[upstream.service][upstream.id].wait_report.wait =
+              upstream.remaining_work;
+        }
       }
     }
   }
@@ -109,9 +131,11 @@
   for (auto& [id, known] : listed) {
     const auto before = service.upstreams.find(id);
     known.health_reported_at = now;
+    known.wait_report.reported_at = now;
     if (before == service.upstreams.end()) {
       continue;
     }
+    KeepNewerWaitReport(before->second, known, now);
     const health::UpstreamView& old = before->second.view;
     if (known.view.finished == old.finished) {
       known.view.failure_probability = old.failure_probability;
@@ -131,6 +155,22 @@
   service.has_new_reports = true;
 }
 
+// The list of hosts has all records each time, also those that came earlier. A
+// record that comes just after a reply may have been made before it.
+void UpstreamRegistry::KeepNewerWaitReport(const UpstreamState& before,
+                                           UpstreamState& listed,
+                                           Instant now) {
+  if (listed.incarnation != before.incarnation) {
+    return;
+  }
+  const bool is_new_report = listed.wait_report.wait.has_value() &&
+                             listed.record_version != before.record_version &&
+                             now - before.replied_at > kReplyOverridesGossip;
+  if (!is_new_report) {
+    listed.wait_report = before.wait_report;
+  }
+}
+
 void UpstreamRegistry::OnLoadReport(const rpc::RunResult& result, Instant now) {
   const std::lock_guard lock(this->mutex);
   const auto service = this->services.find(result.report.service);
@@ -152,6 +192,7 @@
   view.failure_probability = result.report.failure_probability;
   found->second.health_reported_at = now;
   found->second.replied_at = now;
+  found->second.wait_report = {.wait = WaitFrom(result), .reported_at = now};
   service->second.has_new_reports = true;
 }
 
@@ -252,12 +293,96 @@
   return candidates;
 }
 
-ChosenUpstream UpstreamRegistry::LocateUpstream(const Service& service,
-                                                const std::string& upstream) {
+std::vector<balancing::PlacementCandidate>
+UpstreamRegistry::PlacementCandidates(const Service& service,
+                                      Instant now) const {
+  std::vector<balancing::PlacementCandidate> candidates;
+  for (balancing::Candidate& candidate : this->Candidates(service, now)) {
+    const WaitReport& report =
+        service.upstreams.at(candidate.view.id).wait_report;
+    candidates.push_back({.view = std::move(candidate.view),
+                          .on_trial = candidate.on_trial,
+                          .reported_wait = report.wait,
+                          .age = now - report.reported_at,
+                          .sent_since_report = report.sent});
+  }
+  return candidates;
+}
+
+bool UpstreamRegistry::PlacesByWork(const std::string& name,
+                                    Instant now) const {
+  if (!this->options.place_by_work) {
+    return false;
+  }
+  const std::lock_guard lock(this->mutex);
+  const auto service = this->services.find(name);
+  return service != this->services.end() &&
+         std::any_of(
+             service->second.upstreams.begin(), service->second.upstreams.end(),
+             [&](const auto& entry) {
+               const WaitReport& report = entry.second.wait_report;
+               return report.wait.has_value() &&
+                      balancing::Placement::IsRecent(now - report.reported_at);
+             });
+}
+
+std::optional<PlacedUpstream> UpstreamRegistry::Place(
+    const std::string& name,
+    const std::set<std::string>& tried,
+    const balancing::PlacementRequest& request,
+    Instant now) {
+  const std::lock_guard lock(this->mutex);
+  const auto service = this->services.find(name);
+  if (service == this->services.end()) {
+    return std::nullopt;
+  }
+  const auto placed =
+      this->placement.Choose(this->PlacementCandidates(service->second, now),
+                             tried, request, service->second.spill);
+  if (!placed.has_value()) {
+    return std::nullopt;
+  }
+  ++service->second.upstreams.at(placed->upstream).wait_report.sent;
+  return PlacedUpstream{
+      .choice = this->LocateUpstream(service->second, placed->upstream),
+      .reason = placed->reason,
+      .expects_wait = placed->expects_wait};
+}
+
+std::optional<balancing::NoRoom> UpstreamRegistry::FindNoRoom(
+    const std::string& name,
+    const std::set<std::string>& tried,
+    Duration max_wait,
+    Instant now) {
+  const std::lock_guard lock(this->mutex);
+  const auto service = this->services.find(name);
+  if (service == this->services.end()) {
+    return std::nullopt;
+  }
+  return this->placement.FindNoRoom(
+      this->PlacementCandidates(service->second, now), tried, max_wait);
+}
+
+void UpstreamRegistry::OnRoundTrip(const std::string& upstream, Duration time) {
+  const std::lock_guard lock(this->mutex);
+  const auto name = this->service_of.find(upstream);
+  if (name == this->service_of.end()) {
+    return;
+  }
+  const auto& upstreams = this->services.at(name->second).upstreams;
+  if (const auto found = upstreams.find(upstream); found != upstreams.end()) {
+    this->placement.OnRoundTrip(found->second.view.zone, time);
+  }
+}
+
+ChosenUpstream UpstreamRegistry::LocateUpstream(
+    const Service& service,
+    const std::string& upstream) const {
   const UpstreamState& known = service.upstreams.at(upstream);
   return {.upstream = upstream,
           .host = known.view.host,
-          .incarnation = known.incarnation};
+          .incarnation = known.incarnation,
+          .in_other_zone = known.view.zone != this->options.own_zone};
 }
 
 std::optional<ChosenUpstream> UpstreamRegistry::Choose(
--- a/components/ingress/fleet_board.h
+++ b/components/ingress/fleet_board.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "components/balancing/chooser.h"
+#include "components/balancing/placement.h"
 #include "components/config/configuration.h"
 #include "components/health/ejection_planner.h"
 #include "components/health/path_health.h"
@@ -18,6 +19,14 @@
 
 namespace kingcupstair::ingress {
 
+/// An upstream chosen by its expected completion.
+struct PlacedUpstream {
+  ChosenUpstream choice;
+  balancing::PlacementReason reason = balancing::PlacementReason::kOwnZone;
+  /// As in balancing::PlacementChoice.
+  bool expects_wait = false;
+};
+
 /// The state of all upstreams as this ingress knows it, and the choice of an
 /// upstream for each attempt. Holds the latest load report of each upstream,
 /// received by gossip or with a reply of its host, the health of the paths from
@@ -28,6 +37,11 @@
   struct Options {
     std::string own_zone;
     uint64_t seed = 0;
+    /// Choose by expected completion where reports allow it. Otherwise at
+    /// random.
+    bool place_by_work = false;
+    /// Bandwidth of the link of this host in Mbit/s; 0 if not known.
+    int link_mbps = 0;
   };
 
   explicit UpstreamRegistry(Options options);
@@ -79,6 +93,29 @@
                                        balancing::HealthPreference health,
                                        Instant now);
 
+  /// Returns true if Place() is to be used for `service`.
+  bool PlacesByWork(const std::string& service, Instant now) const;
+
+  /// Chooses an upstream of `service` that is not among `tried` by its expected
+  /// completion, and counts the request as sent there. Returns nothing if none
+  /// is left.
+  std::optional<PlacedUpstream> Place(
+      const std::string& service,
+      const std::set<std::string>& tried,
+      const balancing::PlacementRequest& request,
+      Instant now);
+
+  /// Returns when to come back if young reports show that no upstream of
+  /// `service` outside `tried` has a slot within `max_wait`.
+  std::optional<balancing::NoRoom> FindNoRoom(
+      const std::string& service,
+      const std::set<std::string>& tried,
+      Duration max_wait,
+      Instant now);
+
+  /// Records how long a call to the host of `upstream` took.
+  void OnRoundTrip(const std::string& upstream, Duration time);
+
   /// Chooses an upstream of `service` on the home host of `key`. All ingresses
   /// with the same list of hosts find the same home host. Returns nothing if no
   /// upstream there can be used.
@@ -87,9 +124,20 @@
                                                  Instant now);
 
  private:
+  /// What is known of the wait at an upstream.
+  struct WaitReport {
+    std::optional<Duration> wait;
+    Instant reported_at;
+    /// Requests sent there since the report.
+    int sent = 0;
+  };
+
   struct UpstreamState {
     health::UpstreamView view;
     uint64_t incarnation = 0;
+    /// Version of the host's record.
+    uint64_t record_version = 0;
+    WaitReport wait_report;
     /// When the last load report came with a reply.
     Instant replied_at;
     /// When the failure probability was reported, with a reply or by gossip.
@@ -105,6 +153,7 @@
     /// Load reports or the list of upstreams changed since the last
     /// UpdateEjections.
     bool has_new_reports = true;
+    balancing::SpillState spill;
   };
 
   /// Upstreams by id, by service.
@@ -119,9 +168,17 @@
                              Instant now);
   std::vector<balancing::Candidate> Candidates(const Service& service,
                                                Instant now) const;
-  static ChosenUpstream LocateUpstream(const Service& service,
-                                       const std::string& upstream);
-
+  std::vector<balancing::PlacementCandidate> PlacementCandidates(
+      const Service& service,
+      Instant now) const;
+  /// Keeps the wait report of `before` unless the record in `listed` is newer.
+  static void KeepNewerWaitReport(const UpstreamState& before,
+                                  UpstreamState& listed,
+                                  Instant now);
+  ChosenUpstream LocateUpstream(const Service& service,
+                                const std::string& upstream) const;
+
+  Options options;
   mutable std::mutex mutex;
   std::map<std::string, Service> services;
   std::map<std::string, std::string> service_of;
@@ -136,6 +193,7 @@
   std::map<std::string, Instant> room_at;
   health::PathHealth paths;
   balancing::Chooser chooser;
+  balancing::Placement placement;
 };
 
 }  // namespace kingcupstair::ingress
--- a/components/ingress/ingress.cc
+++ b/components/ingress/ingress.cc
@@ -252,6 +252,10 @@
                        const once::Outcome& outcome) {
              LogAttemptFailure(admitted, step, choice, outcome);
            },
+       .log_no_room =
+           [&admitted](const balancing::NoRoom& no_room) {
+             LogNoRoom(admitted, no_room);
+           },
        .caller_service = this->options.caller_service,
        .respond_by = [this] { return this->stop_schedule.Read()->respond_by; }},
       admitted);
--- a/components/ingress/request_log.cc
+++ b/components/ingress/request_log.cc
@@ -50,6 +50,18 @@
   logging::Write(logging::Level::kInfo, "an attempt begins", fields);
 }
 
+void LogNoRoom(const AdmittedRequest& admitted,
+               const balancing::NoRoom& no_room) {
+  Fields fields = CommonFields(admitted, "place");
+  fields.push_back({.name = "report_age_ms",
+                    .value = absl::StrCat(ToMillisRoundedUp(no_room.age))});
+  fields.push_back(
+      {.name = "retry_after_ms",
+       .value = absl::StrCat(ToMillisRoundedUp(no_room.retry_after))});
+  logging::Write(logging::Level::kWarning,
+                 "no upstream has a slot in time, as reported", fields);
+}
+
 void LogAttemptFailure(const AdmittedRequest& admitted,
                        const char* step,
                        const ChosenUpstream& choice,
--- a/components/ingress/request_log.h
+++ b/components/ingress/request_log.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "components/balancing/placement.h"
 #include "components/ingress/admitted_request.h"
 #include "components/ingress/chosen_upstream.h"
 #include "components/logging/log.h"
@@ -30,6 +31,11 @@
                      const rpc::SlotAnswer& slot,
                      size_t crashes);
 
+/// Logs that reports show that no upstream has a slot in time, so that the
+/// request is refused without a question to any.
+void LogNoRoom(const AdmittedRequest& admitted,
+               const balancing::NoRoom& no_room);
+
 /// Logs an attempt at `choice` that ended without a response of the upstream,
 /// and the step at which it ended. Logs nothing if the upstream responded.
 void LogAttemptFailure(const AdmittedRequest& admitted,
--- a/components/ingress/request_run.cc
+++ b/components/ingress/request_run.cc
@@ -31,6 +31,13 @@
 /// Minimum time that a request may wait in a queue, however short its latency
 /// objective is.
 constexpr Duration kMinQueueWait{std::chrono::milliseconds(50)};
+/// Search by the work at the upstreams: number of upstreams without a free slot
+/// after which the request queues at the one with the least work.
+constexpr int kMaxWithoutFreeSlot = 2;
+/// Bounds of the time after which a refused caller comes back. Callers honour
+/// at most a third of the time that is left.
+constexpr double kMaxRetryAfterFraction = 1.0 / 3;
+constexpr Duration kMinRetryAfter{std::chrono::milliseconds(200)};
 
 bool IsServed(const once::Outcome& outcome) {
   constexpr int kFirstServerError = 500;
@@ -239,6 +246,9 @@
   this->attempted_upstreams.insert(choice->upstream);
   this->running[id] = {.choice = *choice, .started = MonotonicNow()};
   ++this->attempts;
+  this->body_crossed_zones =
+      this->body_crossed_zones ||
+      (choice->in_other_zone && this->admitted.request.body.size() > 0);
   boost::fibers::fiber([results = this->results, &runner = this->context.runner,
                         choice = *choice, run = this->MakeRunRequest(*choice)] {
     once::Outcome outcome = runner.Run(choice, run);
@@ -252,14 +262,21 @@
 // The caller may disconnect while the request waits for its slot.
 std::optional<ChosenUpstream> RequestRun::FindSlot(bool may_wait) {
   this->next_attempt_id = RandomId();
-  SlotSearch search({.may_wait = may_wait, .may_use_unhealthy = may_wait});
+  this->places_by_work = this->admitted.dedupe_key.empty() &&
+                         this->context.registry.PlacesByWork(
+                             this->admitted.service, MonotonicNow());
+  if (const auto refusal = this->RefuseWithoutRoom()) {
+    this->last_outcome = retry::CombineOutcomes(this->last_outcome, *refusal);
+    return std::nullopt;
+  }
+  SlotSearch search(this->SearchOptions(may_wait));
   while (!this->admitted.caller->IsCancelled() &&
          MonotonicNow() < this->Deadline()) {
     const SlotStep step = search.Next();
     if (step.kind == SlotStep::Kind::kGiveUp) {
       break;
     }
-    if (const auto granted = this->RequestSlot(step, search)) {
+    if (const auto granted = this->RequestSlot(step, search, may_wait)) {
       if (!this->admitted.caller->IsCancelled()) {
         return granted;
       }
@@ -271,14 +288,47 @@
   return std::nullopt;
 }
 
+SlotSearch::Options RequestRun::SearchOptions(bool may_wait) const {
+  if (!this->places_by_work) {
+    return {.may_wait = may_wait, .may_use_unhealthy = may_wait};
+  }
+  return {.max_tried_idle = 0,
+          .may_wait = may_wait,
+          .may_use_unhealthy = may_wait,
+          .max_without_free_slot = kMaxWithoutFreeSlot,
+          .by_remaining_work = true};
+}
+
+std::optional<once::NotRun> RequestRun::RefuseWithoutRoom() const {
+  if (!this->places_by_work) {
+    return std::nullopt;
+  }
+  const auto no_room = this->context.registry.FindNoRoom(
+      this->admitted.service, this->attempted_upstreams, this->MaxQueueWait(),
+      MonotonicNow());
+  if (!no_room.has_value()) {
+    return std::nullopt;
+  }
+  this->context.log_no_room(*no_room);
+  const Duration honoured =
+      std::max(kMinRetryAfter,
+               FractionOf(this->RemainingTime(), kMaxRetryAfterFraction));
+  return once::NotRun{.reason = once::RefusalReason::kQueueFull,
+                      .retry_after = std::min(no_room->retry_after, honoured)};
+}
+
 std::optional<ChosenUpstream> RequestRun::RequestSlot(const SlotStep& step,
-                                                      SlotSearch& search) {
-  const auto choice = this->ChooseUpstream(step, search);
-  if (!choice.has_value()) {
+                                                      SlotSearch& search,
+                                                      bool may_wait) {
+  const auto placed = this->ChooseUpstream(step, search);
+  if (!placed.has_value()) {
     search.OnNoCandidate();
     return std::nullopt;
   }
-  const bool waits = step.kind == SlotStep::Kind::kQueue;
+  const ChosenUpstream* choice = &placed->choice;
+  // One message less if the upstream has no free slot, as reported.
+  const bool waits =
+      step.kind == SlotStep::Kind::kQueue || (may_wait && placed->expects_wait);
   const once::SlotRequest request{
       .request_id = this->next_attempt_id,
       .incarnation = choice->incarnation,
@@ -303,7 +353,7 @@
             : this->context.runner.Reserve(*choice, request);
   if (answer.granted) {
     this->context.log_attempt_start(this->next_attempt_id, *choice, answer);
-    return choice;
+    return *choice;
   }
   if (answer.refusal.reason == once::RefusalReason::kConnectFailed) {
     this->context.log_attempt_end("reserve", *choice, answer.refusal);
@@ -335,30 +385,46 @@
   return {.refusal = {.reason = once::RefusalReason::kQueueTimeout}};
 }
 
-std::optional<ChosenUpstream> RequestRun::ChooseUpstream(
+std::optional<PlacedUpstream> RequestRun::ChooseUpstream(
     const SlotStep& step,
     const SlotSearch& search) {
   if (step.kind != SlotStep::Kind::kTryFree &&
       step.kind != SlotStep::Kind::kTryIdle) {
-    return step.choice;
+    return PlacedUpstream{.choice = step.choice};
   }
+  const auto without_placement = [](std::optional<ChosenUpstream> chosen)
+      -> std::optional<PlacedUpstream> {
+    return chosen.has_value()
+               ? std::optional(PlacedUpstream{.choice = std::move(*chosen)})
+               : std::nullopt;
+  };
   const Instant now = MonotonicNow();
   if (!this->admitted.dedupe_key.empty()) {
     return search.tried_upstreams().empty()
-               ? this->context.registry.ChooseOnHomeHost(
-                     this->admitted.service, this->admitted.dedupe_key, now)
+               ? without_placement(this->context.registry.ChooseOnHomeHost(
+                     this->admitted.service, this->admitted.dedupe_key, now))
                : std::nullopt;
   }
   std::set<std::string> tried = this->attempted_upstreams;
   tried.insert(search.tried_upstreams().begin(),
                search.tried_upstreams().end());
-  return this->context.registry.Choose(
+  const auto health = this->IsNonRetryable()
+                          ? balancing::HealthPreference::kLeastLikelyToFail
+                          : balancing::HealthPreference::kAny;
+  if (this->places_by_work) {
+    return this->context.registry.Place(
+        this->admitted.service, tried,
+        {.objective = this->admitted.route.objective,
+         .body_bytes = this->admitted.request.body.size(),
+         .has_crossed_zones = this->body_crossed_zones,
+         .health = health},
+        now);
+  }
+  return without_placement(this->context.registry.Choose(
       this->admitted.service, tried,
       step.any_zone ? balancing::ZonePreference::kAnyZone
                     : balancing::ZonePreference::kOwnZone,
-      this->IsNonRetryable() ? balancing::HealthPreference::kLeastLikelyToFail
-                             : balancing::HealthPreference::kAny,
-      now);
+      health, now));
 }
 
 bool RequestRun::IsNonRetryable() const {
--- a/components/ingress/request_run.h
+++ b/components/ingress/request_run.h
@@ -45,6 +45,8 @@
                        const ChosenUpstream& choice,
                        const once::Outcome& outcome)>
         log_attempt_end;
+    /// Logs that reports show that no upstream has a slot in time.
+    std::function<void(const balancing::NoRoom& no_room)> log_no_room;
     std::string caller_service;
     /// Returns the time by which this host responds to all its requests.
     std::function<Instant()> respond_by;
@@ -66,9 +68,14 @@
 
   std::optional<ChosenUpstream> FindSlot(bool may_wait);
   std::optional<ChosenUpstream> RequestSlot(const SlotStep& step,
-                                            SlotSearch& search);
-  std::optional<ChosenUpstream> ChooseUpstream(const SlotStep& step,
+                                            SlotSearch& search,
+                                            bool may_wait);
+  std::optional<PlacedUpstream> ChooseUpstream(const SlotStep& step,
                                                const SlotSearch& search);
+  /// Returns how to search for a slot.
+  SlotSearch::Options SearchOptions(bool may_wait) const;
+  /// Returns the refusal if reports show that no upstream has a slot in time.
+  std::optional<once::NotRun> RefuseWithoutRoom() const;
   /// Requests a slot and waits for the answer, at most until the deadline and
   /// while the caller is there.
   rpc::SlotAnswer WaitInQueue(const ChosenUpstream& choice,
@@ -116,6 +123,10 @@
   std::set<std::string> attempted_upstreams;
   int attempts = 0;
   int upstreams_broken = 0;
+  /// The slot for the next attempt is searched by the work at the upstreams.
+  bool places_by_work = false;
+  /// The body was sent to another availability zone.
+  bool body_crossed_zones = false;
   /// An ended attempt has reached an upstream, so a further one is a retry.
   bool has_reached_upstream = false;
   /// A hedge has started, and no attempt has ended since after which another
--- a/components/ingress/slot_search.cc
+++ b/components/ingress/slot_search.cc
@@ -53,7 +53,9 @@
             .choice = LeastLoaded(this->busier_than_usual)};
   }
   if (!this->no_candidates_left &&
-      this->tried_count < this->options.max_tried) {
+      this->tried_count < this->options.max_tried &&
+      std::ssize(this->without_free_slot) <
+          this->options.max_without_free_slot) {
     return {.kind = SlotStep::Kind::kTryFree, .any_zone = any_zone};
   }
   if (this->final_step_refused) {
@@ -100,7 +102,10 @@
     this->tried.insert(choice.upstream);
     ++this->tried_count;
   }
-  const double load = LoadOf(answer);
+  const double load = this->options.by_remaining_work &&
+                              answer.report.remaining_work > Duration{}
+                          ? ToSeconds(answer.report.remaining_work)
+                          : LoadOf(answer);
   switch (answer.refusal.reason) {
     case once::RefusalReason::kBusierThanOthers:
       this->busier_than_usual.push_back({.choice = choice, .load = load});
--- a/components/ingress/slot_search.h
+++ b/components/ingress/slot_search.h
@@ -69,6 +69,11 @@
     bool may_wait = true;
     /// Whether the search may end at an unhealthy or suspected upstream.
     bool may_use_unhealthy = true;
+    /// Number of upstreams without a free slot after which no further one is
+    /// tried.
+    int max_without_free_slot = 6;
+    /// Compare the waits that upstreams report, instead of their loads.
+    bool by_remaining_work = false;
   };
 
   explicit SlotSearch(Options options);
@@ -93,7 +98,8 @@
  private:
   struct LoadedUpstream {
     ChosenUpstream choice;
-    /// Requests in flight and queued, relative to the concurrency limit.
+    /// Requests in flight and queued, relative to the concurrency limit, or the
+    /// reported wait in seconds.
     double load = 0;
   };
 
--- a/tests/balancing/placement_test.cc
+++ b/tests/balancing/placement_test.cc
@@ -125,8 +125,6 @@
   candidates[0].age = Millis(0);
   candidates[0].sent_since_report = 20;
   CHECK(Place(candidates)["a0"] < 60);
-  CHECK_FALSE(Placement::HasRecentReport(
-      {{.reported_wait = Millis(0), .age = Millis(5'100)}}));
 }
 
 // Guards against a slow upstream that has room because it is avoided.
--- a/tests/ingress/slot_search_test.cc
+++ b/tests/ingress/slot_search_test.cc
@@ -66,6 +66,22 @@
   CHECK(search.Next().kind == Kind::kGiveUp);
 }
 
+// Guards against a search by remaining work that asks as many busy upstreams as
+// a search without reports, and against a queue that is short and slow.
+TEST(SlotSearch, ASearchByRemainingWorkQueuesSoonWhereTheWorkEndsFirst) {
+  SlotSearch search({.max_tried_idle = 0,
+                     .max_without_free_slot = 2,
+                     .by_remaining_work = true});
+  for (const int i : {1, 2}) {
+    rpc::SlotAnswer answer = Refused(once::RefusalReason::kQueueFull, 7 + i);
+    answer.report.remaining_work = std::chrono::milliseconds(90 / i);
+    CHECK(search.Next().kind == Kind::kTryFree);
+    search.OnRefused(search.Next(), On(std::to_string(i)), answer);
+  }
+  CHECK(search.Next().kind == Kind::kQueue);
+  STRCMP_EQUAL("2", search.Next().choice.upstream.c_str());
+}
+
 TEST(SlotSearch, UsesAnUnhealthyUpstreamAsTheLastResort) {
   SlotSearch search({.max_tried_idle = 1, .max_tried = 3});
   Refuse(search, "a", once::RefusalReason::kUpstreamUnhealthy);
