kingcupstairctl place: where a request would go, and why

The admin page /place answers from the registry: the upstreams of the route's services with reported wait, age, zone and state, and the choice with its reason, or the refusal with its Retry-After.

--- a/apps/kingcupstairctl/commands.cc
+++ b/apps/kingcupstairctl/commands.cc
@@ -55,6 +55,10 @@
          "  status                 print the state of each host\n"
          "  explain ID FILE...     print the path of request ID from hosts' "
          "log files\n"
+         "  place PATH             print where each host would send a request, "
+         "and "
+         "why;\n"
+         "                         sends and counts nothing\n"
          "  timeline               print the events of all hosts in order of "
          "time\n";
 }
@@ -79,6 +83,9 @@
   if (words.size() == 3 && words[0] == "host" && words[1] == "remove") {
     return RemoveHost(line, words[2]);
   }
+  if (words.size() == 2 && words[0] == "place") {
+    return ShowPlacement(line, words[1]);
+  }
   if (words.size() >= 3 && words[0] == "explain") {
     return ExplainFromFiles(words[1], {words.begin() + 2, words.end()});
   }
--- a/apps/kingcupstairctl/commands.h
+++ b/apps/kingcupstairctl/commands.h
@@ -18,6 +18,11 @@
   /// Who runs the command; written into rules and revisions.
   std::string author;
   events::TimelineFilter filter;
+  /// For `place`: method and size of the body of the request.
+  std::string method = "GET";
+  int body_bytes = 0;
+  /// Print JSON instead of text.
+  bool json = false;
   std::vector<std::string> words;
 };
 
--- a/apps/kingcupstairctl/host_commands.cc
+++ b/apps/kingcupstairctl/host_commands.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
+#include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 #include "components/config/revision.h"
 #include "components/http/client.h"
@@ -91,8 +92,66 @@
   return read;
 }
 
+void PrintPlacement(const nlohmann::json& service) {
+  std::cout << "  service " << service.value("service", "") << ", placement "
+            << service.value("placement", "") << "\n";
+  for (const auto& upstream : service["upstreams"]) {
+    std::cout << "    " << upstream.value("id", "") << " zone "
+              << upstream.value("zone", "") << " "
+              << upstream.value("state", "");
+    if (upstream.contains("wait_us")) {
+      std::cout << " wait_us " << upstream.value("wait_us", int64_t{0})
+                << " age_ms " << upstream.value("age_ms", int64_t{0})
+                << " sent_since " << upstream.value("sent_since", 0);
+    }
+    std::cout << "\n";
+  }
+  if (service.contains("refused")) {
+    const auto& refused = service["refused"];
+    std::cout << "    refused: " << refused.value("reason", "")
+              << ", retry after ms "
+              << refused.value("retry_after_ms", int64_t{0})
+              << ", reports up to ms old "
+              << refused.value("report_age_ms", int64_t{0}) << "\n";
+    return;
+  }
+  const auto& choice = service["choice"];
+  std::cout << "    choice: " << choice.value("upstream", "") << ", "
+            << choice.value("reason", "")
+            << (choice.value("other_zone", false) ? ", other zone" : "")
+            << (choice.value("expects_wait", false) ? ", in its queue" : "")
+            << "\n";
+}
+
 }  // namespace
 
+int ShowPlacement(const CommandLine& line, const std::string& path) {
+  const std::vector<Page> pages =
+      FetchAll(line, absl::StrCat("/place?path=", path, "&method=", line.method,
+                                  "&organisation=", line.filter.organisation,
+                                  "&body-bytes=", line.body_bytes));
+  for (const Page& page : pages) {
+    const auto placement = nlohmann::json::parse(page.text, nullptr, false);
+    if (!page.reached || !placement.is_object()) {
+      continue;
+    }
+    if (line.json) {
+      std::cout << placement.dump() << "\n";
+      continue;
+    }
+    std::cout << placement.value("host", "") << " zone "
+              << placement.value("zone", "") << "\n";
+    if (placement.contains("refused")) {
+      std::cout << "  refused: " << placement.value("refused", "") << "\n";
+    }
+    for (const auto& service :
+         placement.value("services", nlohmann::json::array())) {
+      PrintPlacement(service);
+    }
+  }
+  return ReportUnreached(pages);
+}
+
 int ShowStatus(const CommandLine& line) {
   const std::vector<Page> pages = FetchAll(line, "/status");
   for (const Page& page : pages) {
--- a/apps/kingcupstairctl/host_commands.h
+++ b/apps/kingcupstairctl/host_commands.h
@@ -13,6 +13,10 @@
 /// not be reached. Returns the exit code.
 int ShowTimeline(const CommandLine& line);
 
+/// Prints where each host would send a request to `path`, and why. Returns the
+/// exit code.
+int ShowPlacement(const CommandLine& line, const std::string& path);
+
 }  // namespace kingcupstair
 
 #endif  // APPS_KINGCUPSTAIRCTL_HOST_COMMANDS_H_
--- a/apps/kingcupstairctl/main.cc
+++ b/apps/kingcupstairctl/main.cc
@@ -24,6 +24,18 @@
   };
 }
 
+constexpr int kMaxBodyBytes = 1'000'000'000;
+
+settings::Setter SetFormat(bool& json) {
+  return [&json](const std::string& text) -> absl::Status {
+    if (text != "text" && text != "json") {
+      return absl::InvalidArgumentError("expected text or json");
+    }
+    json = text == "json";
+    return absl::OkStatus();
+  };
+}
+
 settings::FlagSet MakeFlags(CommandLine& line) {
   settings::FlagSet flags(
       "kingcupstairctl",
@@ -38,8 +50,18 @@
   flags.Add({.name = "author",
              .help = "who makes the change; written into rules and revisions",
              .set = settings::SetText(line.author)});
+  flags.Add({.name = "method",
+             .help = "place: method of the request; default: GET",
+             .set = settings::SetText(line.method)});
+  flags.Add({.name = "body-bytes",
+             .help = "place: size of the body of the request",
+             .set = settings::SetInteger(line.body_bytes, 0, kMaxBodyBytes)});
+  flags.Add({.name = "format",
+             .help = "place: text or json",
+             .set = SetFormat(line.json)});
   flags.Add({.name = "organisation",
-             .help = "timeline: events of this organisation only",
+             .help = "timeline: events of this organisation only; place: of "
+                     "the request",
              .set = settings::SetText(line.filter.organisation)});
   flags.Add({.name = "upstream",
              .help = "timeline: events of this upstream only",
@@ -59,7 +81,8 @@
 
 bool NeedsStore(const CommandLine& line) {
   const std::string command = line.words.empty() ? "" : line.words[0];
-  const bool reads_hosts = command == "status" || command == "timeline";
+  const bool reads_hosts =
+      command == "status" || command == "timeline" || command == "place";
   return command != "check" && command != "explain" &&
          !(reads_hosts && !line.hosts.empty());
 }
--- a/apps/kingcupstaird/admin_pages.h
+++ b/apps/kingcupstaird/admin_pages.h
@@ -7,17 +7,19 @@
 #include "components/control/fleet.h"
 #include "components/guard/guard.h"
 #include "components/http/message.h"
+#include "components/ingress/fleet_board.h"
 #include "components/site/site_interface.h"
 
 namespace kingcupstair {
 
-/// HTTP handler of the admin port. Serves /status, /metrics, /events and
-/// /config to operators' tools, the readiness check, and the calls by which the
-/// upstreams of this host announce themselves or leave.
+/// HTTP handler of the admin port. Serves /status, /metrics, /events, /config
+/// and /place to operators' tools, the readiness check, and the calls by which
+/// the upstreams of this host announce themselves or leave.
 class AdminPages {
  public:
   AdminPages(control::Fleet& fleet,
              guard::Guard& guard,
+             const ingress::UpstreamRegistry& registry,
              const site::SiteInterface& interface,
              const std::atomic<bool>& leaving);
 
@@ -33,9 +35,14 @@
   /// Returns the recorded events, one JSON object a line.
   std::string EventsJsonLines() const;
   std::string StatusJson() const;
+  /// Returns true if this host refuses requests since it is isolated.
+  bool IsIsolated() const;
+  /// Returns what would become of the request that the query describes.
+  http::Response Place(const std::string& query) const;
 
   control::Fleet& fleet;
   guard::Guard& guard;
+  const ingress::UpstreamRegistry& registry;
   const site::SiteInterface& interface;
   const std::atomic<bool>& leaving;
 };
--- a/apps/kingcupstaird/daemon.cc
+++ b/apps/kingcupstaird/daemon.cc
@@ -195,7 +195,11 @@
                                           const CancellationPtr& caller) {
             return this->ingress.Handle(request, caller);
           })),
-      admin_pages(this->fleet, this->guard, this->interface, this->leaving),
+      admin_pages(this->fleet,
+                  this->guard,
+                  this->registry,
+                  this->interface,
+                  this->leaving),
       admin_server(this->workers,
                    {.listen = this->settings.admin_listen},
                    [this](const http::Request& request) {
--- a/components/ingress/fleet_board.cc
+++ b/components/ingress/fleet_board.cc
@@ -363,6 +363,59 @@
       this->PlacementCandidates(service->second, now), tried, max_wait);
 }
 
+PlacementPreview UpstreamRegistry::Preview(
+    const std::string& name,
+    const balancing::PlacementRequest& request,
+    Duration max_wait,
+    Instant now) const {
+  PlacementPreview preview{.by_work = this->PlacesByWork(name, now)};
+  const std::lock_guard lock(this->mutex);
+  const auto found = this->services.find(name);
+  if (found == this->services.end()) {
+    return preview;
+  }
+  const Service& service = found->second;
+  for (const auto& [id, known] : service.upstreams) {
+    const auto room = this->room_at.find(id);
+    const char* state = "usable";
+    if (service.planner.IsEjected(id)) {
+      state = service.planner.IsOnTrial(id, now) ? "trial" : "ejected";
+    } else if (!this->paths.IsOpen(known.view.host, now)) {
+      state = "unreachable";
+    } else if (room != this->room_at.end() && room->second > now) {
+      state = "no-room";
+    }
+    preview.upstreams.push_back(
+        {.candidate = {.view = known.view,
+                       .reported_wait = known.wait_report.wait,
+                       .age = now - known.wait_report.reported_at,
+                       .sent_since_report = known.wait_report.sent},
+         .state = state});
+  }
+  // Copies make the choice, so that its random numbers and state stay.
+  balancing::Placement placement_copy = this->placement;
+  if (preview.by_work) {
+    const auto candidates = this->PlacementCandidates(service, now);
+    balancing::SpillState spill = service.spill;
+    preview.no_room = placement_copy.FindNoRoom(candidates, {}, max_wait);
+    if (const auto placed =
+            placement_copy.Choose(candidates, {}, request, spill)) {
+      preview.placed = {
+          .choice = this->LocateUpstream(service, placed->upstream),
+          .reason = placed->reason,
+          .expects_wait = placed->expects_wait};
+    }
+    return preview;
+  }
+  balancing::Chooser chooser_copy = this->chooser;
+  if (const auto chosen = chooser_copy.Choose(
+          this->Candidates(service, now), {},
+          balancing::ZonePreference::kOwnZone, request.health)) {
+    preview.placed = {.choice = this->LocateUpstream(service, *chosen)};
+  }
+  return preview;
+}
+
 void UpstreamRegistry::OnRoundTrip(const std::string& upstream, Duration time) {
   const std::lock_guard lock(this->mutex);
   const auto name = this->service_of.find(upstream);
--- a/components/ingress/fleet_board.h
+++ b/components/ingress/fleet_board.h
@@ -27,6 +27,22 @@
   bool expects_wait = false;
 };
 
+/// One upstream in the preview of a placement.
+struct PreviewedUpstream {
+  balancing::PlacementCandidate candidate;
+  /// "usable", "ejected", "trial", "unreachable" or "no-room".
+  std::string state;
+};
+
+/// What Place() or Choose() would do for a request, and why.
+struct PlacementPreview {
+  /// The choice would be made by work, and not at random.
+  bool by_work = false;
+  std::vector<PreviewedUpstream> upstreams;
+  std::optional<PlacedUpstream> placed;
+  std::optional<balancing::NoRoom> no_room;
+};
+
 /// The state of all upstreams as this ingress knows it, and the choice of an
 /// upstream for each attempt. Holds the latest load report of each upstream,
 /// received by gossip or with a reply of its host, the health of the paths from
@@ -113,6 +129,13 @@
       Duration max_wait,
       Instant now);
 
+  /// Returns what would become of a request that may wait for `max_wait`.
+  /// Changes nothing.
+  PlacementPreview Preview(const std::string& service,
+                           const balancing::PlacementRequest& request,
+                           Duration max_wait,
+                           Instant now) const;
+
   /// Records how long a call to the host of `upstream` took.
   void OnRoundTrip(const std::string& upstream, Duration time);
 
--- a/components/ingress/request_run.cc
+++ b/components/ingress/request_run.cc
@@ -55,6 +55,16 @@
 
 }  // namespace
 
+// An internal request may wait until only the latency objective is left of its
+// remaining time, and so end late. If it were refused earlier, the request that
+// it is part of would fail, and the work done for that request would be lost.
+Duration MaxQueueWaitOf(const config::RouteRule& route) {
+  return std::max(route.internal
+                      ? route.deadline - route.objective
+                      : FractionOf(route.objective, kQueueWaitFraction),
+                  kMinQueueWait);
+}
+
 /// Queue of the outcomes of ended attempts, read by the fiber of the request.
 /// Shared, since an attempt may outlive its request. All fibers that use it run
 /// on one thread.
@@ -432,15 +442,12 @@
          this->admitted.route.attempts == 1;
 }
 
-// An internal request may wait until only the latency objective is left of its
-// remaining time, and so end late. If it were refused earlier, the request that
-// it is part of would fail, and the work done for that request would be lost.
+// The caller's deadline may be earlier than that of the route.
 Duration RequestRun::MaxQueueWait() const {
   const Instant latest =
       this->admitted.route.internal
           ? this->Deadline() - this->admitted.route.objective
-          : this->admitted.arrived +
-                FractionOf(this->admitted.route.objective, kQueueWaitFraction);
+          : this->admitted.arrived + MaxQueueWaitOf(this->admitted.route);
   return std::max(latest - MonotonicNow(), kMinQueueWait);
 }
 
--- a/components/ingress/request_run.h
+++ b/components/ingress/request_run.h
@@ -20,6 +20,9 @@
 
 namespace kingcupstair::ingress {
 
+/// Returns how long a request by `route` may wait in the queue of an upstream.
+Duration MaxQueueWaitOf(const config::RouteRule& route);
+
 /// Runs one request with all its attempts: finds slots, starts attempts,
 /// retries and hedges where that is allowed, and returns the final outcome.
 /// Runs on one fiber; each attempt runs on a fiber of its own on the same
