--- a/apps/kingcupstaird/daemon.cc
+++ b/apps/kingcupstaird/daemon.cc
@@ -76,10 +76,14 @@
              .retries = this->settings.retries},
             this->config.snapshot()),
       isolation({.start = MonotonicNow()}),
+      traffic(
+          this->recorder.counters(),
+          [this](const std::string& host) { return this->RelationTo(host); }),
       peers(this->rpc_loop,
             {.own_host = ToText(this->settings.peer_address),
              .incarnation = this->incarnation,
-             .fleet_key = this->settings.fleet_key}),
+             .fleet_key = this->settings.fleet_key,
+             .traffic = &this->traffic}),
       store(
           {.server = this->settings.store, .protocol = this->interface.store}),
       fleet{
@@ -148,7 +152,10 @@
             this->config.snapshot(),
             this->crashes,
             this->recorder),
-      registry({.own_zone = this->settings.zone, .seed = this->incarnation}),
+      registry({.own_zone = this->settings.zone,
+                .seed = this->incarnation,
+                .place_by_work = this->settings.place_by_work,
+                .link_mbps = static_cast<int>(this->settings.link_mbps)}),
       runner({.own_host = this->fleet.settings.host},
              this->guard,
              this->peers,
@@ -187,7 +194,8 @@
               this->recorder),
       peer_server(this->rpc_loop,
                   {.listen = this->settings.peer_listen,
-                   .fleet_key = this->settings.fleet_key},
+                   .fleet_key = this->settings.fleet_key,
+                   .traffic = &this->traffic},
                   this->MakeHandlers()),
       caller_server(
           this->workers,
@@ -197,7 +205,11 @@
                                           const CancellationPtr& caller) {
             return this->ingress.Handle(request, caller);
           })),
-      admin_pages(this->fleet, this->guard, this->interface, this->leaving),
+      admin_pages(this->fleet,
+                  this->guard,
+                  this->registry,
+                  this->interface,
+                  this->leaving),
       admin_server(this->workers,
                    {.listen = this->settings.admin_listen},
                    [this](const http::Request& request) {
@@ -371,6 +383,19 @@
          this->isolation.IsIsolated(this->directory.size(), MonotonicNow());
 }
 
+rpc::ZoneRelation Daemon::RelationTo(const std::string& host) const {
+  const auto found = this->directory.FindByHash({StableHash(host)});
+  if (found.empty()) {
+    return rpc::ZoneRelation::kUnknown;
+  }
+  const membership::HostRecord& record = found.front().record;
+  if (record.region != this->settings.region) {
+    return rpc::ZoneRelation::kOtherRegion;
+  }
+  return record.zone == this->settings.zone ? rpc::ZoneRelation::kOwnZone
+                                            : rpc::ZoneRelation::kOtherZone;
+}
+
 rpc::PeerHandlers Daemon::MakeHandlers() {
   return {
       .gossip =
--- a/apps/kingcupstaird/daemon_settings.cc
+++ b/apps/kingcupstaird/daemon_settings.cc
@@ -35,6 +35,16 @@
   };
 }
 
+settings::Setter SetPlacement(bool& by_work) {
+  return [&by_work](const std::string& text) -> absl::Status {
+    if (text != "work" && text != "random") {
+      return absl::InvalidArgumentError("expected work or random");
+    }
+    by_work = text == "work";
+    return absl::OkStatus();
+  };
+}
+
 settings::FlagSet MakeFlags(DaemonSettings& settings) {
   settings::FlagSet flags(
       "kingcupstaird",
@@ -101,6 +111,11 @@
              .help = "service of the upstream on this host; sent to "
                      "upstreams with each request",
              .set = settings::SetText(settings.caller_service)});
+  flags.Add({.name = "placement",
+             .help =
+                 "how upstreams are chosen: work (by the time in which they "
+                 "are expected to be done) or random",
+             .set = SetPlacement(settings.place_by_work)});
   flags.Add({.name = "retry-ratio",
              .help = "retry budget of all hosts together: retries for each "
                      "request, 0 to 1",
