--- a/CI/mutants.sh
+++ b/CI/mutants.sh
@@ -60,6 +60,13 @@
 mutant loan_exclusive components/limits/share_lender.cc 's/const bool taken = .*/const bool taken = false;/' unit RateLimitSimulation
 mutant permits_counted components/limits/rate_pool.cc 's/bucket->outstanding_count += granted;/;/; s/bucket.outstanding_count += granted;/;/' unit RateLimitSimulation
 mutant restart_holds_back components/limits/share_lender.cc 's/.expires = until + this->options.margin/.expires = until - std::chrono::hours(1)/' unit RateLimitSimulation
+mutant sweep_drops components/limits/rate_pool.cc 's/loans.erase(lender) > 0) {/loans.count(lender) > 99) {/' unit RateLimitSimulation
+mutant sweep_late_loans components/limits/rate_pool.cc 's/ || requested_at <= this->IgnoredUpTo(lender)//' unit RateLimitSimulation
+mutant sweep_by_all components/limits/loan_sweep.cc 's/      !this->unconfirmed.empty()) {/      false) {/' unit LoanSweep
+mutant sweep_token components/limits/share_lender.cc 's/token == 0 || token != this->block.token/token == 0/' unit RateLimitSimulation
+mutant sweep_margin components/limits/share_lender.cc '/void ShareLender::EndBlock/,/^}/s/now + this->options.margin/now/' unit RateLimitSimulation
+mutant known_borrowers components/limits/share_lender.cc 's/this->eligible_borrowers.contains(borrower)/true/' unit RateLimitSimulation
+mutant join_fence components/limits/join_fence.h 's/return read.version > /return read.version >= /' unit JoinFence
 mutant warm_up components/admission/concurrency_limit.cc 's/1 \/ (kAnswersPerStep \* this->value)/100/' scenario warm_up
 mutant zone_at_guard components/guard/guard.cc 's/return current->IsZoneOutOfService(this->options.zone) ||/return false \&\&/' process zone
 mutant drain_at_guard components/guard/guard.cc 's/return found->second.announcement.draining ?/return false ?/' process zone
--- a/apps/kingcupstaird/daemon.cc
+++ b/apps/kingcupstaird/daemon.cc
@@ -384,6 +384,14 @@
                  uint64_t sequence_number) {
             return this->permits.Lend(shard, borrower, sequence_number);
           },
+      .loan_block =
+          [this](uint64_t clearance) {
+            return this->rates.EndLoanBlock(clearance);
+          },
+      .drop_loans =
+          [this](const std::vector<std::string>& lenders) {
+            this->rates.DropLoansOf(lenders);
+          },
       .return_loans =
           [this](limits::ShardId shard, const std::string& borrower,
                  uint64_t sequence_number) {
--- a/components/control/loan_loop.cc
+++ b/components/control/loan_loop.cc
@@ -5,12 +5,18 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "components/fibers/worker_pool.h"
 
 namespace kingcupstair::control {
 namespace {
 
 constexpr Duration kStepInterval{std::chrono::milliseconds(100)};
+/// A lender that refuses loans and has not restarted is asked for the reason
+/// again after this time. Hosts that have no share refuse all the time.
+constexpr Duration kBlockCheckInterval{std::chrono::seconds(10)};
+/// While nobody has permits because a sweep has not ended.
+constexpr Duration kSweepStepInterval{std::chrono::milliseconds(20)};
 /// No permits are available for up to this long after a pool host died. A loan
 /// request takes some milliseconds, so a loan can still be renewed several
 /// times within this lifetime.
@@ -40,16 +46,29 @@
                     kMaxLoanLifetime);
 }
 
+std::vector<limits::PoolCandidate> PoolCandidates(const Fleet& fleet) {
+  auto candidates = fleet.directory.PoolHosts(fleet.settings.region);
+  const auto with_entries = fleet.rates.TableHosts();
+  if (!with_entries.empty()) {
+    std::erase_if(candidates, [&](const limits::PoolCandidate& candidate) {
+      return !with_entries.contains(candidate.host);
+    });
+  }
+  return candidates;
+}
+
 LoanLoop::LoanLoop(Fleet& fleet) : fleet(fleet) {}
 
 void LoanLoop::Step() {
   const auto hosts =
       this->fleet.directory.PoolHosts(this->fleet.settings.region);
   this->fleet.rates.SetLoanLifetime(LoanLifetime(hosts.size()));
-  const ShardList pooled = this->ShardsPooledHere(hosts);
-  this->UpdatePooledSince(pooled, hosts.size());
+  const auto candidates = PoolCandidates(this->fleet);
+  const ShardList pooled = this->ShardsPooledHere(candidates);
+  this->UpdatePooledSince(pooled, candidates.size());
   this->ReturnUnpooledLoans({pooled.begin(), pooled.end()});
   if (!pooled.empty()) {
+    this->SweepLoans();
     for (const auto& [lender, kept] : hosts) {
       const Instant now = MonotonicNow();
       if (this->next_request_at[lender] <= now &&
@@ -63,7 +82,69 @@
     }
   }
   this->fleet.rates.RemoveRedundantBuckets();
-  fibers::SleepFor(kStepInterval);
+  fibers::SleepFor(this->sweep.Unconfirmed().empty() ? kStepInterval
+                                                     : kSweepStepInterval);
+}
+
+void LoanLoop::CheckBlock(const std::string& lender) {
+  if (MonotonicNow() < this->next_check_at[lender]) {
+    return;
+  }
+  const uint64_t clearance = this->sweep.ClearanceFor(lender);
+  absl::StatusOr<limits::LoanBlock> block;
+  if (lender == this->fleet.settings.host) {
+    block = this->fleet.rates.EndLoanBlock(clearance);
+  } else {
+    block = this->fleet.peers.LoanBlock(lender, clearance, kLoanCallTimeout);
+  }
+  if (!block.ok() || block->hosts == 0) {
+    return;
+  }
+  this->sweep.RecordResponse(lender, *block);
+  if (block->token == 0) {
+    this->next_check_at[lender] = MonotonicNow() + kBlockCheckInterval;
+  }
+}
+
+void LoanLoop::SweepLoans() {
+  this->sweep.SetHosts(this->fleet.rates.TableHosts());
+  this->sweep.Update(MonotonicNow());
+  for (const std::string& host : this->sweep.Unconfirmed()) {
+    if (this->dropping.insert(host).second) {
+      boost::fibers::fiber([this, host] { this->DropLoansAt(host); }).detach();
+    }
+  }
+}
+
+void LoanLoop::DropLoansAt(const std::string& host) {
+  const uint64_t number = this->sweep.number();
+  const auto lenders = this->sweep.Lenders();
+  absl::Status dropped;
+  if (host == this->fleet.settings.host) {
+    this->fleet.rates.DropLoansOf(lenders);
+  } else {
+    dropped = this->fleet.peers.DropLoans(host, lenders, kLoanCallTimeout);
+  }
+  if (!dropped.ok()) {
+    fibers::SleepFor(kFailureBackoff);
+  }
+  this->dropping.erase(host);
+  if (!dropped.ok()) {
+    return;
+  }
+  this->sweep.RecordDropped(number, host);
+  if (this->sweep.number() == number && this->sweep.Unconfirmed().empty()) {
+    this->fleet.recorder.Record(
+        {.kind = "loans_swept",
+         .detail = absl::StrCat(lenders.size(), " lenders")});
+  }
+  for (const std::string& lender : lenders) {
+    // A request in progress sets the time of the next one itself.
+    if (this->sweep.ClearanceFor(lender) != 0 &&
+        this->next_request_at[lender] != Instant::max()) {
+      this->next_request_at[lender] = Instant{};
+    }
+  }
 }
 
 LoanLoop::ShardList LoanLoop::ShardsPooledHere(
@@ -121,6 +202,12 @@
   const bool all_granted = std::all_of(
       grants.begin(), grants.end(),
       [](const limits::LoanGrant& grant) { return grant.fraction > 0; });
+  if (all_granted) {
+    this->sweep.RecordResponse(lender, {});
+    this->next_check_at.erase(lender);
+  } else {
+    this->CheckBlock(lender);
+  }
   this->next_request_at[lender] =
       all_granted ? requested_at : requested_at + kFailureBackoff;
 }
--- a/components/control/loan_loop.h
+++ b/components/control/loan_loop.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "components/control/fleet.h"
+#include "components/limits/loan_sweep.h"
 
 namespace kingcupstair::control {
 
@@ -16,6 +17,11 @@
 /// its budget of control traffic.
 Duration LoanLifetime(size_t hosts);
 
+/// Returns the hosts that may become pool hosts: those of the directory that
+/// have entries in the share table, since the others can't get loans, or all
+/// while no table has been read.
+std::vector<limits::PoolCandidate> PoolCandidates(const Fleet& fleet);
+
 /// Obtains and renews the loans of the shards that this host pools. Each host
 /// of the region gets one request for all shards, well before its loans expire.
 class LoanLoop {
@@ -45,6 +51,14 @@
   void UpdatePooledSince(const ShardList& pooled, size_t hosts);
   /// Requests loans of `shards` from `lender` and adds those granted.
   void RequestLoans(const std::string& lender, const ShardList& shards);
+  /// Finds out whether `lender`, which has refused a loan, has restarted, and
+  /// ends its block if a sweep has cleared it.
+  void CheckBlock(const std::string& lender);
+  /// Has all hosts drop the loans of lenders that have restarted, if a sweep is
+  /// due.
+  void SweepLoans();
+  /// Has `host` drop the loans of the lenders of the present sweep.
+  void DropLoansAt(const std::string& host);
   /// Drops loans here and returns them to `lender`.
   void ReturnLoans(const std::string& lender, rpc::ReturnedLoans returned);
   /// Returns the loans of all shards that are not in `pooled`.
@@ -54,6 +68,11 @@
   /// The earliest time of the next loan request, by lender. Instant::max()
   /// while a request is in progress.
   std::map<std::string, Instant> next_request_at;
+  limits::LoanSweep sweep{{}};
+  /// The earliest time of the next CheckBlock, by lender.
+  std::map<std::string, Instant> next_check_at;
+  /// The hosts with a call to drop loans in progress.
+  std::set<std::string> dropping;
   /// The pools that this host has, and since when.
   std::map<size_t, Instant> pooled_since;
   /// The result of EstablishedPools.
--- a/components/control/permit_source.cc
+++ b/components/control/permit_source.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "absl/strings/str_join.h"
+#include "components/control/loan_loop.h"
 #include "components/once/run_request.h"
 
 namespace kingcupstair::control {
@@ -38,8 +39,7 @@
 PermitSource::PermitSource(Fleet& fleet) : fleet(fleet) {}
 
 void PermitSource::UpdatePoolHosts() {
-  const auto hosts =
-      this->fleet.directory.PoolHosts(this->fleet.settings.region);
+  const auto hosts = PoolCandidates(this->fleet);
   PoolHosts updated;
   for (limits::ShardId shard = 0; shard < limits::kShardCount; ++shard) {
     updated[static_cast<size_t>(shard)] =
--- a/components/control/rate_keeper.cc
+++ b/components/control/rate_keeper.cc
@@ -9,11 +9,14 @@
     : options(std::move(options)),
       configuration(configuration),
       lender(this->options.lender),
-      retries(this->options.retries) {}
+      retries(this->options.retries) {
+  this->pool.IgnoreLoansBefore(MonotonicNow());
+}
 
 void RateKeeper::SetShare(double fraction) {
   const std::lock_guard lock(this->mutex);
   this->lender.SetShare(fraction);
+  this->has_share = true;
 }
 
 void RateKeeper::SetLoanLifetime(Duration lifetime) {
@@ -26,9 +29,41 @@
   this->pool_count = pool_count;
 }
 
-void RateKeeper::BlockLoansUntil(Instant until) {
+void RateKeeper::BlockLoansUntil(Instant until,
+                                 const limits::LoanBlock& block) {
+  const std::lock_guard lock(this->mutex);
+  this->lender.BlockLoansUntil(until, block);
+}
+
+limits::LoanBlock RateKeeper::EndLoanBlock(uint64_t clearance) {
+  const std::lock_guard lock(this->mutex);
+  const Instant now = MonotonicNow();
+  this->lender.EndBlock(clearance, now);
+  limits::LoanBlock block = this->lender.Block(now);
+  if (block.token == 0) {
+    block.hosts =
+        this->has_share ? limits::DigestOfHosts(this->table_hosts) : 0;
+  }
+  return block;
+}
+
+void RateKeeper::DropLoansOf(const std::vector<std::string>& lenders) {
+  const std::lock_guard lock(this->mutex);
+  const Instant now = MonotonicNow();
+  for (const std::string& lender : lenders) {
+    this->pool.DropLoansOf(lender, now);
+  }
+}
+
+void RateKeeper::SetTableHosts(const std::set<std::string>& hosts) {
+  const std::lock_guard lock(this->mutex);
+  this->lender.SetEligibleBorrowers(hosts);
+  this->table_hosts = hosts;
+}
+
+std::set<std::string> RateKeeper::TableHosts() const {
   const std::lock_guard lock(this->mutex);
-  this->lender.BlockLoansUntil(until);
+  return this->table_hosts;
 }
 
 double RateKeeper::Share() const {
--- a/components/control/rate_keeper.h
+++ b/components/control/rate_keeper.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -44,8 +45,25 @@
   void SetPoolCount(size_t pool_count);
 
   /// Grants no loan before `until`, because an earlier incarnation of this host
-  /// may have lent the share just before it ended.
-  void BlockLoansUntil(Instant until);
+  /// may have lent the share just before it ended. `block` states how the block
+  /// can end early.
+  void BlockLoansUntil(Instant until, const limits::LoanBlock& block);
+
+  /// Ends the block of loans if `clearance` is its token. Returns the block;
+  /// its token is 0 if it has ended or can't end early, and its digest of hosts
+  /// is 0 if this host has no share yet.
+  limits::LoanBlock EndLoanBlock(uint64_t clearance);
+
+  /// Drops all loans of `lenders`, which have restarted, also those on their
+  /// way here.
+  void DropLoansOf(const std::vector<std::string>& lenders);
+
+  /// Sets the hosts of the region that have entries in the share table. Loans
+  /// are granted to these hosts only.
+  void SetTableHosts(const std::set<std::string>& hosts);
+
+  /// Returns the hosts set last with SetTableHosts.
+  std::set<std::string> TableHosts() const;
 
   /// Returns the share of this host, 0 to 1.
   double Share() const;
@@ -140,6 +158,8 @@
   mutable std::mutex mutex;
   limits::ShareLender lender;
   limits::RatePool pool;
+  std::set<std::string> table_hosts;
+  bool has_share = false;
   retry::RetryBudget retries;
   size_t pool_count = 1;
 };
--- a/components/control/share_loop.cc
+++ b/components/control/share_loop.cc
@@ -19,6 +19,8 @@
 constexpr Duration kMaxConflictDelay{std::chrono::milliseconds(150)};
 constexpr Duration kIntervalPerHost{std::chrono::milliseconds(1000)};
 constexpr Duration kLoanExpiryPollInterval{std::chrono::milliseconds(50)};
+/// The era of a store that has never been restored.
+constexpr uint64_t kEraWithoutRestore = 1;
 /// Greatest age of a copy from which the store is restored.
 constexpr Duration kMaxCopyAge{std::chrono::seconds(60)};
 
@@ -116,6 +118,7 @@
   }
   if (stored.ok() && !stored->IsAbsent()) {
     this->last_read = *stored;
+    this->fleet.rates.SetTableHosts(this->HostsOfRegion(stored->table));
   }
   if (stored.ok()) {
     this->settlement.RecordRead();
@@ -175,16 +178,47 @@
   }
   this->joined = true;
   this->join_fence.Reset();
+  // With the entry of this host, which the table may not have had when read.
+  this->fleet.rates.SetTableHosts(this->HostsOfRegion(stored->table));
   this->transfer_unconfirmed = false;
   if (this->had_entry) {
     // The former process may have held less.
     this->history.Record(0, this->start);
-    this->fleet.rates.BlockLoansUntil(
-        this->start + LoanLifetime(stored->table.hosts().size()));
+    this->BlockLoansOfFormerProcess(*stored);
   }
+  this->has_joined_before = true;
   this->ApplyShare(stored->table.Fraction(settings.host));
 }
 
+// The former process lent its share only to hosts that it had read in the
+// table. It had ended before this process read the table, and hosts are not
+// taken out of the table while they may run, so all of them are in `stored`.
+// That does not hold after a restore of the store (eras count from 1), nor for
+// loans of this process itself.
+void ShareLoop::BlockLoansOfFormerProcess(
+    const store::StoredShareTable& stored) {
+  limits::LoanBlock block;
+  if (stored.era <= kEraWithoutRestore && !this->has_joined_before) {
+    block.hosts = limits::DigestOfHosts(this->HostsOfRegion(stored.table));
+    while (block.token == 0) {
+      block.token = this->random();
+    }
+  }
+  this->fleet.rates.BlockLoansUntil(
+      this->start + LoanLifetime(stored.table.hosts().size()), block);
+}
+
+std::set<std::string> ShareLoop::HostsOfRegion(
+    const limits::ShareTable& table) const {
+  std::set<std::string> hosts;
+  for (const auto& [host, entry] : table.hosts()) {
+    if (entry.region == this->fleet.settings.region) {
+      hosts.insert(host);
+    }
+  }
+  return hosts;
+}
+
 // Without a table no host has a share, so the host that writes the first table
 // may assign the shares of all hosts at once.
 void ShareLoop::CreateTable(const store::StoredShareTable& absent) {
@@ -199,6 +233,7 @@
   const auto table = limits::ShareTable::EqualShares(hosts);
   if (this->WriteTable(table, absent)) {
     this->joined = true;
+    this->fleet.rates.SetTableHosts(this->HostsOfRegion(table));
     this->ApplyShare(table.Fraction(this->fleet.settings.host));
     this->fleet.recorder.Record(
         {.kind = "shares_created",
--- a/components/control/share_loop.h
+++ b/components/control/share_loop.h
@@ -3,6 +3,7 @@
 
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 
 #include "absl/status/statusor.h"
@@ -56,6 +57,10 @@
   /// version conflict or an error.
   bool WriteTable(const limits::ShareTable& table,
                   const store::StoredShareTable& base);
+  /// Returns the hosts of this region in `table`.
+  std::set<std::string> HostsOfRegion(const limits::ShareTable& table) const;
+  /// Blocks loans for as long as a loan of the former process may be valid.
+  void BlockLoansOfFormerProcess(const store::StoredShareTable& stored);
   /// Adds this host to the table or, if it has an entry, makes sure that no
   /// write of a former process takes effect any more. Starts the creation of
   /// the table if there is none.
@@ -81,6 +86,8 @@
   /// valid for a loan lifetime after the start.
   Instant start;
   bool joined = false;
+  /// Whether this process has ever joined.
+  bool has_joined_before = false;
   /// Whether this process has seen that there was no table yet, so that no
   /// earlier incarnation can have written one.
   bool table_was_absent = false;
--- a/components/limits/rate_pool.cc
+++ b/components/limits/rate_pool.cc
@@ -30,7 +30,7 @@
                        Instant requested_at,
                        Instant now) {
   ShardState& state = this->ExpireLoans(shard, now);
-  if (grant.fraction <= 0) {
+  if (grant.fraction <= 0 || requested_at <= this->IgnoredUpTo(lender)) {
     return;
   }
   state.loans[lender] = {.fraction = grant.fraction,
@@ -82,6 +82,24 @@
   this->ExpireLoans(shard, now);
 }
 
+void RatePool::DropLoansOf(const std::string& lender, Instant now) {
+  this->dropped_at[lender] = now;
+  for (ShardId shard = 0; shard < kShardCount; ++shard) {
+    if (this->shards[static_cast<size_t>(shard)].loans.erase(lender) > 0) {
+      this->ExpireLoans(shard, now);
+    }
+  }
+}
+
+// A response or an offer that was under way when the loans were dropped may
+// bring a loan of a process that has ended.
+Instant RatePool::IgnoredUpTo(const std::string& lender) const {
+  const auto found = this->dropped_at.find(lender);
+  return found == this->dropped_at.end()
+             ? this->started_at
+             : std::max(found->second, this->started_at);
+}
+
 double RatePool::LoanedFraction(ShardId shard, Instant now) {
   return this->ExpireLoans(shard, now).history.Current();
 }
--- a/components/limits/rate_pool.h
+++ b/components/limits/rate_pool.h
@@ -80,6 +80,14 @@
   /// number up to `now` are ignored from then on.
   void DropLoan(ShardId shard, const std::string& lender, Instant now);
 
+  /// Drops all loans of `lender`. Grants and offers of loans that were
+  /// requested up to `now` are ignored from then on.
+  void DropLoansOf(const std::string& lender, Instant now);
+
+  /// Ignores grants and offers of loans that were requested up to `start`, when
+  /// this process started.
+  void IgnoreLoansBefore(Instant start) { this->started_at = start; }
+
   /// Returns the fraction of the rate limits of `shard` that this host may
   /// spend at `now`.
   double LoanedFraction(ShardId shard, Instant now);
@@ -125,6 +133,8 @@
     int outstanding_count = 0;
   };
 
+  /// Returns the time up to which requested loans of `lender` are ignored.
+  Instant IgnoredUpTo(const std::string& lender) const;
   ShardState& ExpireLoans(ShardId shard, Instant now);
   static void ExpirePermitsAndRefill(Bucket& bucket,
                                      const ShardState& shard,
@@ -134,6 +144,9 @@
                              Instant now);
 
   std::array<ShardState, kShardCount> shards;
+  Instant started_at;
+  /// Time when all loans of a lender were last dropped.
+  std::map<std::string, Instant> dropped_at;
   std::unordered_map<std::string, Bucket> buckets;
 };
 
--- a/components/limits/share_lender.cc
+++ b/components/limits/share_lender.cc
@@ -6,12 +6,31 @@
 
 ShareLender::ShareLender(Options options) : options(options) {}
 
-void ShareLender::BlockLoansUntil(Instant until) {
+void ShareLender::BlockLoansUntil(Instant until, const LoanBlock& block) {
+  this->block = block;
+  this->blocked_until = until + this->options.margin;
   for (Loan& loan : this->loans) {
-    loan = {.fraction = 1, .expires = until + this->options.margin};
+    loan = {.fraction = 1,
+            .expires = std::max(loan.expires, this->blocked_until)};
   }
 }
 
+void ShareLender::EndBlock(uint64_t token, Instant now) {
+  if (token == 0 || token != this->block.token) {
+    return;
+  }
+  this->block = {};
+  for (Loan& loan : this->loans) {
+    if (loan.borrower.empty()) {
+      loan.expires = std::min(loan.expires, now + this->options.margin);
+    }
+  }
+}
+
+LoanBlock ShareLender::Block(Instant now) const {
+  return now < this->blocked_until ? this->block : LoanBlock{};
+}
+
 LoanGrant ShareLender::Lend(ShardId shard,
                             const std::string& borrower,
                             uint64_t sequence_number,
@@ -19,8 +38,12 @@
   Loan& loan = this->loans[static_cast<size_t>(shard)];
   const bool taken = loan.expires > now && loan.borrower != borrower;
   const auto refusal = this->refused_until.find(borrower);
+  // After a restart, this host accounts for loans of its former process at the
+  // hosts in the share table only.
   const bool eligible =
-      refusal == this->refused_until.end() || refusal->second <= now;
+      (refusal == this->refused_until.end() || refusal->second <= now) &&
+      (this->eligible_borrowers.empty() ||
+       this->eligible_borrowers.contains(borrower));
   if (taken || !eligible || this->share <= 0) {
     return {};
   }
--- a/components/limits/share_lender.h
+++ b/components/limits/share_lender.h
@@ -3,10 +3,12 @@
 
 #include <array>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "components/base/time.h"
+#include "components/limits/loan_block.h"
 #include "components/limits/shard.h"
 
 namespace kingcupstair::limits {
@@ -55,7 +57,22 @@
 
   /// Blocks all loans until `until` and the margin after it: a former process
   /// at this address may have lent the share just before the process ended.
-  void BlockLoansUntil(Instant until);
+  /// `block` states how the block can end early.
+  void BlockLoansUntil(Instant until, const LoanBlock& block = {});
+
+  /// Ends the block of `token`, because no host holds a loan of the former
+  /// process any more. Permits that were granted from such loans remain valid
+  /// for a while, so loans are refused until the margin has passed.
+  void EndBlock(uint64_t token, Instant now);
+
+  /// Returns the block, or an empty one if it has ended or can't end early.
+  LoanBlock Block(Instant now) const;
+
+  /// Sets the hosts to which the share may be lent. Before the first call it
+  /// may be lent to any host.
+  void SetEligibleBorrowers(std::set<std::string> borrowers) {
+    this->eligible_borrowers = std::move(borrowers);
+  }
 
   /// Sets the current share, from 0 to 1. A lower share does not shorten
   /// existing loans: see LatestExpiryOfLoansAbove.
@@ -105,6 +122,9 @@
   std::array<Loan, kShardCount> loans;
   /// Times until which loans are refused, by borrower.
   std::map<std::string, Instant> refused_until;
+  std::set<std::string> eligible_borrowers;
+  LoanBlock block;
+  Instant blocked_until;
 };
 
 }  // namespace kingcupstair::limits
--- a/components/rpc/peer.capnp
+++ b/components/rpc/peer.capnp
@@ -75,6 +75,16 @@
   # Requests one retry token from the pool host, which lets the sender send one
   # retry. `repeatedCalls`, here and in `acquire`, are counted in the retry
   # budgets.
+
+  loanBlock @14 (clearance :UInt64) -> (token :UInt64, hosts :UInt64);
+  # The sender, a pool host, asks why the receiver lends nothing. `token` is not
+  # 0 while that is because it has restarted; `hosts` is a digest of the hosts
+  # that could hold a loan of its former process, or 0 before the receiver knows
+  # its share. `clearance` is the `token` of an earlier response if all these
+  # hosts have since confirmed `dropLoans`, or else 0.
+  dropLoans @13 (lenders :List(Text)) -> ();
+  # The sender, a pool host, knows that these lenders have restarted. The
+  # receiver drops the loans that it holds of them, also those on their way.
 }
 
 struct RepeatedCalls {
--- a/components/rpc/peer.capnp.c++
+++ b/components/rpc/peer.capnp.c++
@@ -325,7 +325,7 @@
   0, 3, i_f7ba9da5f99c2434, nullptr, nullptr, { &s_f7ba9da5f99c2434, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<148> b_fb674d0ba0aa5ea5 = {
+static const ::capnp::_::AlignedData<170> b_fb674d0ba0aa5ea5 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     165,  94, 170, 160,  11,  77, 103, 251,
      11,   0,   0,   0,   3,   0,   0,   0,
@@ -335,117 +335,133 @@
      21,   0,   0,   0, 130,   0,   0,   0,
      25,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,  71,   3,   0,   0,
-     33,   2,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0, 199,   3,   0,   0,
+    121,   2,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  80, 101, 101, 114,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     52,   0,   0,   0,   3,   0,   5,   0,
+     60,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     224, 214,  91, 208, 185, 228, 154, 222,
     212, 183, 196, 132,  97, 252, 191, 143,
-    145,   1,   0,   0,  58,   0,   0,   0,
+    209,   1,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    133,   1,   0,   0,   7,   0,   0,   0,
+    197,   1,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
      15, 252,  89,  45, 177, 127, 122, 227,
      66,  92, 175,  40, 136,  30, 139, 201,
-    121,   1,   0,   0,  42,   0,   0,   0,
+    185,   1,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    109,   1,   0,   0,   7,   0,   0,   0,
+    173,   1,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
      42,  75, 226,  42, 105,  92, 101, 208,
      15, 172,   0, 165,  66,  98,   0, 157,
-     97,   1,   0,   0,  50,   0,   0,   0,
+    161,   1,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     85,   1,   0,   0,   7,   0,   0,   0,
+    149,   1,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
      15, 152, 179, 174, 152, 204, 130, 236,
     190,  87,  91, 199, 161,  44,  42, 210,
-     73,   1,   0,   0,  42,   0,   0,   0,
+    137,   1,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     61,   1,   0,   0,   7,   0,   0,   0,
+    125,   1,   0,   0,   7,   0,   0,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
      27, 225, 211, 224,  42, 240, 208, 236,
      19,  66, 134, 200, 118, 247, 205, 144,
-     49,   1,   0,   0,  58,   0,   0,   0,
+    113,   1,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     37,   1,   0,   0,   7,   0,   0,   0,
+    101,   1,   0,   0,   7,   0,   0,   0,
       5,   0,   0,   0,   0,   0,   0,   0,
     255, 217,   8,  39, 216, 201, 248, 157,
     250,  82, 179, 117, 237, 206, 206, 181,
-     25,   1,   0,   0,  42,   0,   0,   0,
+     89,   1,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     13,   1,   0,   0,   7,   0,   0,   0,
+     77,   1,   0,   0,   7,   0,   0,   0,
       6,   0,   0,   0,   0,   0,   0,   0,
     162,   7, 162, 160,   8,   8, 173, 239,
     114,  74, 236,  54, 137, 237, 170, 140,
-      1,   1,   0,   0,  66,   0,   0,   0,
+     65,   1,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    245,   0,   0,   0,   7,   0,   0,   0,
+     53,   1,   0,   0,   7,   0,   0,   0,
       7,   0,   0,   0,   0,   0,   0,   0,
     115,  80,  56,  43,  61, 138, 195, 203,
     178, 187, 173,   3, 222,  99, 105, 234,
-    233,   0,   0,   0,  74,   0,   0,   0,
+     41,   1,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    225,   0,   0,   0,   7,   0,   0,   0,
+     33,   1,   0,   0,   7,   0,   0,   0,
       8,   0,   0,   0,   0,   0,   0,   0,
      26, 202, 199, 249, 188, 230, 200, 148,
     162, 157,  60, 172,  43,  28, 159, 254,
-    213,   0,   0,   0,  58,   0,   0,   0,
+     21,   1,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    201,   0,   0,   0,   7,   0,   0,   0,
+      9,   1,   0,   0,   7,   0,   0,   0,
       9,   0,   0,   0,   0,   0,   0,   0,
      75,  29,  94,  65, 130, 132,  64, 206,
     181, 133, 224, 206, 105, 160, 166, 186,
-    189,   0,   0,   0,  66,   0,   0,   0,
+    253,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    177,   0,   0,   0,   7,   0,   0,   0,
+    241,   0,   0,   0,   7,   0,   0,   0,
      10,   0,   0,   0,   0,   0,   0,   0,
     167,  64, 218, 168, 253, 189, 110, 252,
     138, 211,  18,   9,  10, 143, 185, 168,
-    165,   0,   0,   0,  66,   0,   0,   0,
+    229,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    153,   0,   0,   0,   7,   0,   0,   0,
+    217,   0,   0,   0,   7,   0,   0,   0,
      11,   0,   0,   0,   0,   0,   0,   0,
     112, 228, 166, 205, 124, 100,  63, 238,
      23, 193,  86, 171, 234, 246,  60, 223,
-    141,   0,   0,   0,  58,   0,   0,   0,
+    205,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    129,   0,   0,   0,   7,   0,   0,   0,
+    193,   0,   0,   0,   7,   0,   0,   0,
      12,   0,   0,   0,   0,   0,   0,   0,
      83,  60,  95, 130, 113, 246, 125, 250,
     250,  47,  75,  21, 134, 153,  79, 172,
-    117,   0,   0,   0,  50,   0,   0,   0,
+    181,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    105,   0,   0,   0,   7,   0,   0,   0,
+    169,   0,   0,   0,   7,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+    157, 166,  14, 137,  17, 101, 228, 214,
+     45, 247, 114, 110,  82, 136,  51, 244,
+    157,   0,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    149,   0,   0,   0,   7,   0,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+    163, 141, 156,  60, 183, 246, 126, 147,
+     48, 107,  36, 109, 145, 132, 185, 138,
+    137,   0,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    129,   0,   0,   0,   7,   0,   0,   0,
     103, 111, 115, 115, 105, 112,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
     115, 121, 110,  99,   0,   0,   0,   0,
@@ -473,14 +489,22 @@
       0,   0,   0,   0,   0,   0,   1,   0,
     114, 101, 116, 114, 121,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    100, 114, 111, 112,  76, 111,  97, 110,
+    115,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
+    108, 111,  97, 110,  66, 108, 111,  99,
+    107,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_fb674d0ba0aa5ea5 = b_fb674d0ba0aa5ea5.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_fb674d0ba0aa5ea5[] = {
+  &s_8ab984916d246b30,
   &s_8caaed8936ec4a72,
   &s_8fbffc6184c4b7d4,
   &s_90cdf776c8864213,
+  &s_937ef6b73c9c8da3,
   &s_94c8e6bcf9c7ca1a,
   &s_9d006242a500ac0f,
   &s_9df8c9d82708d9ff,
@@ -493,6 +517,7 @@
   &s_ce408482415e1d4b,
   &s_d0655c692ae24b2a,
   &s_d22a2ca1c75b57be,
+  &s_d6e46511890ea69d,
   &s_de9ae4b9d05bd6e0,
   &s_df3cf6eaab56c117,
   &s_e37a7fb12d59fc0f,
@@ -501,14 +526,15 @@
   &s_ecd0f02ae0d3e11b,
   &s_ee3f647ccda6e470,
   &s_efad0808a0a207a2,
+  &s_f43388526e72f72d,
   &s_fa7df671825f3c53,
   &s_fc6ebdfda8da40a7,
   &s_fe9f1c2bac3c9da2,
 };
-static const uint16_t m_fb674d0ba0aa5ea5[] = {6, 11, 4, 7, 0, 3, 5, 2, 10, 9, 12, 8, 1};
+static const uint16_t m_fb674d0ba0aa5ea5[] = {6, 11, 4, 13, 7, 0, 3, 5, 14, 2, 10, 9, 12, 8, 1};
 const ::capnp::_::RawSchema s_fb674d0ba0aa5ea5 = {
-  0xfb674d0ba0aa5ea5, b_fb674d0ba0aa5ea5.words, 148, d_fb674d0ba0aa5ea5, m_fb674d0ba0aa5ea5,
-  26, 13, nullptr, nullptr, nullptr, { &s_fb674d0ba0aa5ea5, nullptr, nullptr, 0, 0, nullptr }
+  0xfb674d0ba0aa5ea5, b_fb674d0ba0aa5ea5.words, 170, d_fb674d0ba0aa5ea5, m_fb674d0ba0aa5ea5,
+  30, 15, nullptr, nullptr, nullptr, { &s_fb674d0ba0aa5ea5, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<32> b_de9ae4b9d05bd6e0 = {
@@ -1877,6 +1903,184 @@
   0, 1, i_ac4f9986154b2ffa, nullptr, nullptr, { &s_ac4f9986154b2ffa, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<37> b_d6e46511890ea69d = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    157, 166,  14, 137,  17, 101, 228, 214,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  10,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    100, 114, 111, 112,  76, 111,  97, 110,
+    115,  36,  80,  97, 114,  97, 109, 115,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     36,   0,   0,   0,   2,   0,   1,   0,
+    108, 101, 110, 100, 101, 114, 115,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_d6e46511890ea69d = b_d6e46511890ea69d.words;
+#if !CAPNP_LITE
+static const uint16_t m_d6e46511890ea69d[] = {0};
+static const uint16_t i_d6e46511890ea69d[] = {0};
+const ::capnp::_::RawSchema s_d6e46511890ea69d = {
+  0xd6e46511890ea69d, b_d6e46511890ea69d.words, 37, nullptr, m_d6e46511890ea69d,
+  0, 1, i_d6e46511890ea69d, nullptr, nullptr, { &s_d6e46511890ea69d, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<17> b_f43388526e72f72d = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     45, 247, 114, 110,  82, 136,  51, 244,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  18,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    100, 114, 111, 112,  76, 111,  97, 110,
+    115,  36,  82, 101, 115, 117, 108, 116,
+    115,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_f43388526e72f72d = b_f43388526e72f72d.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_f43388526e72f72d = {
+  0xf43388526e72f72d, b_f43388526e72f72d.words, 17, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_f43388526e72f72d, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<34> b_937ef6b73c9c8da3 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    163, 141, 156,  60, 183, 246, 126, 147,
+     16,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  10,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    108, 111,  97, 110,  66, 108, 111,  99,
+    107,  36,  80,  97, 114,  97, 109, 115,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   3,   0,   1,   0,
+     24,   0,   0,   0,   2,   0,   1,   0,
+     99, 108, 101,  97, 114,  97, 110,  99,
+    101,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_937ef6b73c9c8da3 = b_937ef6b73c9c8da3.words;
+#if !CAPNP_LITE
+static const uint16_t m_937ef6b73c9c8da3[] = {0};
+static const uint16_t i_937ef6b73c9c8da3[] = {0};
+const ::capnp::_::RawSchema s_937ef6b73c9c8da3 = {
+  0x937ef6b73c9c8da3, b_937ef6b73c9c8da3.words, 34, nullptr, m_937ef6b73c9c8da3,
+  0, 1, i_937ef6b73c9c8da3, nullptr, nullptr, { &s_937ef6b73c9c8da3, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<48> b_8ab984916d246b30 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     48, 107,  36, 109, 145, 132, 185, 138,
+     16,   0,   0,   0,   1,   0,   2,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  18,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    108, 111,  97, 110,  66, 108, 111,  99,
+    107,  36,  82, 101, 115, 117, 108, 116,
+    115,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+    116, 111, 107, 101, 110,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    104, 111, 115, 116, 115,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_8ab984916d246b30 = b_8ab984916d246b30.words;
+#if !CAPNP_LITE
+static const uint16_t m_8ab984916d246b30[] = {1, 0};
+static const uint16_t i_8ab984916d246b30[] = {0, 1};
+const ::capnp::_::RawSchema s_8ab984916d246b30 = {
+  0x8ab984916d246b30, b_8ab984916d246b30.words, 48, nullptr, m_8ab984916d246b30,
+  0, 2, i_8ab984916d246b30, nullptr, nullptr, { &s_8ab984916d246b30, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<78> b_b9fc8da899fca19a = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     154, 161, 252, 153, 168, 141, 252, 185,
@@ -4598,6 +4802,26 @@
       "peer.capnp:Peer", "retry",
       0xfb674d0ba0aa5ea5ull, 12);
 }
+::capnp::Request< ::kingcupstair::rpc::wire::Peer::DropLoansParams,  ::kingcupstair::rpc::wire::Peer::DropLoansResults>
+Peer::Client::dropLoansRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::kingcupstair::rpc::wire::Peer::DropLoansParams,  ::kingcupstair::rpc::wire::Peer::DropLoansResults>(
+      0xfb674d0ba0aa5ea5ull, 13, sizeHint);
+}
+::kj::Promise<void> Peer::Server::dropLoans(DropLoansContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "peer.capnp:Peer", "dropLoans",
+      0xfb674d0ba0aa5ea5ull, 13);
+}
+::capnp::Request< ::kingcupstair::rpc::wire::Peer::LoanBlockParams,  ::kingcupstair::rpc::wire::Peer::LoanBlockResults>
+Peer::Client::loanBlockRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::kingcupstair::rpc::wire::Peer::LoanBlockParams,  ::kingcupstair::rpc::wire::Peer::LoanBlockResults>(
+      0xfb674d0ba0aa5ea5ull, 14, sizeHint);
+}
+::kj::Promise<void> Peer::Server::loanBlock(LoanBlockContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "peer.capnp:Peer", "loanBlock",
+      0xfb674d0ba0aa5ea5ull, 14);
+}
 ::capnp::Capability::Server::DispatchCallResult Peer::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -4690,6 +4914,18 @@
              ::kingcupstair::rpc::wire::Peer::RetryParams,  ::kingcupstair::rpc::wire::Peer::RetryResults>(context)),
         false
       };
+    case 13:
+      return {
+        dropLoans(::capnp::Capability::Server::internalGetTypedContext<
+             ::kingcupstair::rpc::wire::Peer::DropLoansParams,  ::kingcupstair::rpc::wire::Peer::DropLoansResults>(context)),
+        false
+      };
+    case 14:
+      return {
+        loanBlock(::capnp::Capability::Server::internalGetTypedContext<
+             ::kingcupstair::rpc::wire::Peer::LoanBlockParams,  ::kingcupstair::rpc::wire::Peer::LoanBlockResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -4913,6 +5149,38 @@
 constexpr ::capnp::_::RawSchema const* Peer::RetryResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Peer::DropLoansParams
+constexpr uint16_t Peer::DropLoansParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::DropLoansParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::DropLoansParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::DropLoansParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::DropLoansResults
+constexpr uint16_t Peer::DropLoansResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::DropLoansResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::DropLoansResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::DropLoansResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::LoanBlockParams
+constexpr uint16_t Peer::LoanBlockParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::LoanBlockParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::LoanBlockParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::LoanBlockParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::LoanBlockResults
+constexpr uint16_t Peer::LoanBlockResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::LoanBlockResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::LoanBlockResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::LoanBlockResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // RepeatedCalls
 constexpr uint16_t RepeatedCalls::_capnpPrivate::dataWordSize;
 constexpr uint16_t RepeatedCalls::_capnpPrivate::pointerCount;
--- a/components/rpc/peer.capnp.h
+++ b/components/rpc/peer.capnp.h
@@ -52,6 +52,10 @@
 CAPNP_DECLARE_SCHEMA(df3cf6eaab56c117);
 CAPNP_DECLARE_SCHEMA(fa7df671825f3c53);
 CAPNP_DECLARE_SCHEMA(ac4f9986154b2ffa);
+CAPNP_DECLARE_SCHEMA(d6e46511890ea69d);
+CAPNP_DECLARE_SCHEMA(f43388526e72f72d);
+CAPNP_DECLARE_SCHEMA(937ef6b73c9c8da3);
+CAPNP_DECLARE_SCHEMA(8ab984916d246b30);
 CAPNP_DECLARE_SCHEMA(b9fc8da899fca19a);
 CAPNP_DECLARE_SCHEMA(fa7f906901066f7a);
 CAPNP_DECLARE_SCHEMA(e503ce3515f34194);
@@ -214,6 +218,10 @@
   struct CancelResults;
   struct RetryParams;
   struct RetryResults;
+  struct DropLoansParams;
+  struct DropLoansResults;
+  struct LoanBlockParams;
+  struct LoanBlockResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -613,6 +621,66 @@
   };
 };
 
+struct Peer::DropLoansParams {
+  DropLoansParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d6e46511890ea69d, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::DropLoansResults {
+  DropLoansResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f43388526e72f72d, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::LoanBlockParams {
+  LoanBlockParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(937ef6b73c9c8da3, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::LoanBlockResults {
+  LoanBlockResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8ab984916d246b30, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct RepeatedCalls {
   RepeatedCalls() = delete;
 
@@ -1524,6 +1592,10 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::kingcupstair::rpc::wire::Peer::RetryParams,  ::kingcupstair::rpc::wire::Peer::RetryResults> retryRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::kingcupstair::rpc::wire::Peer::DropLoansParams,  ::kingcupstair::rpc::wire::Peer::DropLoansResults> dropLoansRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::kingcupstair::rpc::wire::Peer::LoanBlockParams,  ::kingcupstair::rpc::wire::Peer::LoanBlockResults> loanBlockRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -1592,6 +1664,14 @@
   typedef  ::kingcupstair::rpc::wire::Peer::RetryResults RetryResults;
   typedef ::capnp::CallContext<RetryParams, RetryResults> RetryContext;
   virtual ::kj::Promise<void> retry(RetryContext context);
+  typedef  ::kingcupstair::rpc::wire::Peer::DropLoansParams DropLoansParams;
+  typedef  ::kingcupstair::rpc::wire::Peer::DropLoansResults DropLoansResults;
+  typedef ::capnp::CallContext<DropLoansParams, DropLoansResults> DropLoansContext;
+  virtual ::kj::Promise<void> dropLoans(DropLoansContext context);
+  typedef  ::kingcupstair::rpc::wire::Peer::LoanBlockParams LoanBlockParams;
+  typedef  ::kingcupstair::rpc::wire::Peer::LoanBlockResults LoanBlockResults;
+  typedef ::capnp::CallContext<LoanBlockParams, LoanBlockResults> LoanBlockContext;
+  virtual ::kj::Promise<void> loanBlock(LoanBlockContext context);
 
   inline  ::kingcupstair::rpc::wire::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -3788,6 +3868,316 @@
 };
 #endif  // !CAPNP_LITE
 
+class Peer::DropLoansParams::Reader {
+public:
+  typedef DropLoansParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasLenders() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getLenders() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::DropLoansParams::Builder {
+public:
+  typedef DropLoansParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasLenders();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getLenders();
+  inline void setLenders( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setLenders(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initLenders(unsigned int size);
+  inline void adoptLenders(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownLenders();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::DropLoansParams::Pipeline {
+public:
+  typedef DropLoansParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::DropLoansResults::Reader {
+public:
+  typedef DropLoansResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::DropLoansResults::Builder {
+public:
+  typedef DropLoansResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::DropLoansResults::Pipeline {
+public:
+  typedef DropLoansResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::LoanBlockParams::Reader {
+public:
+  typedef LoanBlockParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getClearance() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::LoanBlockParams::Builder {
+public:
+  typedef LoanBlockParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getClearance();
+  inline void setClearance( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::LoanBlockParams::Pipeline {
+public:
+  typedef LoanBlockParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::LoanBlockResults::Reader {
+public:
+  typedef LoanBlockResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getToken() const;
+
+  inline  ::uint64_t getHosts() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::LoanBlockResults::Builder {
+public:
+  typedef LoanBlockResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getToken();
+  inline void setToken( ::uint64_t value);
+
+  inline  ::uint64_t getHosts();
+  inline void setHosts( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::LoanBlockResults::Pipeline {
+public:
+  typedef LoanBlockResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class RepeatedCalls::Reader {
 public:
   typedef RepeatedCalls Reads;
@@ -7698,6 +8088,86 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Peer::DropLoansParams::Reader::hasLenders() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::DropLoansParams::Builder::hasLenders() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Peer::DropLoansParams::Reader::getLenders() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Peer::DropLoansParams::Builder::getLenders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::DropLoansParams::Builder::setLenders( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void Peer::DropLoansParams::Builder::setLenders(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Peer::DropLoansParams::Builder::initLenders(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::DropLoansParams::Builder::adoptLenders(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Peer::DropLoansParams::Builder::disownLenders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Peer::LoanBlockParams::Reader::getClearance() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::LoanBlockParams::Builder::getClearance() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::LoanBlockParams::Builder::setClearance( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Peer::LoanBlockResults::Reader::getToken() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::LoanBlockResults::Builder::getToken() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::LoanBlockResults::Builder::setToken( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Peer::LoanBlockResults::Reader::getHosts() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::LoanBlockResults::Builder::getHosts() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Peer::LoanBlockResults::Builder::setHosts( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool RepeatedCalls::Reader::hasCaller() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/components/rpc/peer_clients.cc
+++ b/components/rpc/peer_clients.cc
@@ -435,6 +435,38 @@
       });
 }
 
+absl::StatusOr<limits::LoanBlock> PeerClients::LoanBlock(
+    const std::string& host,
+    uint64_t clearance,
+    Duration timeout) {
+  return this->Call<limits::LoanBlock>(
+      host, "loan block", timeout, [clearance](wire::Peer::Client& peer) {
+        auto request = peer.loanBlockRequest();
+        request.setClearance(clearance);
+        return request.send().then([](auto response) {
+          return limits::LoanBlock{.token = response.getToken(),
+                                   .hosts = response.getHosts()};
+        });
+      });
+}
+
+absl::Status PeerClients::DropLoans(const std::string& host,
+                                    const std::vector<std::string>& lenders,
+                                    Duration timeout) {
+  return this
+      ->Call<bool>(host, "drop loans", timeout,
+                   [lenders](wire::Peer::Client& peer) {
+                     auto request = peer.dropLoansRequest();
+                     auto out = request.initLenders(
+                         static_cast<unsigned>(lenders.size()));
+                     for (unsigned i = 0; i < lenders.size(); ++i) {
+                       out.set(i, lenders[i]);
+                     }
+                     return request.send().then([](auto) { return true; });
+                   })
+      .status();
+}
+
 absl::Status PeerClients::ReturnLoans(const std::string& host,
                                       const ReturnedLoans& returned,
                                       Duration timeout) {
--- a/components/rpc/peer_clients.h
+++ b/components/rpc/peer_clients.h
@@ -84,6 +84,15 @@
       const std::vector<limits::ShardId>& shards,
       uint64_t loan_sequence_number,
       Duration timeout);
+  /// Ends the block of loans of `host` if `clearance` is its token, and returns
+  /// the block that remains.
+  absl::StatusOr<limits::LoanBlock> LoanBlock(const std::string& host,
+                                              uint64_t clearance,
+                                              Duration timeout);
+  /// Has `host` drop the loans that it holds of `lenders`.
+  absl::Status DropLoans(const std::string& host,
+                         const std::vector<std::string>& lenders,
+                         Duration timeout);
   /// Returns loans to `host` before they expire.
   absl::Status ReturnLoans(const std::string& host,
                            const ReturnedLoans& returned,
--- a/components/rpc/peer_handlers.h
+++ b/components/rpc/peer_handlers.h
@@ -42,6 +42,11 @@
                                   const std::string& pool_host,
                                   uint64_t loan_sequence_number)>
       lend;
+  /// Ends the block of this host's loans if `clearance` is its token. Returns
+  /// the block that remains.
+  std::function<limits::LoanBlock(uint64_t clearance)> loan_block;
+  /// Drops all loans of `lenders`, which have restarted.
+  std::function<void(const std::vector<std::string>& lenders)> drop_loans;
   /// Ends the loan of a shard that `pool_host` returns early, unless the loan
   /// was made with a higher sequence number than `loan_sequence_number`.
   std::function<void(limits::ShardId,
--- a/components/rpc/peer_server.cc
+++ b/components/rpc/peer_server.cc
@@ -120,6 +120,23 @@
     return kj::READY_NOW;
   }
 
+  kj::Promise<void> loanBlock(LoanBlockContext context) override {
+    const limits::LoanBlock block =
+        this->state.handlers.loan_block(context.getParams().getClearance());
+    context.getResults().setToken(block.token);
+    context.getResults().setHosts(block.hosts);
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> dropLoans(DropLoansContext context) override {
+    std::vector<std::string> lenders;
+    for (const auto lender : context.getParams().getLenders()) {
+      lenders.emplace_back(lender.cStr());
+    }
+    this->state.handlers.drop_loans(lenders);
+    return kj::READY_NOW;
+  }
+
   kj::Promise<void> giveBack(GiveBackContext context) override {
     for (const auto shard : context.getParams().getShards()) {
       if (IsShard(shard)) {
--- a/tests/limits/rate_limit_simulation.cc
+++ b/tests/limits/rate_limit_simulation.cc
@@ -26,9 +26,18 @@
   }
   for (Host& host : this->hosts) {
     host.lender.SetShare(this->table.Fraction(host.name));
+    host.sweep.SetHosts(this->HostNames());
   }
 }
 
+std::set<std::string> RateLimitSimulation::HostNames() const {
+  std::set<std::string> names;
+  for (const Host& host : this->hosts) {
+    names.insert(host.name);
+  }
+  return names;
+}
+
 void RateLimitSimulation::Advance(Duration duration) {
   const Instant until = this->now + duration;
   while (!this->messages.empty() && this->messages.begin()->first <= until) {
@@ -69,10 +78,14 @@
   const uint64_t sequence_number =
       limits::RatePool::LoanSequenceNumberAt(requested_at);
   const int incarnation = pool_host.incarnation;
+  const uint64_t clearance = pool_host.sweep.ClearanceFor(
+      this->hosts[static_cast<size_t>(lender)].name);
   this->Send(request_delay,
              {.to = lender,
               .to_any_incarnation = true,
               .deliver = [=, this, name = pool_host.name](Host& host) {
+                host.lender.EndBlock(clearance, this->now);
+                const auto block = host.lender.Block(this->now);
                 const auto grant = host.lender.Lend(TestShard(), name,
                                                     sequence_number, this->now);
                 const std::string from = host.name;
@@ -80,6 +93,7 @@
                            {.to = pool,
                             .to_incarnation = incarnation,
                             .deliver = [=, this](Host& borrower) {
+                              borrower.sweep.RecordResponse(from, block);
                               borrower.pool.AddLoan(TestShard(), from, grant,
                                                     requested_at, this->now);
                             }});
@@ -149,14 +163,52 @@
   Host& host = this->hosts[static_cast<size_t>(number)];
   host.lender = limits::ShareLender({});
   host.lender.SetLoanLifetime(this->options.loan_lifetime);
-  host.lender.BlockLoansUntil(this->now + this->options.loan_lifetime);
+  host.lender.BlockLoansUntil(
+      this->now + this->options.loan_lifetime,
+      {.token = ++this->last_token,
+       .hosts = limits::DigestOfHosts(this->HostNames())});
   host.lender.SetShare(this->table.Fraction(host.name));
   host.pool = limits::RatePool();
+  host.pool.IgnoreLoansBefore(this->now);
+  host.sweep = limits::LoanSweep({});
+  host.sweep.SetHosts(this->HostNames());
   host.sequence_numbers.clear();
   host.frozen_until = this->now;
   ++host.incarnation;
 }
 
+void RateLimitSimulation::Sweep(int pool,
+                                Duration request_delay,
+                                Duration response_delay) {
+  Host& pool_host = this->hosts[static_cast<size_t>(pool)];
+  if (pool_host.frozen_until > this->now) {
+    return;
+  }
+  pool_host.sweep.Update(this->now);
+  const auto lenders = pool_host.sweep.Lenders();
+  const uint64_t number = pool_host.sweep.number();
+  const int incarnation = pool_host.incarnation;
+  for (size_t i = 0; i < this->hosts.size(); ++i) {
+    if (!pool_host.sweep.Unconfirmed().contains(this->hosts[i].name)) {
+      continue;
+    }
+    this->Send(request_delay,
+               {.to = static_cast<int>(i),
+                .to_any_incarnation = true,
+                .deliver = [=, this](Host& host) {
+                  for (const std::string& lender : lenders) {
+                    host.pool.DropLoansOf(lender, this->now);
+                  }
+                  this->Send(response_delay,
+                             {.to = pool,
+                              .to_incarnation = incarnation,
+                              .deliver = [=, name = host.name](Host& borrower) {
+                                borrower.sweep.RecordDropped(number, name);
+                              }});
+                }});
+  }
+}
+
 void RateLimitSimulation::Freeze(int number, Duration duration) {
   this->hosts[static_cast<size_t>(number)].frozen_until = this->now + duration;
 }
--- a/tests/limits/rate_limit_simulation.h
+++ b/tests/limits/rate_limit_simulation.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "components/limits/loan_sweep.h"
 #include "components/limits/rate_pool.h"
 #include "components/limits/share_lender.h"
 #include "components/limits/share_table.h"
@@ -53,6 +54,10 @@
   /// Ends the process of `host` and starts another at its address.
   void Restart(int host);
 
+  /// Has the host `pool` begin a sweep or go on with one, if one is due: has
+  /// all hosts drop the loans of lenders that have restarted.
+  void Sweep(int pool, Duration request_delay, Duration response_delay);
+
   /// Freezes `host` for `duration`. Messages to the host are delivered
   /// afterwards, and the host sends none until then. Its loans go on expiring.
   void Freeze(int host, Duration duration);
@@ -69,6 +74,7 @@
     std::string name;
     limits::ShareLender lender{{}};
     limits::RatePool pool;
+    limits::LoanSweep sweep{{}};
     int incarnation = 0;
     Instant frozen_until;
     /// Latest loan sequence numbers from pool hosts, by host.
@@ -85,8 +91,10 @@
   void Send(Duration delay, Message message);
   void Deliver(Message message);
   void StartRequests(int count);
+  std::set<std::string> HostNames() const;
 
   Options options;
+  uint64_t last_token = 0;
   Instant now;
   std::vector<Host> hosts;
   std::multimap<Instant, Message> messages;
--- a/tests/limits/rates_measure.cc
+++ b/tests/limits/rates_measure.cc
@@ -7,7 +7,9 @@
 #include <array>
 #include <cstdio>
 #include <functional>
+#include <map>
 #include <random>
+#include <utility>
 
 #include "tests/limits/join_simulation.h"
 #include "tests/limits/rate_limit_simulation.h"
@@ -191,6 +193,62 @@
   return totals;
 }
 
+// Restart of all hosts within 0.3 s, host 0 being the pool host. Prints the
+// time from the last start to the first permit, and the fraction of requests
+// refused that are sent from 0.5 s on at 60 in 100 of the rate and don't wait.
+bool PrintRestart(int hosts, Duration loan_lifetime, bool sweeps) {
+  RateLimitSimulation simulation(
+      {.hosts = hosts, .limit = kLimit, .loan_lifetime = loan_lifetime});
+  std::mt19937_64 random(7);
+  std::uniform_int_distribution<int64_t> start_time(0, 300);
+  std::uniform_int_distribution<int> any_host(0, hosts - 1);
+  std::multimap<int64_t, int> starts;
+  for (int host = 0; host < hosts; ++host) {
+    simulation.RequestLoan(0, host, Millis(1), Millis(1));
+    simulation.Advance(Millis(2));
+    simulation.Freeze(host, Millis(100'000));
+    starts.emplace(start_time(random), host);
+  }
+  int64_t first_permit = -1;
+  int requests = 0;
+  int started_before = 0;
+  constexpr int64_t kLastStart = 300;
+  constexpr int64_t kCountedFrom = kLastStart + 500;
+  constexpr int64_t kCountedUntil = kCountedFrom + 3'000;
+  for (int64_t now = 0; now < kCountedUntil; ++now) {
+    for (auto [at, end] = starts.equal_range(now); at != end; ++at) {
+      simulation.Restart(at->second);
+    }
+    if (now == kCountedFrom) {
+      started_before = simulation.started();
+    }
+    for (int host = 0; host < hosts && now % 150 == 0; ++host) {
+      simulation.RequestLoan(0, host, Millis(3), Millis(3));
+    }
+    if (sweeps && now % 20 == 0) {
+      simulation.Sweep(0, Millis(3), Millis(3));
+    }
+    if (now % 17 == 0) {
+      requests += now >= kCountedFrom ? 1 : 0;
+      simulation.RequestPermits(any_host(random), 0, 1, Millis(3), Millis(3));
+    }
+    simulation.Advance(Millis(1));
+    if (first_permit < 0 && simulation.started() > 0) {
+      first_permit = now - kLastStart;
+    }
+  }
+  const char* suffix = sweeps ? "" : ".without_sweep";
+  std::printf("measure restart.first_permit.%d%s %.3f s\n", hosts, suffix,
+              ToSeconds(Millis(first_permit)));
+  std::printf("measure restart.refused.%d%s %.3f share\n", hosts, suffix,
+              std::max(0.0, 1 - static_cast<double>(simulation.started() -
+                                                    started_before) /
+                                    requests));
+  std::printf("measure restart.excess.%d%s %.2f count\n", hosts, suffix,
+              simulation.excess());
+  return simulation.excess() < 1e-6;
+}
+
 // Restart of all hosts: calls to the store, and the time from the last start
 // until the last host has its share.
 void PrintJoin(int hosts, const char* suffix, bool uses_fence) {
@@ -235,5 +293,13 @@
     kingcupstair::PrintJoin(hosts, "", true);
     kingcupstair::PrintJoin(hosts, ".own_write", false);
   }
+  for (const auto& [hosts, lifetime] :
+       {std::pair(27, 729), std::pair(74, 2'000), std::pair(104, 2'000)}) {
+    for (const bool sweeps : {true, false}) {
+      within_limit = kingcupstair::PrintRestart(
+                         hosts, kingcupstair::Millis(lifetime), sweeps) &&
+                     within_limit;
+    }
+  }
   return within_limit ? 0 : 1;
 }
