Placement counts the runs that a failing upstream needs

An upstream that fails quickly always has room, so requests that may be repeated were drawn to it. Its expected completion is now divided by the probability of success.

--- a/components/balancing/placement.cc
+++ b/components/balancing/placement.cc
@@ -34,6 +34,10 @@
 /// Latency relative to the mean of the service from which the request is
 /// expected to take as long. Below, latencies differ by the mix of requests.
 constexpr double kSlowLatencyFactor = 2;
+/// Failure probability from which an upstream is not taken to be worse. A
+/// higher one would leave failing upstreams without the requests that find out
+/// when they have recovered.
+constexpr double kMaxCountedFailure = 0.75;
 /// Factors on the cost of a hop. Requests begin to leave the zone at
 /// kSpillStart times the cost, and stop at kSpillStop times. In between, a
 /// single request leaves if that makes it sooner by kSpillGain times the cost:
@@ -77,9 +81,7 @@
 /// Returns true if a young report says that no slot is free, also if the work
 /// ahead has ended as fast as the time has passed.
 bool ExpectsWait(const PlacementCandidate& candidate) {
-  return candidate.reported_wait.has_value() &&
-         candidate.age <= kYoungReportAge &&
-         *candidate.reported_wait > candidate.age;
+  return Placement::ShowsNoRoom(candidate.reported_wait, candidate.age, {});
 }
 
 /// Returns the mean latency of the upstreams that have finished requests.
@@ -95,6 +97,12 @@
   return count == 0 ? 0 : sum / count;
 }
 
+/// Returns the expected number of runs until one succeeds. An upstream that
+/// fails quickly always has room, and would draw requests.
+double RunsNeeded(const health::UpstreamView& view) {
+  return 1 / (1 - std::min(view.failure_probability, kMaxCountedFailure));
+}
+
 /// Returns the weight of the report against the mean of its zone, 0 to 1.
 double WeightOf(const PlacementCandidate& candidate) {
   return std::exp(-Micros(candidate.age) / Micros(kReportMemory));
@@ -209,7 +217,8 @@
         {.view = &view,
          .expects_wait = ExpectsWait(*each),
          .wait = wait,
-         .completion = wait + run + Micros(this->HopCost(view.zone, request))});
+         .completion = (wait + run) * RunsNeeded(view) +
+                       Micros(this->HopCost(view.zone, request))});
   }
   return estimates;
 }
@@ -326,6 +335,14 @@
   return in_own_zone.ToChoice(PlacementReason::kOwnZone);
 }
 
+// The work ahead may have ended as fast as the time has passed.
+bool Placement::ShowsNoRoom(std::optional<Duration> reported_wait,
+                            Duration age,
+                            Duration max_wait) {
+  return reported_wait.has_value() && age <= kYoungReportAge &&
+         *reported_wait - age > max_wait;
+}
+
 std::optional<NoRoom> Placement::FindNoRoom(
     const std::vector<PlacementCandidate>& candidates,
     const std::set<std::string>& tried,
@@ -335,10 +352,8 @@
     if (!candidate.view.path_open || tried.contains(candidate.view.id)) {
       continue;
     }
-    // The work ahead may have ended as fast as the time has passed.
-    if (candidate.on_trial || !candidate.reported_wait.has_value() ||
-        candidate.age > kYoungReportAge ||
-        *candidate.reported_wait - candidate.age <= max_wait) {
+    if (candidate.on_trial ||
+        !ShowsNoRoom(candidate.reported_wait, candidate.age, max_wait)) {
       return std::nullopt;
     }
     const Duration room_in =
--- a/components/balancing/placement.h
+++ b/components/balancing/placement.h
@@ -109,6 +109,12 @@
       const PlacementRequest& request,
       SpillState& spill);
 
+  /// Returns true if a young report shows that there is no slot within
+  /// `max_wait`.
+  static bool ShowsNoRoom(std::optional<Duration> reported_wait,
+                          Duration age,
+                          Duration max_wait);
+
   /// Returns when to come back if young reports show that no upstream has a
   /// slot within `max_wait`, and nothing otherwise. The times of many requests
   /// are spread, so that they don't come back together.
--- a/components/ingress/fleet_board.cc
+++ b/components/ingress/fleet_board.cc
@@ -359,6 +359,19 @@
   if (service == this->services.end()) {
     return std::nullopt;
   }
+  // Mostly there is room, which is found without copies of all candidates.
+  const auto may_have_room = [&](const auto& entry) {
+    const auto& [id, known] = entry;
+    return !balancing::Placement::ShowsNoRoom(
+               known.wait_report.wait, now - known.wait_report.reported_at,
+               max_wait) &&
+           !service->second.planner.IsEjected(id) && !tried.contains(id) &&
+           this->paths.IsOpen(known.view.host, now);
+  };
+  if (std::any_of(service->second.upstreams.begin(),
+                  service->second.upstreams.end(), may_have_room)) {
+    return std::nullopt;
+  }
   return this->placement.FindNoRoom(
       this->PlacementCandidates(service->second, now), tried, max_wait);
 }
--- a/tests/balancing/placement_test.cc
+++ b/tests/balancing/placement_test.cc
@@ -135,6 +135,14 @@
   CHECK(Place(candidates)["a0"] < 30);
 }
 
+// Guards against an upstream that has room because it fails requests quickly.
+TEST(Placement, AnUpstreamThatFailsQuicklyIsNotPreferredForItsRoom) {
+  Candidates candidates = MakeZone("a", 8, Millis(100));
+  candidates[0].reported_wait = Millis(0);
+  candidates[0].view.failure_probability = 0.9;
+  CHECK(Place(candidates)["a0"] < 30);
+}
+
 TEST(Placement, ARequestThatCantBeSentAgainAvoidsUpstreamsThatAreLikelyToFail) {
   Candidates candidates = MakeZone("a", 6, Millis(100));
   for (int i : {0, 1}) {
