--- a/components/rpc/peer_clients.cc
+++ b/components/rpc/peer_clients.cc
@@ -461,9 +461,11 @@
     uint64_t clearance,
     Duration timeout) {
   return this->Call<limits::LoanBlock>(
-      host, "loan block", timeout, [clearance](wire::Peer::Client& peer) {
+      host, "loan block", timeout,
+      [clearance](wire::Peer::Client& peer, HostTraffic& traffic) {
         auto request = peer.loanBlockRequest();
         request.setClearance(clearance);
+        traffic.AddMessage(TrafficPurpose::kLoans, request);
         return request.send().then([](auto response) {
           return limits::LoanBlock{.token = response.getToken(),
                                    .hosts = response.getHosts()};
@@ -476,13 +478,14 @@
                                     Duration timeout) {
   return this
       ->Call<bool>(host, "drop loans", timeout,
-                   [lenders](wire::Peer::Client& peer) {
+                   [lenders](wire::Peer::Client& peer, HostTraffic& traffic) {
                      auto request = peer.dropLoansRequest();
                      auto out = request.initLenders(
                          static_cast<unsigned>(lenders.size()));
                      for (unsigned i = 0; i < lenders.size(); ++i) {
                        out.set(i, lenders[i]);
                      }
+                     traffic.AddMessage(TrafficPurpose::kLoans, request);
                      return request.send().then([](auto) { return true; });
                    })
       .status();
