--- a/components/rpc/peer_server.cc
+++ b/components/rpc/peer_server.cc
@@ -151,6 +151,7 @@
         this->state.handlers.loan_block(context.getParams().getClearance());
     context.getResults().setToken(block.token);
     context.getResults().setHosts(block.hosts);
+    this->traffic->AddMessage(TrafficPurpose::kLoans, context.getResults());
     return kj::READY_NOW;
   }
 
