--- a/components/admission/work_model.cc
+++ b/components/admission/work_model.cc
@@ -53,46 +53,53 @@
                         bool returned,
                         Instant now) {
   this->running[queued.ticket] = {.key = key, .queued = queued, .since = now};
-  if (!returned) {
-    this->CountStart(queued, now);
-  }
+  this->CountStart(queued, returned, now);
 }
 
-double WorkModel::FlowRate::RateAt(Instant now) const {
-  return this->rate *
-         std::exp(-ToSeconds(now - this->at) / ToSeconds(kRateMemory));
+WorkModel::FlowRate WorkModel::FlowRate::At(Instant now) const {
+  const double kept =
+      std::exp(-ToSeconds(now - this->at) / ToSeconds(kRateMemory));
+  return {.waited = this->waited * kept,
+          .returned = this->returned * kept,
+          .weight = this->weight,
+          .at = now};
 }
 
-void WorkModel::CountStart(const QueuedRequest& queued, Instant now) {
+void WorkModel::CountStart(const QueuedRequest& queued,
+                           bool returned,
+                           Instant now) {
   if (this->flows.size() >= kMaxFlows) {
     std::erase_if(this->flows, [&](const auto& entry) {
-      return entry.second.RateAt(now) < kMinFlowRate;
+      return entry.second.At(now).total() < kMinFlowRate;
     });
   }
   FlowRate& flow = this->flows[queued.organisation];
-  flow.rate = flow.RateAt(now) + queued.work / ToSeconds(kRateMemory);
+  flow = flow.At(now);
+  (returned ? flow.returned : flow.waited) +=
+      queued.work / ToSeconds(kRateMemory);
   flow.weight = queued.weight;
-  flow.at = now;
 }
 
 // Requests that arrive later pass this one if their flows have received less
 // than their share. A flow that sends more than its share waits longer than the
-// work ahead of it at present needs.
+// work ahead of it at present needs. The requests that come back as told use a
+// part of the share of their flow.
 Duration WorkModel::WaitInFlow(const QueuedRequest& queued,
                                double work,
                                int slots,
                                Instant now) const {
   double weights = queued.weight;
-  double own_rate = 0;
+  FlowRate own;
   for (const auto& [name, flow] : this->flows) {
     if (name == queued.organisation) {
-      own_rate = flow.RateAt(now);
-    } else if (flow.RateAt(now) >= kMinFlowRate) {
+      own = flow.At(now);
+    } else if (flow.At(now).total() >= kMinFlowRate) {
       weights += flow.weight;
     }
   }
   const double share = slots * queued.weight / std::max(weights, 1e-9);
-  return FromSeconds(work / std::max({own_rate, share, kMinFlowRate}));
+  return FromSeconds(
+      work / std::max({own.waited, share - own.returned, kMinFlowRate}));
 }
 
 // An organisation is charged for the time that its requests took, whatever was
--- a/components/admission/work_model.h
+++ b/components/admission/work_model.h
@@ -112,17 +112,22 @@
     double work = 0;
   };
 
-  /// Work of a flow that was started lately.
+  /// Work of a flow that was started lately, in seconds of work per second,
+  /// exponentially weighted.
   struct FlowRate {
-    /// Seconds of work per second, exponentially weighted.
-    double rate = 0;
+    /// Of requests that waited in the flow.
+    double waited = 0;
+    /// Of requests that came back as told.
+    double returned = 0;
     double weight = 1;
     Instant at;
 
-    double RateAt(Instant now) const;
+    double total() const { return this->waited + this->returned; }
+    /// Returns the rates as they are at `now` without further starts.
+    FlowRate At(Instant now) const;
   };
 
-  void CountStart(const QueuedRequest& queued, Instant now);
+  void CountStart(const QueuedRequest& queued, bool returned, Instant now);
   double RunningSeconds(Instant now) const;
 
   WorkAdmission options;
