RatePool: a grant that arrives after its return is ignored

A pool host that returned a loan while the response to its renewal was under way took the loan from that response, although the lender had ended it and could lend its share elsewhere. The next round of the loan loop returned such a loan again, so it lasted for about 100 ms unless the pool had come back.

--- a/CI/mutants.sh
+++ b/CI/mutants.sh
@@ -61,7 +61,7 @@
 mutant permits_counted components/limits/rate_pool.cc 's/bucket->outstanding_count += granted;/;/; s/bucket.outstanding_count += granted;/;/' unit RateLimitSimulation
 mutant restart_holds_back components/limits/share_lender.cc 's/.expires = until + this->options.margin/.expires = until - std::chrono::hours(1)/' unit RateLimitSimulation
 mutant sweep_drops components/limits/rate_pool.cc 's/loans.erase(lender) > 0) {/loans.count(lender) > 99) {/' unit RateLimitSimulation
-mutant sweep_late_loans components/limits/rate_pool.cc 's/ || requested_at <= this->IgnoredUpTo(lender)//' unit RateLimitSimulation
+mutant sweep_late_loans components/limits/rate_pool.cc 's/ || requested_at <= this->IgnoredUpTo(shard, lender)//' unit RateLimitSimulation
 mutant sweep_by_all components/limits/loan_sweep.cc 's/      !this->unconfirmed.empty()) {/      false) {/' unit LoanSweep
 mutant sweep_token components/limits/share_lender.cc 's/token == 0 || token != this->block.token/token == 0/' unit RateLimitSimulation
 mutant sweep_margin components/limits/share_lender.cc '/void ShareLender::EndBlock/,/^}/s/now + this->options.margin/now/' unit RateLimitSimulation
--- a/components/limits/rate_pool.cc
+++ b/components/limits/rate_pool.cc
@@ -30,7 +30,7 @@
                        Instant requested_at,
                        Instant now) {
   ShardState& state = this->ExpireLoans(shard, now);
-  if (grant.fraction <= 0 || requested_at <= this->IgnoredUpTo(lender)) {
+  if (grant.fraction <= 0 || requested_at <= this->IgnoredUpTo(shard, lender)) {
     return;
   }
   state.loans[lender] = {.fraction = grant.fraction,
@@ -78,6 +78,7 @@
 
 void RatePool::DropLoan(ShardId shard, const std::string& lender, Instant now) {
   this->shards[static_cast<size_t>(shard)].last_drop = now;
+  this->shards[static_cast<size_t>(shard)].dropped_at[lender] = now;
   this->shards[static_cast<size_t>(shard)].loans.erase(lender);
   this->ExpireLoans(shard, now);
 }
@@ -92,12 +93,16 @@
 }
 
 // A response or an offer that was under way when the loans were dropped may
-// bring a loan of a process that has ended.
-Instant RatePool::IgnoredUpTo(const std::string& lender) const {
-  const auto found = this->dropped_at.find(lender);
-  return found == this->dropped_at.end()
-             ? this->started_at
-             : std::max(found->second, this->started_at);
+// bring a loan that its lender has ended, or one of a process that has ended.
+Instant RatePool::IgnoredUpTo(ShardId shard, const std::string& lender) const {
+  Instant latest = this->started_at;
+  for (const auto* dropped :
+       {&this->dropped_at,
+        &this->shards[static_cast<size_t>(shard)].dropped_at}) {
+    const auto found = dropped->find(lender);
+    latest = found == dropped->end() ? latest : std::max(latest, found->second);
+  }
+  return latest;
 }
 
 double RatePool::LoanedFraction(ShardId shard, Instant now) {
--- a/components/limits/rate_pool.h
+++ b/components/limits/rate_pool.h
@@ -77,7 +77,8 @@
   std::map<std::string, std::vector<ShardId>> ShardsByLender() const;
 
   /// Drops a loan before it expires. Offers of loans of `shard` with a sequence
-  /// number up to `now` are ignored from then on.
+  /// number up to `now`, and grants of `lender` that were requested up to then,
+  /// are ignored from then on.
   void DropLoan(ShardId shard, const std::string& lender, Instant now);
 
   /// Drops all loans of `lender`. Grants and offers of loans that were
@@ -116,6 +117,8 @@
     FractionHistory history;
     /// Time when a loan of this shard was last dropped.
     Instant last_drop;
+    /// Time when the loan of a lender was last dropped.
+    std::map<std::string, Instant> dropped_at;
   };
 
   struct OutstandingPermits {
@@ -133,8 +136,9 @@
     int outstanding_count = 0;
   };
 
-  /// Returns the time up to which requested loans of `lender` are ignored.
-  Instant IgnoredUpTo(const std::string& lender) const;
+  /// Returns the time up to which requested loans of `shard` from `lender` are
+  /// ignored.
+  Instant IgnoredUpTo(ShardId shard, const std::string& lender) const;
   ShardState& ExpireLoans(ShardId shard, Instant now);
   static void ExpirePermitsAndRefill(Bucket& bucket,
                                      const ShardState& shard,
--- a/tests/limits/rate_limit_simulation_test.cc
+++ b/tests/limits/rate_limit_simulation_test.cc
@@ -184,6 +184,26 @@
   DOUBLES_EQUAL(0, ExcessOfTakeoverAfterRestart(Millis(300)), kRounding);
 }
 
+// Guards against a grant that arrives after the pool host has returned the
+// loan: the lender has ended the loan by then and lends its share to another
+// host.
+TEST(RateLimitSimulation, AGrantThatArrivesAfterItsReturnIsIgnored) {
+  RateLimitSimulation simulation({.hosts = 2});
+  simulation.RequestLoan(0, 0, Millis(0), Millis(0));
+  simulation.RequestLoan(0, 1, Millis(0), Millis(200));
+  simulation.Advance(Millis(50));
+  simulation.ReturnLoan(0, 1, Millis(0));
+  simulation.Advance(Millis(350));
+  simulation.RequestLoan(1, 1, Millis(0), Millis(0));
+  for (int i = 0; i < 150; ++i) {
+    simulation.RequestPermits(0, 0, 40, Millis(0), Millis(0));
+    simulation.RequestPermits(1, 1, 40, Millis(0), Millis(0));
+    simulation.Advance(Millis(10));
+  }
+  CHECK(simulation.started() > 100);
+  DOUBLES_EQUAL(0, simulation.excess(), kRounding);
+}
+
 TEST(RateLimitSimulation, PermitsOfADroppedLoanStillCount) {
   limits::ShareLender lender({});
   lender.SetShare(0.5);
