--- a/apps/upstream_standin/upstream_service.cc
+++ b/apps/upstream_standin/upstream_service.cc
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <nlohmann/json.hpp>
 
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "components/fibers/worker_pool.h"
 
@@ -12,6 +13,8 @@
 namespace {
 
 constexpr Duration kHangTime{std::chrono::seconds(30)};
+/// Longest response that a request can ask for in X-Response-Bytes.
+constexpr size_t kMaxResponseBytes = size_t{16} * 1024 * 1024;
 constexpr int kCrashExitCode = 70;
 /// Each concurrent request above the capacity adds this many times the normal
 /// work time.
@@ -91,6 +94,15 @@
     return {.status = 500, .body = "failed\n"};
   }
   ++this->answered;
+  size_t response_bytes = 0;
+  if (absl::SimpleAtoi(
+          std::string(http::FindHeader(request.headers, "X-Response-Bytes")),
+          &response_bytes) &&
+      response_bytes > 0) {
+    return {
+        .status = 200,
+        .body = std::string(std::min(response_bytes, kMaxResponseBytes), '.')};
+  }
   return {.status = 200,
           .headers = {{.name = "X-Order", .value = order},
                       {.name = "X-Upstream", .value = this->options.id}},
