--- a/apps/kingcupstaird/daemon.cc
+++ b/apps/kingcupstaird/daemon.cc
@@ -1,6 +1,9 @@
 #include "apps/kingcupstaird/daemon.h"
 
+#include <sys/resource.h>
+
 #include <algorithm>
+#include <climits>
 #include <random>
 #include <thread>
 #include <utility>
@@ -41,6 +44,22 @@
                     : std::min(unbounded, bytes / kRetainedResponsesDivisor);
 }
 
+/// Descriptors that are kept for peers, the store, upstreams and operators: a
+/// number, and one in so many of the limit.
+constexpr rlim_t kReservedDescriptors = 64;
+constexpr rlim_t kReservedDescriptorsDivisor = 8;
+
+int MaxConnections(int setting) {
+  rlimit limit{};
+  if (setting > 0 || getrlimit(RLIMIT_NOFILE, &limit) != 0) {
+    return setting;
+  }
+  const rlim_t reserve =
+      kReservedDescriptors + limit.rlim_cur / kReservedDescriptorsDivisor;
+  return static_cast<int>(
+      std::clamp<rlim_t>(limit.rlim_cur, reserve + 1, INT_MAX) - reserve);
+}
+
 uint64_t NewIncarnation() {
   return membership::MakeIncarnation(WallClockMillis(), std::random_device{}());
 }
@@ -196,7 +215,8 @@
       caller_server(
           this->workers,
           {.listen = this->settings.listen,
-           .limits = [this] { return this->CallerLimits(); }},
+           .limits = [this] { return this->CallerLimits(); },
+           .max_connections = MaxConnections(this->settings.max_connections)},
           http::CancellableHandler([this](const http::Request& request,
                                           const CancellationPtr& caller) {
             return this->ingress.Handle(request, caller);
@@ -281,6 +301,7 @@
   this->SpawnLoop([this] {
     this->PublishOwn();
     this->RefreshBoard();
+    this->CountClosedMessages();
     this->crashes.Expire(MonotonicNow());
     if (this->crashes.TakeNews()) {
       this->fleet.spread_updates();
@@ -349,6 +370,21 @@
                         *this->config.snapshot().Read(), MonotonicNow());
 }
 
+void Daemon::CountClosedMessages() {
+  const http::ByteBudgetUse use = http::ProcessByteBudgetUse();
+  const uint64_t closed = use.closed - this->closed_messages;
+  if (closed == 0) {
+    return;
+  }
+  this->closed_messages = use.closed;
+  this->recorder.counters().Add("kingcupstair_closed_for_memory_total", {},
+                                closed);
+  logging::Write(logging::Level::kWarning,
+                 "messages were given up for want of memory",
+                 {{.name = "closed", .value = absl::StrCat(closed)},
+                  {.name = "held_bytes", .value = absl::StrCat(use.used)}});
+}
+
 void Daemon::PlanEjections() {
   for (const auto& change : this->registry.UpdateEjections(MonotonicNow())) {
     this->recorder.Record({.kind = change.ejected ? "ejected" : "returned",
--- a/apps/kingcupstaird/daemon.h
+++ b/apps/kingcupstaird/daemon.h
@@ -59,6 +59,8 @@
   void PlanEjections();
   /// Fetches the configuration from a peer that has a higher revision.
   void FetchNewerConfiguration();
+  /// Counts and logs the messages that were given up for want of memory.
+  void CountClosedMessages();
   bool IsIsolated() const;
   /// Waits until no request and no run is in progress, at most until `until`.
   void WaitUntilIdle(Instant until) const;
@@ -109,6 +111,8 @@
   uint32_t published_pools = 0;
   membership::HostRecord published_record;
   Instant published_at;
+  /// Value of the last CountClosedMessages().
+  uint64_t closed_messages = 0;
 };
 
 }  // namespace kingcupstair
--- a/apps/kingcupstaird/daemon_settings.cc
+++ b/apps/kingcupstaird/daemon_settings.cc
@@ -7,6 +7,7 @@
 
 constexpr size_t kMinFleetKeyLength = 16;
 constexpr int kMaxThreads = 64;
+constexpr int kMaxConnections = 1'000'000;
 constexpr int kMaxMemoryMb = 1'000'000;
 constexpr int64_t kMaxLeaveMillis = 60'000;
 constexpr int64_t kMinStopGraceMillis = 100;
@@ -75,6 +76,11 @@
              .help = "memory of the process in millions of bytes, which "
                      "bounds requests and responses; 0: not known, no bound",
              .set = settings::SetInteger(settings.memory_mb, 0, kMaxMemoryMb)});
+  flags.Add({.name = "max-connections",
+             .help = "connections of callers at most; 0: the limit on "
+                     "descriptors less a reserve",
+             .set = settings::SetInteger(settings.max_connections, 0,
+                                         kMaxConnections)});
   flags.Add({.name = "ready-listen",
              .help = "ADDRESS:PORT at which a load balancer checks whether "
                      "this host is ready for callers; default: on "
--- a/apps/kingcupstaird/daemon_settings.h
+++ b/apps/kingcupstaird/daemon_settings.h
@@ -32,6 +32,8 @@
   int threads = 2;
   /// Memory of the process in millions of bytes; 0 if it is not known.
   int memory_mb = 0;
+  /// Connections of callers; 0 if the limit on descriptors decides.
+  int max_connections = 0;
   /// Address of the readiness check. With port 0 only the admin port serves it.
   Endpoint ready_listen;
   /// Address of the metrics. With port 0 only the admin port serves them.
--- a/components/http/byte_lease.cc
+++ b/components/http/byte_lease.cc
@@ -73,6 +73,12 @@
   SetProcessByteBudget({.bytes = MessageBytesOf(memory_mb)});
 }
 
+bool HasMessageMemoryBound() {
+  ProcessBudget& process = Process();
+  const std::lock_guard lock(process.mutex);
+  return process.enabled;
+}
+
 std::shared_ptr<ByteLease> ByteLease::Take(ByteBudget::Kind kind) {
   ProcessBudget& process = Process();
   const std::lock_guard lock(process.mutex);
--- a/components/http/byte_lease.h
+++ b/components/http/byte_lease.h
@@ -19,6 +19,9 @@
 /// the system at once. Does nothing if the memory is not known.
 void BoundMessageMemory(int memory_mb);
 
+/// Returns whether the messages of this process are bounded.
+bool HasMessageMemoryBound();
+
 /// Counts of the budget of this process.
 struct ByteBudgetUse {
   size_t used = 0;
--- a/components/http/server.cc
+++ b/components/http/server.cc
@@ -13,6 +13,7 @@
 #include "components/fibers/await.h"
 #include "components/fibers/worker_pool.h"
 #include "components/http/beast_convert.h"
+#include "components/http/byte_lease.h"
 #include "components/http/server_connection.h"
 #include "components/http/server_state.h"
 
@@ -26,6 +27,7 @@
     asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
 constexpr std::chrono::milliseconds kAcceptRetryDelay{10};
+constexpr int kSocketBufferBytes = 64 * 1024;
 
 }  // namespace
 
@@ -38,6 +40,9 @@
 
   /// Adds a connection, and removes those that have ended.
   void Register(const std::shared_ptr<ServerConnection>& connection);
+  /// Closes the connection that has been without a request in progress for the
+  /// longest time. Returns false if there is none.
+  bool EndLongestIdle();
   /// Closes the connections that have no request in progress.
   void EndIdleConnections();
 
@@ -58,6 +63,9 @@
     if (!result.error) {
       StartServing(self, std::move(socket));
     } else if (!this->accept_stopped) {
+      if (result.error == asio::error::no_descriptors) {
+        this->EndLongestIdle();
+      }
       fibers::SleepFor(kAcceptRetryDelay);
     }
   }
@@ -79,6 +87,10 @@
 
 void Server::Shared::StartServing(const std::shared_ptr<Shared>& self,
                                   tcp::socket socket) {
+  const int limit = self->options.max_connections;
+  if (limit > 0 && self->open_connections >= limit && !self->EndLongestIdle()) {
+    return;
+  }
   beast::error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
   const auto connection =
@@ -97,6 +109,25 @@
   this->connections.push_back(connection);
 }
 
+bool Server::Shared::EndLongestIdle() {
+  const std::lock_guard lock(this->mutex);
+  std::shared_ptr<ServerConnection> longest;
+  Instant longest_since = Instant::max();
+  for (const std::weak_ptr<ServerConnection>& each : this->connections) {
+    auto connection = each.lock();
+    const auto since =
+        connection == nullptr ? std::nullopt : connection->IdleSince();
+    if (since.has_value() && *since < longest_since) {
+      longest_since = *since;
+      longest = std::move(connection);
+    }
+  }
+  if (longest != nullptr) {
+    longest->EndUnlessInProgress();
+  }
+  return longest != nullptr;
+}
+
 void Server::Shared::EndIdleConnections() {
   const std::lock_guard lock(this->mutex);
   for (const std::weak_ptr<ServerConnection>& each : this->connections) {
@@ -136,6 +167,14 @@
     acceptor->open(endpoint.protocol(), ec);
     acceptor->set_option(tcp::acceptor::reuse_address(true), ec);
     acceptor->set_option(ReusePort(true), ec);
+    if (HasMessageMemoryBound()) {
+      // Accepted connections have the buffers of the listening socket. Those
+      // that the system sizes by itself may take 10 MB each.
+      acceptor->set_option(
+          asio::socket_base::receive_buffer_size(kSocketBufferBytes), ec);
+      acceptor->set_option(
+          asio::socket_base::send_buffer_size(kSocketBufferBytes), ec);
+    }
     acceptor->bind(endpoint, ec);
     if (!ec) {
       acceptor->listen(asio::socket_base::max_listen_connections, ec);
--- a/components/http/server.h
+++ b/components/http/server.h
@@ -39,6 +39,10 @@
     Endpoint listen;
     /// Called for each request; if empty, the defaults apply.
     std::function<ServerLimits()> limits;
+    /// Open connections; 0 for no limit. Beyond it, a new connection closes the
+    /// one that has been without a request in progress for the longest time, or
+    /// is closed if there is none.
+    int max_connections = 0;
   };
 
   Server(fibers::WorkerPool& workers, Options options, Handler handler);
--- a/components/http/server_connection.cc
+++ b/components/http/server_connection.cc
@@ -44,6 +44,7 @@
 /// 6,400 pipelined requests took 100 MB.
 constexpr size_t kRequestBytes = size_t{24} * 1024;
 constexpr std::chrono::milliseconds kMemoryPollInterval{5};
+constexpr Instant kNotIdle = Instant::max();
 constexpr int kUnavailable = 503;
 constexpr int kBadRequest = 400;
 constexpr int kPayloadTooLarge = 413;
@@ -78,7 +79,28 @@
     : server(std::move(server)),
       stream(std::move(socket)),
       idle_timer(this->stream.get_executor()),
-      write_timer(this->stream.get_executor()) {}
+      write_timer(this->stream.get_executor()),
+      idle_since(MonotonicNow()) {
+  ++this->server->open_connections;
+}
+
+ServerConnection::~ServerConnection() {
+  --this->server->open_connections;
+}
+
+std::optional<Instant> ServerConnection::IdleSince() const {
+  const Instant since = this->idle_since;
+  return since == kNotIdle ? std::nullopt : std::optional(since);
+}
+
+void ServerConnection::EndUnlessInProgress() {
+  this->idle_since = kNotIdle;
+  asio::post(this->stream.get_executor(), [self = this->shared_from_this()] {
+    if (self->queue.empty()) {
+      self->Abort();
+    }
+  });
+}
 
 void ServerConnection::EndIfIdle() {
   asio::post(this->stream.get_executor(), [self = this->shared_from_this()] {
@@ -269,6 +291,7 @@
   pending->keep_alive = message.keep_alive();
   pending->head = message.method() == beast::http::verb::head;
   this->queue.push_back(pending);
+  this->idle_since = kNotIdle;
   ++this->server->in_flight;
   Request request{.method = std::string(message.method_string()),
                   .target = std::string(message.target()),
@@ -291,6 +314,7 @@
   pending->keep_alive = false;
   pending->ready = true;
   this->queue.push_back(pending);
+  this->idle_since = kNotIdle;
   ++this->server->in_flight;
   this->WriteReadyResponses();
 }
@@ -457,6 +481,7 @@
   if (!this->queue.empty()) {
     return;
   }
+  this->idle_since = MonotonicNow();
   this->idle_expired = false;
   this->idle_timer.expires_after(this->server->accept_stopped
                                      ? std::min(idle_time, kLastRequestTime)
--- a/components/http/server_connection.h
+++ b/components/http/server_connection.h
@@ -1,6 +1,7 @@
 #ifndef COMPONENTS_HTTP_SERVER_CONNECTION_H_
 #define COMPONENTS_HTTP_SERVER_CONNECTION_H_
 
+#include <atomic>
 #include <deque>
 #include <memory>
 #include <optional>
@@ -23,6 +24,18 @@
   ServerConnection(std::shared_ptr<ServerState> server,
                    boost::asio::ip::tcp::socket socket);
 
+  ~ServerConnection();
+  ServerConnection(const ServerConnection&) = delete;
+  ServerConnection& operator=(const ServerConnection&) = delete;
+
+  /// Returns since when no request is in progress, or nullopt if one is or the
+  /// connection is about to end. Callable from any thread.
+  std::optional<Instant> IdleSince() const;
+
+  /// Closes the connection unless a request is in progress, on the thread of
+  /// the connection. A request that is being received is given up.
+  void EndUnlessInProgress();
+
   /// Closes the connection unless a request is in progress or has arrived, on
   /// the thread of the connection.
   void EndIfIdle();
@@ -107,6 +120,8 @@
   /// The memory of that request is needed for others.
   bool lease_ended = false;
   std::deque<std::shared_ptr<PendingResponse>> queue;
+  /// Since when no request is in progress; kNotIdle if one is.
+  std::atomic<Instant> idle_since;
   bool writing = false;
   bool last_response_reached = false;
   bool sending_finished = false;
--- a/components/http/server_state.h
+++ b/components/http/server_state.h
@@ -17,6 +17,7 @@
   std::atomic<bool> accept_stopped{false};
   /// Requests received whose response is not yet fully sent.
   std::atomic<int> in_flight{0};
+  std::atomic<int> open_connections{0};
 
   ServerLimits Limits() const {
     return this->options.limits ? this->options.limits() : ServerLimits{};
