--- a/apps/kingcupstaird/daemon.cc
+++ b/apps/kingcupstaird/daemon.cc
@@ -1,12 +1,16 @@
 #include "apps/kingcupstaird/daemon.h"
 
+#include <sys/resource.h>
+
 #include <algorithm>
+#include <climits>
 #include <random>
 #include <thread>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "components/base/hash.h"
+#include "components/http/byte_lease.h"
 #include "components/logging/log.h"
 #include "components/membership/incarnation.h"
 
@@ -29,6 +33,33 @@
 /// Hosts that start together need some rounds of gossip to find each other.
 constexpr Duration kShareGatheringTime{std::chrono::milliseconds(2500)};
 
+/// Part of the memory for messages in which responses are kept for a repeat of
+/// their request.
+constexpr size_t kRetainedResponsesDivisor = 8;
+
+size_t MaxRetainedResponseBytes(int memory_mb) {
+  const size_t unbounded = once::RunLedger::Options{}.max_retained_bytes;
+  const size_t bytes = http::MessageBytesOf(memory_mb);
+  return bytes == 0 ? unbounded
+                    : std::min(unbounded, bytes / kRetainedResponsesDivisor);
+}
+
+/// Descriptors that are kept for peers, the store, upstreams and operators: a
+/// number, and one in so many of the limit.
+constexpr rlim_t kReservedDescriptors = 64;
+constexpr rlim_t kReservedDescriptorsDivisor = 8;
+
+int MaxConnections(int setting) {
+  rlimit limit{};
+  if (setting > 0 || getrlimit(RLIMIT_NOFILE, &limit) != 0) {
+    return setting;
+  }
+  const rlim_t reserve =
+      kReservedDescriptors + limit.rlim_cur / kReservedDescriptorsDivisor;
+  return static_cast<int>(
+      std::clamp<rlim_t>(limit.rlim_cur, reserve + 1, INT_MAX) - reserve);
+}
+
 uint64_t NewIncarnation() {
   return membership::MakeIncarnation(WallClockMillis(), std::random_device{}());
 }
@@ -148,7 +179,9 @@
                  [this](once::Fingerprint fingerprint) {
                    this->evidence.Keep(fingerprint);
                  },
-             .header_names = this->header_names},
+             .header_names = this->header_names,
+             .max_retained_response_bytes =
+                 MaxRetainedResponseBytes(this->settings.memory_mb)},
             this->config.snapshot(),
             this->crashes,
             this->recorder),
@@ -200,7 +233,8 @@
       caller_server(
           this->workers,
           {.listen = this->settings.listen,
-           .limits = [this] { return this->CallerLimits(); }},
+           .limits = [this] { return this->CallerLimits(); },
+           .max_connections = MaxConnections(this->settings.max_connections)},
           http::CancellableHandler([this](const http::Request& request,
                                           const CancellationPtr& caller) {
             return this->ingress.Handle(request, caller);
@@ -235,6 +269,7 @@
 }
 
 absl::Status Daemon::Start() {
+  http::BoundMessageMemory(this->settings.memory_mb);
   this->permits.UpdatePoolHosts();
   if (const auto status = this->admin_server.Start(); !status.ok()) {
     return status;
@@ -290,6 +325,7 @@
   this->SpawnLoop([this] {
     this->PublishOwn();
     this->RefreshBoard();
+    this->CountClosedMessages();
     this->crashes.Expire(MonotonicNow());
     if (this->crashes.TakeNews()) {
       this->fleet.spread_updates();
@@ -361,6 +397,21 @@
                         *this->config.snapshot().Read(), MonotonicNow());
 }
 
+void Daemon::CountClosedMessages() {
+  const http::ByteBudgetUse use = http::ProcessByteBudgetUse();
+  const uint64_t closed = use.closed - this->closed_messages;
+  if (closed == 0) {
+    return;
+  }
+  this->closed_messages = use.closed;
+  this->recorder.counters().Add("kingcupstair_closed_for_memory_total", {},
+                                closed);
+  logging::Write(logging::Level::kWarning,
+                 "messages were given up for want of memory",
+                 {{.name = "closed", .value = absl::StrCat(closed)},
+                  {.name = "held_bytes", .value = absl::StrCat(use.used)}});
+}
+
 void Daemon::PlanEjections() {
   for (const auto& change : this->registry.UpdateEjections(MonotonicNow())) {
     this->recorder.Record({.kind = change.ejected ? "ejected" : "returned",
--- a/apps/kingcupstaird/daemon.h
+++ b/apps/kingcupstaird/daemon.h
@@ -60,6 +60,8 @@
   void PlanEjections();
   /// Fetches the configuration from a peer that has a higher revision.
   void FetchNewerConfiguration();
+  /// Counts and logs the messages that were given up for want of memory.
+  void CountClosedMessages();
   bool IsIsolated() const;
   rpc::ZoneRelation RelationTo(const std::string& host) const;
   /// Waits until no request and no run is in progress, at most until `until`.
@@ -114,6 +116,8 @@
   uint32_t published_pools = 0;
   membership::HostRecord published_record;
   Instant published_at;
+  /// Value of the last CountClosedMessages().
+  uint64_t closed_messages = 0;
 };
 
 }  // namespace kingcupstair
