--- a/apps/kingcupstaird/daemon.cc
+++ b/apps/kingcupstaird/daemon.cc
@@ -122,6 +122,18 @@
       loan_loop(this->fleet),
       share_loop(this->fleet),
       host_loop(this->fleet, this->gossip_loop),
+      rollout_loop(
+          this->fleet,
+          this->interface.rollout_status,
+          {.tick =
+               [this] { return this->registry.TickRollouts(MonotonicNow()); },
+           .on_stored_status =
+               [this](const std::string& service,
+                      const std::string& version,
+                      bool is_rolled_back) {
+                 this->registry.OnStoredStatus(service, version,
+                                               is_rolled_back);
+               }}),
       permits(this->fleet),
       guard({.zone = this->settings.zone,
              .warm_up = this->settings.warm_up,
@@ -138,7 +150,11 @@
             this->config.snapshot(),
             this->crashes,
             this->recorder),
-      registry({.own_zone = this->settings.zone, .seed = this->incarnation}),
+      registry({.own_zone = this->settings.zone,
+                .seed = this->incarnation,
+                .rollouts = {.own_host = this->fleet.settings.host,
+                             .expose_share = this->settings.expose_share,
+                             .started_at = MonotonicNow()}}),
       runner({.own_host = this->fleet.settings.host},
              this->guard,
              this->peers,
@@ -258,6 +274,7 @@
   if (this->interface.hosts_in_store) {
     this->SpawnLoop([this] { this->host_loop.Step(); });
   }
+  this->SpawnLoop([this] { this->rollout_loop.Step(); });
   this->SpawnLoop([this] { this->FetchNewerConfiguration(); });
   this->SpawnLoop([this] {
     this->guard.Tick();
@@ -291,6 +308,7 @@
   record.pools = this->loan_loop.EstablishedPools();
   record.upstreams = this->guard.Upstreams();
   record.departures = this->guard.KnownDepartures();
+  record.rollbacks = this->registry.OwnRollbacks();
   return record;
 }
 
@@ -307,13 +325,15 @@
     return;
   }
   const bool changed = this->directory.PublishOwn(record);
+  const bool has_new_rollbacks =
+      changed && record.rollbacks != this->published_record.rollbacks;
   if (changed) {
     this->published_record = record;
     this->published_at = now;
   }
   const bool gossip_now =
       changed && (record.upstreams.size() != this->published_upstream_count ||
-                  record.pools != this->published_pools);
+                  record.pools != this->published_pools || has_new_rollbacks);
   this->published_upstream_count = record.upstreams.size();
   this->published_pools = record.pools;
   if (gossip_now) {
--- a/apps/kingcupstaird/daemon.h
+++ b/apps/kingcupstaird/daemon.h
@@ -18,6 +18,7 @@
 #include "components/control/loan_loop.h"
 #include "components/control/permit_source.h"
 #include "components/control/rate_keeper.h"
+#include "components/control/rollout_loop.h"
 #include "components/control/share_loop.h"
 #include "components/fibers/worker_pool.h"
 #include "components/guard/guard.h"
@@ -89,6 +90,7 @@
   control::LoanLoop loan_loop;
   control::ShareLoop share_loop;
   control::HostLoop host_loop;
+  control::RolloutLoop rollout_loop;
   control::PermitSource permits;
   guard::Guard guard;
   ingress::UpstreamRegistry registry;
--- a/apps/kingcupstaird/daemon_settings.cc
+++ b/apps/kingcupstaird/daemon_settings.cc
@@ -131,6 +131,7 @@
   retries.slack = bounds.retry_slack.value_or(retries.slack);
   retries.window = bounds.retry_window.value_or(retries.window);
   settings.stop.grace = bounds.stop_grace.value_or(settings.stop.grace);
+  settings.expose_share = bounds.expose_share.value_or(settings.expose_share);
   admission::RateLimitedWarmUp& warm_up = settings.warm_up;
   if (bounds.cold_rate_factor.has_value()) {
     warm_up.warm_factor = kUsedColdRate * *bounds.cold_rate_factor;
--- a/apps/kingcupstaird/daemon_settings.h
+++ b/apps/kingcupstaird/daemon_settings.h
@@ -51,6 +51,8 @@
   /// rate and burst, and a number of requests on top of the burst.
   double rate_tolerance = 0;
   double rate_slack = 0;
+  /// Fraction of the requests of a service that a faulty new version may get.
+  double expose_share = 0.1;
   /// How long this host may take to stop. The requests that it still accepts
   /// run on other hosts.
   membership::StopSchedule::Options stop;
--- a/apps/upstream_standin/main.cc
+++ b/apps/upstream_standin/main.cc
@@ -26,6 +26,7 @@
   Endpoint daemon;
   std::string id;
   std::string service;
+  std::string version;
   int slots = 4;
   int cold_requests = 0;
   Duration work{std::chrono::milliseconds(5)};
@@ -54,6 +55,9 @@
              .help = "service to which this upstream belongs",
              .set = settings::SetText(target.service),
              .required = true});
+  flags.Add({.name = "program-version",
+             .help = "version that this upstream announces",
+             .set = settings::SetText(target.version)});
   flags.Add({.name = "slots",
              .help = "requests that the upstream can run at once when warm",
              .set = settings::SetInteger(target.slots, 1, 1000)});
@@ -79,6 +83,7 @@
   while (true) {
     const guard::Announcement announcement{.id = settings.id,
                                            .service = settings.service,
+                                           .version = settings.version,
                                            .endpoint = settings.listen,
                                            .incarnation = incarnation,
                                            .slots = settings.slots,
--- a/components/config/configuration.cc
+++ b/components/config/configuration.cc
@@ -93,6 +93,13 @@
     this->built.out_of_service_upstreams.insert(rule.upstream);
   }
 
+  void Add(const RolloutRule& rule) {
+    if (!this->built.ordered_rollouts.emplace(rule.service, rule).second) {
+      this->AddError(absl::StrCat("the roll-out of service '", rule.service,
+                                  "' stands twice"));
+    }
+  }
+
   void CheckServicesAreDefined() {
     for (const ParsedRule& parsed_rule : this->rules) {
       const auto* route = std::get_if<RouteRule>(&parsed_rule.rule);
--- a/components/config/configuration.h
+++ b/components/config/configuration.h
@@ -2,6 +2,7 @@
 #define COMPONENTS_CONFIG_CONFIGURATION_H_
 
 #include <cstdint>
+#include <map>
 #include <set>
 #include <string>
 #include <string_view>
@@ -64,6 +65,11 @@
     return this->out_of_service_upstreams;
   }
 
+  /// Returns the roll-outs that are ordered, by service.
+  const std::map<std::string, RolloutRule>& rollouts() const {
+    return this->ordered_rollouts;
+  }
+
   bool operator==(const Configuration&) const = default;
 
  private:
@@ -90,6 +96,7 @@
   std::unordered_map<std::string, std::string> organisation_by_key_digest;
   std::set<std::string> out_of_service_zones;
   std::set<std::string> out_of_service_upstreams;
+  std::map<std::string, RolloutRule> ordered_rollouts;
 };
 
 }  // namespace kingcupstair::config
--- a/components/config/parse.cc
+++ b/components/config/parse.cc
@@ -213,6 +213,24 @@
   return rule;
 }
 
+Rule ParseRollout(LineReader& reader) {
+  RolloutRule rule{.service = reader.ReadWord("a service name")};
+  while (const auto word = reader.NextWord()) {
+    if (word->text == "version") {
+      rule.version = reader.ReadWord("a version");
+    } else if (word->text == "within") {
+      rule.within = reader.ReadDuration("within");
+    } else {
+      reader.AddError("expected 'version' or 'within'");
+      break;
+    }
+  }
+  if (!reader.failed() && rule.version.empty()) {
+    reader.AddError("a roll-out needs 'version VERSION'");
+  }
+  return rule;
+}
+
 Rule ParseRule(LineReader& reader) {
   const std::string kind = reader.ReadWord("a rule");
   if (kind == "service") {
@@ -233,9 +251,12 @@
   if (kind == "upstream") {
     return ParseUpstream(reader);
   }
+  if (kind == "rollout") {
+    return ParseRollout(reader);
+  }
   reader.AddError(
-      "expected 'service', 'route', 'organisation', 'callers', 'zone' or "
-      "'upstream'");
+      "expected 'service', 'route', 'organisation', 'callers', 'zone', "
+      "'upstream' or 'rollout'");
   return ServiceRule{};
 }
 
--- a/components/config/rules.h
+++ b/components/config/rules.h
@@ -101,6 +101,16 @@
   bool operator==(const UpstreamOutRule&) const = default;
 };
 
+/// Orders that the traffic of a service moves to upstreams of a new version.
+struct RolloutRule {
+  std::string service;
+  std::string version;
+  /// Time after which the version is rolled back.
+  Duration within{std::chrono::minutes(1)};
+
+  bool operator==(const RolloutRule&) const = default;
+};
+
 /// Limits on the size and duration of what callers send.
 struct CallersRule {
   int64_t header_bytes = 65'536;
@@ -117,7 +127,8 @@
                           RouteRule,
                           OrganisationRule,
                           ZoneOutRule,
-                          UpstreamOutRule>;
+                          UpstreamOutRule,
+                          RolloutRule>;
 
 }  // namespace kingcupstair::config
 
--- a/components/guard/announcement.cc
+++ b/components/guard/announcement.cc
@@ -17,6 +17,7 @@
     return Announcement{
         .id = json.at("id").get<std::string>(),
         .service = json.at("service").get<std::string>(),
+        .version = json.value("version", ""),
         .endpoint = *endpoint,
         .incarnation = json.at("incarnation").get<std::string>(),
         .slots = json.value("slots", 0),
@@ -29,6 +30,7 @@
 std::string EncodeAnnouncement(const Announcement& announcement) {
   return nlohmann::json{{"id", announcement.id},
                         {"service", announcement.service},
+                        {"version", announcement.version},
                         {"endpoint", ToText(announcement.endpoint)},
                         {"incarnation", announcement.incarnation},
                         {"slots", announcement.slots},
--- a/components/guard/announcement.h
+++ b/components/guard/announcement.h
@@ -15,6 +15,8 @@
 struct Announcement {
   std::string id;
   std::string service;
+  /// Version of the program that the upstream runs; may be empty.
+  std::string version;
   Endpoint endpoint;
   /// Identifies one start of the upstream.
   std::string incarnation;
--- a/components/guard/guarded_upstream.cc
+++ b/components/guard/guarded_upstream.cc
@@ -30,6 +30,7 @@
   const auto report = upstream.gate->Report(now);
   return {.id = upstream.announcement.id,
           .service = upstream.announcement.service,
+          .version = upstream.announcement.version,
           .slots = std::max(1, upstream.announcement.slots),
           .limit = report.limit,
           .latency = report.latency,
--- a/components/health/rollout_judge.cc
+++ b/components/health/rollout_judge.cc
@@ -24,10 +24,6 @@
 /// request that may not be sent again.
 constexpr int kServedBeforeNonIdempotent = 20;
 
-/// Time in which a host that has started learns of the other hosts and of the
-/// verdicts of the canary hosts among them.
-constexpr Duration kMinHostAge{std::chrono::seconds(10)};
-
 /// Failure rates of a sound and of a faulty version. A sound one fails up to 3
 /// in 100.
 constexpr double kSoundFailureRate = 0.04;
--- a/components/health/rollout_judge.h
+++ b/components/health/rollout_judge.h
@@ -10,6 +10,10 @@
 
 namespace kingcupstair::health {
 
+/// Time in which a host that has started learns of the other hosts and of the
+/// verdicts of the canary hosts among them.
+inline constexpr Duration kMinHostAge{std::chrono::seconds(10)};
+
 /// What one host does in the roll-out of a new version.
 struct CanaryRole {
   bool is_canary = false;
@@ -37,6 +41,16 @@
 /// Returns the text of `reason` as used in the details of events.
 const char* ToText(RollbackReason reason);
 
+/// A roll-out as one host sees it.
+struct RolloutState {
+  std::string service;
+  std::string version;
+  bool is_canary = false;
+  RollbackReason rollback = RollbackReason::kNone;
+
+  bool operator==(const RolloutState&) const = default;
+};
+
 /// Result of one request, as evidence of the version that it was sent to.
 enum class VersionEvidence {
   kServed,
--- a/components/health/upstream_view.h
+++ b/components/health/upstream_view.h
@@ -14,6 +14,8 @@
   std::string id;
   std::string host;
   std::string zone;
+  /// Version of the program that the upstream runs; may be empty.
+  std::string version;
   /// Requests that the upstream runs, from all ingresses.
   int in_flight = 0;
   /// Requests that wait in the queue of the upstream's gate.
--- a/components/ingress/fleet_board.cc
+++ b/components/ingress/fleet_board.cc
@@ -21,6 +21,9 @@
 /// For this long, a limit that an upstream has named binds without a further
 /// response.
 constexpr Duration kNamedLimitMemory{std::chrono::minutes(1)};
+/// An upstream that has just started is slow, whatever its version. It gets no
+/// request as a trial before this time has passed.
+constexpr Duration kMinNewVersionAge{std::chrono::seconds(3)};
 /// Failure probability of an upstream without a recent report.
 constexpr double kUnknownFailureProbability = 0.15;
 
@@ -29,6 +32,7 @@
   return {.id = upstream.id,
           .host = host.host,
           .zone = host.zone,
+          .version = upstream.version,
           .limit = upstream.limit,
           .slots = upstream.slots,
           .latency = upstream.latency,
@@ -50,13 +54,15 @@
 }  // namespace
 
 UpstreamRegistry::UpstreamRegistry(Options options)
-    : chooser({.own_zone = options.own_zone, .seed = options.seed}) {}
+    : rollouts(std::move(options.rollouts)),
+      chooser({.own_zone = options.own_zone, .seed = options.seed}) {}
 
 void UpstreamRegistry::Update(const std::vector<membership::HostRecord>& hosts,
                               const config::Configuration& configuration,
                               Instant now) {
   UpstreamsByService listed = this->ListUpstreams(hosts, configuration);
   const std::lock_guard lock(this->mutex);
+  this->rollouts.Update(hosts, configuration, now);
   std::erase_if(this->services, [&](const auto& entry) {
     return !listed.contains(entry.first);
   });
@@ -109,9 +115,11 @@
   for (auto& [id, known] : listed) {
     const auto before = service.upstreams.find(id);
     known.health_reported_at = now;
+    known.known_since = now;
     if (before == service.upstreams.end()) {
       continue;
     }
+    known.known_since = before->second.known_since;
     const health::UpstreamView& old = before->second.view;
     if (known.view.finished == old.finished) {
       known.view.failure_probability = old.failure_probability;
@@ -123,6 +131,7 @@
     health::UpstreamView view = before->second.view;
     view.host = known.view.host;
     view.zone = known.view.zone;
+    view.version = known.view.version;
     known.view = view;
     known.replied_at = before->second.replied_at;
     known.health_reported_at = before->second.health_reported_at;
@@ -198,9 +207,12 @@
       continue;
     }
     service.has_new_reports = false;
+    const auto held_back = this->rollouts.HeldBackVersion(name, now);
     std::vector<health::UpstreamView> views;
     for (const auto& [id, known] : service.upstreams) {
-      views.push_back(known.view);
+      if (known.view.version != held_back) {
+        views.push_back(known.view);
+      }
     }
     for (auto& change : service.planner.Plan(views, now)) {
       changes.push_back(std::move(change));
@@ -228,10 +240,27 @@
 }
 
 std::vector<balancing::Candidate> UpstreamRegistry::Candidates(
+    const std::string& name,
+    const Service& service,
+    Instant now) const {
+  const auto held_back = this->rollouts.HeldBackVersion(name, now);
+  return this->CandidatesIf(
+      service,
+      [&](const UpstreamState& known) {
+        return known.view.version != held_back;
+      },
+      now);
+}
+
+std::vector<balancing::Candidate> UpstreamRegistry::CandidatesIf(
     const Service& service,
+    const std::function<bool(const UpstreamState&)>& is_eligible,
     Instant now) const {
   std::vector<balancing::Candidate> candidates;
   for (const auto& [id, known] : service.upstreams) {
+    if (!is_eligible(known)) {
+      continue;
+    }
     const bool on_trial = service.planner.IsOnTrial(id, now);
     if (service.planner.IsEjected(id) && !on_trial) {
       continue;
@@ -272,13 +301,75 @@
     return std::nullopt;
   }
   const auto chosen = this->chooser.Choose(
-      this->Candidates(service->second, now), tried, reach, health);
+      this->Candidates(name, service->second, now), tried, reach, health);
+  if (!chosen.has_value()) {
+    return std::nullopt;
+  }
+  return LocateUpstream(service->second, *chosen);
+}
+
+std::optional<ChosenUpstream> UpstreamRegistry::ChooseNewVersion(
+    const std::string& name,
+    bool non_idempotent,
+    Instant now) {
+  const std::lock_guard lock(this->mutex);
+  const auto service = this->services.find(name);
+  if (service == this->services.end() ||
+      !this->rollouts.TakeTurn(name, non_idempotent, now)) {
+    return std::nullopt;
+  }
+  const auto is_eligible = [&](const UpstreamState& known) {
+    return this->rollouts.IsNewVersion(name, known.view.version) &&
+           now - known.known_since >= kMinNewVersionAge;
+  };
+  const auto chosen = this->chooser.Choose(
+      this->CandidatesIf(service->second, is_eligible, now), {},
+      balancing::ZonePreference::kOwnZone);
   if (!chosen.has_value()) {
     return std::nullopt;
   }
   return LocateUpstream(service->second, *chosen);
 }
 
+bool UpstreamRegistry::OnAttemptStarted(const std::string& name,
+                                        const std::string& upstream) {
+  const std::lock_guard lock(this->mutex);
+  const auto service = this->services.find(name);
+  if (service == this->services.end()) {
+    return false;
+  }
+  const auto found = service->second.upstreams.find(upstream);
+  if (found == service->second.upstreams.end() ||
+      !this->rollouts.IsNewVersion(name, found->second.view.version)) {
+    return false;
+  }
+  this->rollouts.OnSent(name);
+  return true;
+}
+
+void UpstreamRegistry::OnAttemptEnded(const AttemptEnd& end) {
+  const std::lock_guard lock(this->mutex);
+  this->rollouts.OnAttemptEnded(end);
+}
+
+std::vector<health::RolloutState> UpstreamRegistry::TickRollouts(Instant now) {
+  const std::lock_guard lock(this->mutex);
+  return this->rollouts.Tick(now);
+}
+
+void UpstreamRegistry::OnStoredStatus(const std::string& service,
+                                      const std::string& version,
+                                      bool is_rolled_back) {
+  const std::lock_guard lock(this->mutex);
+  this->rollouts.OnStoredStatus(service, version, is_rolled_back);
+}
+
+std::vector<membership::VersionRollback> UpstreamRegistry::OwnRollbacks()
+    const {
+  const std::lock_guard lock(this->mutex);
+  return this->rollouts.OwnRollbacks();
+}
+
 // The home host is the host with the highest hash of host and key (rendezvous
 // hashing). Ejections and paths don't influence which host that is, since every
 // ingress has to find the same home host for a key.
@@ -291,14 +382,18 @@
   if (service == this->services.end()) {
     return std::nullopt;
   }
+  const auto held_back = this->rollouts.HeldBackVersion(name, now);
   std::map<uint64_t, std::string> ranked;
   for (const auto& [id, known] : service->second.upstreams) {
+    if (known.view.version == held_back) {
+      continue;
+    }
     ranked[StableHash(key, StableHash(known.view.host))] = known.view.host;
   }
   if (ranked.empty()) {
     return std::nullopt;
   }
-  auto candidates = this->Candidates(service->second, now);
+  auto candidates = this->Candidates(name, service->second, now);
   std::erase_if(candidates, [&](const balancing::Candidate& candidate) {
     return candidate.view.host != ranked.rbegin()->second;
   });
--- a/components/ingress/fleet_board.h
+++ b/components/ingress/fleet_board.h
@@ -1,6 +1,7 @@
 #ifndef COMPONENTS_INGRESS_FLEET_BOARD_H_
 #define COMPONENTS_INGRESS_FLEET_BOARD_H_
 
+#include <functional>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -13,6 +14,7 @@
 #include "components/health/ejection_planner.h"
 #include "components/health/path_health.h"
 #include "components/ingress/chosen_upstream.h"
+#include "components/ingress/rollout_board.h"
 #include "components/membership/host_record.h"
 #include "components/rpc/messages.h"
 
@@ -28,6 +30,7 @@
   struct Options {
     std::string own_zone;
     uint64_t seed = 0;
+    RolloutBoard::Options rollouts;
   };
 
   explicit UpstreamRegistry(Options options);
@@ -79,6 +82,28 @@
                                        balancing::HealthPreference health,
                                        Instant now);
 
+  /// Counts a request of `service`, and chooses an upstream of the version that
+  /// is rolled out if the request goes there as a trial. The other functions
+  /// never choose an upstream of that version.
+  std::optional<ChosenUpstream> ChooseNewVersion(const std::string& service,
+                                                 bool non_idempotent,
+                                                 Instant now);
+
+  /// Records the start of an attempt. Returns true if its upstream has the
+  /// version that is rolled out.
+  bool OnAttemptStarted(const std::string& service,
+                        const std::string& upstream);
+
+  /// Records the end of an attempt as evidence of a roll-out, if there is one.
+  void OnAttemptEnded(const AttemptEnd& end);
+
+  /// The functions of RolloutBoard with these names.
+  std::vector<health::RolloutState> TickRollouts(Instant now);
+  void OnStoredStatus(const std::string& service,
+                      const std::string& version,
+                      bool is_rolled_back);
+  std::vector<membership::VersionRollback> OwnRollbacks() const;
+
   /// Chooses an upstream of `service` on the home host of `key`. All ingresses
   /// with the same list of hosts find the same home host. Returns nothing if no
   /// upstream there can be used.
@@ -94,6 +119,8 @@
     Instant replied_at;
     /// When the failure probability was reported, with a reply or by gossip.
     Instant health_reported_at;
+    /// Since when the upstream has been known.
+    Instant known_since;
   };
 
   struct Service {
@@ -117,8 +144,16 @@
   static void MergeUpstreams(Service& service,
                              std::map<std::string, UpstreamState> listed,
                              Instant now);
-  std::vector<balancing::Candidate> Candidates(const Service& service,
+  /// Returns the upstreams that are not ejected, without those of the version
+  /// that is held back.
+  std::vector<balancing::Candidate> Candidates(const std::string& name,
+                                               const Service& service,
                                                Instant now) const;
+  /// Returns the eligible upstreams that are not ejected.
+  std::vector<balancing::Candidate> CandidatesIf(
+      const Service& service,
+      const std::function<bool(const UpstreamState&)>& is_eligible,
+      Instant now) const;
   static ChosenUpstream LocateUpstream(const Service& service,
                                        const std::string& upstream);
 
@@ -135,6 +170,7 @@
   /// When upstreams that have no room are expected to have some.
   std::map<std::string, Instant> room_at;
   health::PathHealth paths;
+  RolloutBoard rollouts;
   balancing::Chooser chooser;
 };
 
--- a/components/ingress/request_run.cc
+++ b/components/ingress/request_run.cc
@@ -46,6 +46,17 @@
          refusal->reason == once::RefusalReason::kMisdirected;
 }
 
+health::VersionEvidence EvidenceOf(const once::Outcome& outcome) {
+  if (IsServed(outcome)) {
+    return health::VersionEvidence::kServed;
+  }
+  const auto* unknown = std::get_if<once::Unknown>(&outcome);
+  const bool was_cancelled = unknown != nullptr && unknown->cancelled;
+  return std::holds_alternative<once::NotRun>(outcome) || was_cancelled
+             ? health::VersionEvidence::kNone
+             : health::VersionEvidence::kFailed;
+}
+
 }  // namespace
 
 /// Queue of the outcomes of ended attempts, read by the fiber of the request.
@@ -87,6 +98,28 @@
       results(std::make_shared<Results>()) {}
 
 std::optional<once::Outcome> RequestRun::Execute() {
+  auto outcome = this->RunAttempts();
+  this->ReportAbandoned();
+  return outcome;
+}
+
+void RequestRun::ReportEnd(const Attempt& attempt,
+                           health::VersionEvidence evidence) {
+  this->context.registry.OnAttemptEnded(
+      {.service = this->admitted.service,
+       .new_version = attempt.new_version,
+       .work_class = this->work_class,
+       .evidence = evidence,
+       .latency = MonotonicNow() - attempt.started});
+}
+
+void RequestRun::ReportAbandoned() {
+  for (const auto& [id, attempt] : this->running) {
+    this->ReportEnd(attempt, health::VersionEvidence::kAbandoned);
+  }
+}
+
+std::optional<once::Outcome> RequestRun::RunAttempts() {
   this->has_final_outcome = !this->StartAttempt(true);
   if (this->has_final_outcome && this->admitted.caller->IsCancelled()) {
     return std::nullopt;
@@ -149,6 +182,7 @@
     return false;
   }
   this->context.log_attempt_end("run", attempt->second.choice, ended.outcome);
+  this->ReportEnd(attempt->second, EvidenceOf(ended.outcome));
   this->running.erase(attempt);
   if (IsServed(ended.outcome)) {
     this->last_outcome = std::move(ended.outcome);
@@ -237,7 +271,10 @@
   }
   const std::string id = this->next_attempt_id;
   this->attempted_upstreams.insert(choice->upstream);
-  this->running[id] = {.choice = *choice, .started = MonotonicNow()};
+  this->running[id] = {.choice = *choice,
+                       .started = MonotonicNow(),
+                       .new_version = this->context.registry.OnAttemptStarted(
+                           this->admitted.service, choice->upstream)};
   ++this->attempts;
   boost::fibers::fiber([results = this->results, &runner = this->context.runner,
                         choice = *choice, run = this->MakeRunRequest(*choice)] {
@@ -252,6 +289,13 @@
 // The caller may disconnect while the request waits for its slot.
 std::optional<ChosenUpstream> RequestRun::FindSlot(bool may_wait) {
   this->next_attempt_id = RandomId();
+  const auto trial = this->FindNewVersionSlot();
+  if (trial.has_value()) {
+    if (!this->admitted.caller->IsCancelled()) {
+      return trial;
+    }
+    this->context.runner.Cancel(*trial, this->next_attempt_id);
+  }
   SlotSearch search({.may_wait = may_wait, .may_use_unhealthy = may_wait});
   while (!this->admitted.caller->IsCancelled() &&
          MonotonicNow() < this->Deadline()) {
@@ -271,6 +315,22 @@
   return std::nullopt;
 }
 
+std::optional<ChosenUpstream> RequestRun::FindNewVersionSlot() {
+  if (this->is_counted_for_rollout || this->attempts > 0 ||
+      !this->admitted.dedupe_key.empty()) {
+    return std::nullopt;
+  }
+  this->is_counted_for_rollout = true;
+  const auto choice = this->context.registry.ChooseNewVersion(
+      this->admitted.service, this->IsNonRetryable(), MonotonicNow());
+  if (!choice.has_value()) {
+    return std::nullopt;
+  }
+  SlotSearch search({});
+  return this->RequestSlot(
+      {.kind = SlotStep::Kind::kTryLeastLoaded, .choice = *choice}, search);
+}
+
 std::optional<ChosenUpstream> RequestRun::RequestSlot(const SlotStep& step,
                                                       SlotSearch& search) {
   const auto choice = this->ChooseUpstream(step, search);
@@ -386,6 +446,7 @@
 }
 
 void RequestRun::CancelAttempts() {
+  this->ReportAbandoned();
   for (const auto& [id, attempt] : this->running) {
     boost::fibers::fiber([&runner = this->context.runner,
                           choice = attempt.choice, id = id] {
--- a/components/ingress/request_run.h
+++ b/components/ingress/request_run.h
@@ -60,11 +60,21 @@
   struct Attempt {
     ChosenUpstream choice;
     Instant started;
+    /// The upstream has the version that is rolled out.
+    bool new_version = false;
   };
   struct Results;
   struct QueueWait;
 
+  std::optional<once::Outcome> RunAttempts();
   std::optional<ChosenUpstream> FindSlot(bool may_wait);
+  /// Requests a slot of the version that is rolled out, if the request goes
+  /// there as a trial. Only its first attempt does.
+  std::optional<ChosenUpstream> FindNewVersionSlot();
+  /// Reports the end of an attempt as evidence of a roll-out.
+  void ReportEnd(const Attempt& attempt, health::VersionEvidence evidence);
+  /// Reports the running attempts, of which the results are not awaited.
+  void ReportAbandoned();
   std::optional<ChosenUpstream> RequestSlot(const SlotStep& step,
                                             SlotSearch& search);
   std::optional<ChosenUpstream> ChooseUpstream(const SlotStep& step,
@@ -116,6 +126,7 @@
   std::set<std::string> attempted_upstreams;
   int attempts = 0;
   int upstreams_broken = 0;
+  bool is_counted_for_rollout = false;
   /// An ended attempt has reached an upstream, so a further one is a retry.
   bool has_reached_upstream = false;
   /// A hedge has started, and no attempt has ended since after which another
--- a/components/membership/host_record.cc
+++ b/components/membership/host_record.cc
@@ -25,7 +25,7 @@
                       static_cast<double>(after.latency.count()));
   const double error_change = before.error_share - after.error_share;
   return before.id != after.id || before.service != after.service ||
-         before.slots != after.slots ||
+         before.version != after.version || before.slots != after.slots ||
          DiffersByFactor(before.limit, after.limit) || has_latency_changed ||
          DiffersByFactor(before.named_rate, after.named_rate) ||
          error_change > kSignificantErrorShareChange ||
@@ -45,7 +45,8 @@
                                  before.region == after.region &&
                                  before.admin == after.admin;
   if (!has_same_location || before.leaving != after.leaving ||
-      before.pools != after.pools || HasNewDeparture(before, after) ||
+      before.pools != after.pools || before.rollbacks != after.rollbacks ||
+      HasNewDeparture(before, after) ||
       before.upstreams.size() != after.upstreams.size()) {
     return true;
   }
@@ -60,10 +61,11 @@
 bool HasSameUpstreams(const HostRecord& after, const HostRecord& before) {
   const auto same = [](const UpstreamRecord& one, const UpstreamRecord& other) {
     return one.id == other.id && one.service == other.service &&
-           one.slots == other.slots;
+           one.version == other.version && one.slots == other.slots;
   };
   return after.host == before.host && after.leaving == before.leaving &&
-         after.pools == before.pools && !HasNewDeparture(before, after) &&
+         after.pools == before.pools && after.rollbacks == before.rollbacks &&
+         !HasNewDeparture(before, after) &&
          std::equal(after.upstreams.begin(), after.upstreams.end(),
                     before.upstreams.begin(), before.upstreams.end(), same);
 }
--- a/components/membership/host_record.h
+++ b/components/membership/host_record.h
@@ -13,6 +13,8 @@
 struct UpstreamRecord {
   std::string id;
   std::string service;
+  /// Version of the program that the upstream runs; may be empty.
+  std::string version;
   /// Number of running slots that the upstream announced.
   int slots = 1;
   /// Current concurrency limit at the guard.
@@ -33,6 +35,14 @@
   bool operator==(const UpstreamRecord&) const = default;
 };
 
+/// Verdict that a version of a service is faulty.
+struct VersionRollback {
+  std::string service;
+  std::string version;
+
+  bool operator==(const VersionRollback&) const = default;
+};
+
 /// What a host publishes about itself. Only this host creates new versions.
 struct HostRecord {
   /// Address at which other hosts reach this host. Also the name of the host.
@@ -55,6 +65,8 @@
   /// Starts of upstreams whose departure this host has acknowledged, in order.
   /// Peers return them to the host when it restarts.
   std::vector<std::string> departures;
+  /// Versions that this host has rolled back, while their orders stand.
+  std::vector<VersionRollback> rollbacks;
 
   bool operator==(const HostRecord&) const = default;
 };
@@ -65,9 +77,9 @@
 /// host, which carries a load report.
 bool HasSignificantChange(const HostRecord& before, const HostRecord& after);
 
-/// Returns true if both records have the same host, leaving state, pools and
-/// upstreams with the same slots, and `after` has no departure that `before`
-/// lacks. Limit, latency and errors are not compared.
+/// Returns true if both records have the same host, leaving state, pools,
+/// rollbacks and upstreams with the same version and slots, and `after` has no
+/// departure that `before` lacks. Limit, latency and errors are not compared.
 bool HasSameUpstreams(const HostRecord& after, const HostRecord& before);
 
 /// State of a host in the failure detection. At the same incarnation and
--- a/components/rpc/convert.cc
+++ b/components/rpc/convert.cc
@@ -42,6 +42,15 @@
   for (size_t i = 0; i < record.departures.size(); ++i) {
     upstreams[static_cast<unsigned>(present + i)].setId(record.departures[i]);
   }
+  if (record.rollbacks.empty()) {
+    return;
+  }
+  auto rollbacks =
+      out.initRollbacks(static_cast<unsigned>(record.rollbacks.size()));
+  for (unsigned i = 0; i < record.rollbacks.size(); ++i) {
+    rollbacks[i].setService(record.rollbacks[i].service);
+    rollbacks[i].setVersion(record.rollbacks[i].version);
+  }
 }
 
 membership::HostUpdate ReadHostUpdate(wire::HostUpdate::Reader in) {
@@ -63,6 +72,11 @@
       update.record.upstreams.push_back(Read(upstream));
     }
   }
+  for (const auto rollback : in.getRollbacks()) {
+    update.record.rollbacks.push_back(
+        {.service = ToString(rollback.getService()),
+         .version = ToString(rollback.getVersion())});
+  }
   std::sort(update.record.departures.begin(), update.record.departures.end());
   return update;
 }
@@ -253,6 +267,9 @@
            wire::Upstream::Builder out) {
   out.setId(record.id);
   out.setService(record.service);
+  if (!record.version.empty()) {
+    out.setVersion(record.version);
+  }
   out.setSlots(static_cast<uint16_t>(record.slots));
   out.setLimit(static_cast<uint16_t>(record.limit));
   out.setLatencyMicros(ClampToUint32(record.latency.count()));
@@ -267,6 +284,7 @@
 membership::UpstreamRecord Read(wire::Upstream::Reader in) {
   return {.id = ToString(in.getId()),
           .service = ToString(in.getService()),
+          .version = ToString(in.getVersion()),
           .slots = in.getSlots(),
           .limit = in.getLimit(),
           .latency = Duration(in.getLatencyMicros()),
--- a/components/rpc/peer.capnp
+++ b/components/rpc/peer.capnp
@@ -180,6 +180,13 @@
   # start of the upstream that has left. No route leads to it.
   pools @9 :UInt32;
   loadSequence @10 :UInt32;
+  rollbacks @11 :List(VersionRollback);
+  # Versions that the host has rolled back.
+}
+
+struct VersionRollback {
+  service @0 :Text;
+  version @1 :Text;
 }
 
 struct Upstream {
@@ -195,6 +202,8 @@
   # Limit on new requests a second that the upstream has named; 0 for none.
   remainingMicros @9 :UInt32;
   # Expected time until a new request gets a slot; 0 if not known.
+  version @10 :Text;
+  # Version of the program that the upstream runs; may be empty.
 }
 
 struct Crash {
--- a/components/rpc/peer.capnp.h
+++ b/components/rpc/peer.capnp.h
@@ -61,6 +61,7 @@
 CAPNP_DECLARE_SCHEMA(e8e7866678329ec0);
 CAPNP_DECLARE_SCHEMA(d7533715fca8b6f7);
 CAPNP_DECLARE_SCHEMA(cacea78627fbf470);
+CAPNP_DECLARE_SCHEMA(a856a51e539e8d82);
 CAPNP_DECLARE_SCHEMA(dae0bdfdfd002f96);
 CAPNP_DECLARE_SCHEMA(f19b4cd447f6be45);
 CAPNP_DECLARE_SCHEMA(fec2bd230d3f1593);
@@ -743,7 +744,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cacea78627fbf470, 4, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(cacea78627fbf470, 4, 6)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct VersionRollback {
+  VersionRollback() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a856a51e539e8d82, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -758,7 +774,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dae0bdfdfd002f96, 4, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(dae0bdfdfd002f96, 4, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -4786,6 +4802,9 @@
 
   inline  ::uint32_t getLoadSequence() const;
 
+  inline bool hasRollbacks() const;
+  inline  ::capnp::List< ::kingcupstair::rpc::wire::VersionRollback,  ::capnp::Kind::STRUCT>::Reader getRollbacks() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4867,6 +4886,13 @@
   inline  ::uint32_t getLoadSequence();
   inline void setLoadSequence( ::uint32_t value);
 
+  inline bool hasRollbacks();
+  inline  ::capnp::List< ::kingcupstair::rpc::wire::VersionRollback,  ::capnp::Kind::STRUCT>::Builder getRollbacks();
+  inline void setRollbacks( ::capnp::List< ::kingcupstair::rpc::wire::VersionRollback,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::kingcupstair::rpc::wire::VersionRollback,  ::capnp::Kind::STRUCT>::Builder initRollbacks(unsigned int size);
+  inline void adoptRollbacks(::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::VersionRollback,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::VersionRollback,  ::capnp::Kind::STRUCT>> disownRollbacks();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4893,6 +4919,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class VersionRollback::Reader {
+public:
+  typedef VersionRollback Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasVersion() const;
+  inline  ::capnp::Text::Reader getVersion() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class VersionRollback::Builder {
+public:
+  typedef VersionRollback Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasVersion();
+  inline  ::capnp::Text::Builder getVersion();
+  inline void setVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVersion(unsigned int size);
+  inline void adoptVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVersion();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class VersionRollback::Pipeline {
+public:
+  typedef VersionRollback Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Upstream::Reader {
 public:
   typedef Upstream Reads;
@@ -4932,6 +5049,9 @@
 
   inline  ::uint32_t getRemainingMicros() const;
 
+  inline bool hasVersion() const;
+  inline  ::capnp::Text::Reader getVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4998,6 +5118,13 @@
   inline  ::uint32_t getRemainingMicros();
   inline void setRemainingMicros( ::uint32_t value);
 
+  inline bool hasVersion();
+  inline  ::capnp::Text::Builder getVersion();
+  inline void setVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVersion(unsigned int size);
+  inline void adoptVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVersion();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -9327,6 +9454,108 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool HostUpdate::Reader::hasRollbacks() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool HostUpdate::Builder::hasRollbacks() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::kingcupstair::rpc::wire::VersionRollback,  ::capnp::Kind::STRUCT>::Reader HostUpdate::Reader::getRollbacks() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::VersionRollback,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::kingcupstair::rpc::wire::VersionRollback,  ::capnp::Kind::STRUCT>::Builder HostUpdate::Builder::getRollbacks() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::VersionRollback,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void HostUpdate::Builder::setRollbacks( ::capnp::List< ::kingcupstair::rpc::wire::VersionRollback,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::VersionRollback,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::kingcupstair::rpc::wire::VersionRollback,  ::capnp::Kind::STRUCT>::Builder HostUpdate::Builder::initRollbacks(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::VersionRollback,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void HostUpdate::Builder::adoptRollbacks(
+    ::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::VersionRollback,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::VersionRollback,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::kingcupstair::rpc::wire::VersionRollback,  ::capnp::Kind::STRUCT>> HostUpdate::Builder::disownRollbacks() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kingcupstair::rpc::wire::VersionRollback,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline bool VersionRollback::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool VersionRollback::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader VersionRollback::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder VersionRollback::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void VersionRollback::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder VersionRollback::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void VersionRollback::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> VersionRollback::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool VersionRollback::Reader::hasVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool VersionRollback::Builder::hasVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader VersionRollback::Reader::getVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder VersionRollback::Builder::getVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void VersionRollback::Builder::setVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder VersionRollback::Builder::initVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void VersionRollback::Builder::adoptVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> VersionRollback::Builder::disownVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool Upstream::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -9507,6 +9736,40 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Upstream::Reader::hasVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Upstream::Builder::hasVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Upstream::Reader::getVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Upstream::Builder::getVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Upstream::Builder::setVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Upstream::Builder::initVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Upstream::Builder::adoptVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Upstream::Builder::disownVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Crash::Reader::getFingerprint() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/components/site/site_bounds.h
+++ b/components/site/site_bounds.h
@@ -21,6 +21,8 @@
   /// its warm-up and a number on top.
   std::optional<double> cold_rate_factor;
   std::optional<double> cold_rate_slack;
+  /// Fraction of the requests of a service that a faulty new version may get.
+  std::optional<double> expose_share;
 
   bool operator==(const SiteBounds&) const = default;
 };
--- a/components/site/site_interface.h
+++ b/components/site/site_interface.h
@@ -11,6 +11,7 @@
 #include "components/dialect/dialect.h"
 #include "components/guard/announcement.h"
 #include "components/http/message.h"
+#include "components/site/rollout_status.h"
 #include "components/site/site_bounds.h"
 #include "components/store/protocol.h"
 #include "components/store/records_view.h"
@@ -55,6 +56,7 @@
   HeaderNames header_names;
   store::Protocol store = store::FleetProtocol();
   ConfigurationSource configuration;
+  RolloutStatusFormat rollout_status;
   /// Parses the bounds that the site sets, in a form of its own. Empty for a
   /// site that sets none.
   std::function<absl::StatusOr<SiteBounds>(const std::string&)> read_bounds;
--- a/components/store/keys.h
+++ b/components/store/keys.h
@@ -28,6 +28,9 @@
   return "kingcupstair/departures/" + host;
 }
 
+/// Prefix of the keys of the states of roll-outs.
+inline constexpr char kRolloutPrefix[] = "kingcupstair/rollout/";
+
 /// Returns the key of a chunk of the configuration text.
 inline std::string ChunkKey(const std::string& id) {
   return "kingcupstair/chunk/" + id;
--- a/tests/config/configuration_test.cc
+++ b/tests/config/configuration_test.cc
@@ -105,7 +105,7 @@
                    .c_str());
   STRCMP_EQUAL(
       "line 1, column 1: expected 'service', 'route', "
-      "'organisation', 'callers', 'zone' or 'upstream'",
+      "'organisation', 'callers', 'zone', 'upstream' or 'rollout'",
       FirstError("servce a # asked by: R\n").c_str());
 }
 
@@ -130,6 +130,20 @@
                DescribeDifference(Rules(), out).c_str());
 }
 
+TEST(Configuration, ARolloutNamesServiceVersionAndTime) {
+  const std::string order = "rollout lote version v2 within 15s";
+  const Configuration config = BuildValid(Rules() + order + " # asked by: R\n");
+  const RolloutRule expected{
+      .service = "lote", .version = "v2", .within = std::chrono::seconds(15)};
+  CHECK(config.rollouts().at("lote") == expected);
+  CHECK(BuildValid(Rules()).rollouts().empty());
+  // Two orders of one service, or one without a version, state no target.
+  CHECK_FALSE(FirstError(Rules() + order + " # asked by: R\n" + order +
+                         " # asked by: R\n")
+                  .empty());
+  CHECK_FALSE(FirstError("rollout lote within 15s # asked by: R\n").empty());
+}
+
 TEST(Configuration, ChangeOfOneLineChangesAtMostTwoChunks) {
   std::string text;
   for (int i = 0; i < 5'000; ++i) {
--- a/tests/platform/operator_records_test.cc
+++ b/tests/platform/operator_records_test.cc
@@ -95,6 +95,35 @@
   CHECK_FALSE(config.IsZoneOutOfService("aqp-1"));
 }
 
+// A faulty version gets its full share of requests if its order is not read.
+TEST(OperatorRecords, AnOrderOfARollout) {
+  const auto config = BuildConfiguration(
+      {Record("op/config", kRecord),
+       Record("op/rollout/lote", R"({"service":"lote","targetVersion":"v2.1",)"
+                                 R"("duration":"15s"})")});
+  LONGS_EQUAL(1, config.rollouts().size());
+  const config::RolloutRule& rule = config.rollouts().at("lote");
+  STRCMP_EQUAL("v2.1", rule.version.c_str());
+  CHECK(rule.within == std::chrono::seconds(15));
+  // No rule states a time longer than five minutes.
+  const auto longer = BuildConfiguration(
+      {Record("op/config", kRecord),
+       Record("op/rollout/lote",
+              R"({"targetVersion":"v2.1","duration":"3600s"})")});
+  CHECK(longer.rollouts().at("lote").within == std::chrono::minutes(5));
+}
+
+// One such record would otherwise keep every change of the rules out.
+TEST(OperatorRecords, AnUnreadableOrderOfARolloutLeavesTheRulesValid) {
+  for (const char* order :
+       {"not JSON", "{}", R"({"targetVersion":""})", R"({"targetVersion":2})",
+        R"({"targetVersion":"v2 # x"})"}) {
+    const auto config = BuildConfiguration(
+        {Record("op/config", kRecord), Record("op/rollout/lote", order)});
+    CHECK(config.rollouts().empty());
+  }
+}
+
 TEST(OperatorRecords, MissingOrUnreadableConfigurationIsAnError) {
   CHECK_FALSE(TranslateRecords({}).ok());
   CHECK_FALSE(TranslateRecords({Record("op/config", "not JSON")}).ok());
--- a/tests/platform/upstream_calls_test.cc
+++ b/tests/platform/upstream_calls_test.cc
@@ -26,6 +26,7 @@
   const auto& announcement = std::get<guard::Announcement>(**call);
   STRCMP_EQUAL("i-1", announcement.id.c_str());
   STRCMP_EQUAL("lote", announcement.service.c_str());
+  STRCMP_EQUAL("v1", announcement.version.c_str());
   LONGS_EQUAL(7, announcement.slots);
   LONGS_EQUAL(4, announcement.sequence);
   CHECK(announcement.started_at == 1790000000000);
--- a/tests/rpc/convert_test.cc
+++ b/tests/rpc/convert_test.cc
@@ -19,6 +19,20 @@
 TEST_GROUP(Convert){};
 
 // A field that is left out of one direction reads as unknown at the receiver.
+// A version that is lost on the way gets its full share of requests.
+TEST(Convert, RecordsKeepVersionsAndRollbacks) {
+  capnp::MallocMessageBuilder message;
+  const std::vector<membership::HostUpdate> updates{
+      {.record = {.host = "a:1",
+                  .upstreams = {{.id = "u", .service = "s", .version = "v2"},
+                                {.id = "w", .service = "s"}},
+                  .rollbacks = {{.service = "s", .version = "v2"}}}}};
+  const auto builder = message.initRoot<wire::Gossip>().initUpdates(
+      static_cast<unsigned>(updates.size()));
+  Write(updates, builder);
+  CHECK(Read(builder.asReader()) == updates);
+}
+
 TEST(Convert, MessagesKeepWorkClassBodySizeAndRemainingWork) {
   const once::SlotRequest slot{.request_id = "r",
                                .named_rate = 2,
