--- a/tests/platform/site_bounds_test.cc
+++ b/tests/platform/site_bounds_test.cc
@@ -11,14 +11,16 @@
   const auto bounds = ReadSiteBounds(
       "seedLag=3s,grace=6s,strictRevoke=false,retryBudgetRatio=0.1,retryWindow="
       "10s,"
-      "budgetSlack=630,coldOver=1.5,coldSlack=10,new=1=2,empty");
+      "budgetSlack=630,coldOver=1.5,coldSlack=10,exposeShare=0.2,new=1=2,"
+      "empty");
   CHECK(bounds.ok());
   CHECK(*bounds == (site::SiteBounds{.retry_ratio = 0.1,
                                      .retry_slack = 630,
                                      .retry_window = std::chrono::seconds(10),
                                      .stop_grace = std::chrono::seconds(6),
                                      .cold_rate_factor = 1.5,
-                                     .cold_rate_slack = 10}));
+                                     .cold_rate_slack = 10,
+                                     .expose_share = 0.2}));
 }
 
 // The daemon's command line has the bounds as a table. Read as a list, none of
