--- a/components/ingress/fleet_board.h
+++ b/components/ingress/fleet_board.h
@@ -1,6 +1,7 @@
 #ifndef COMPONENTS_INGRESS_FLEET_BOARD_H_
 #define COMPONENTS_INGRESS_FLEET_BOARD_H_
 
+#include <functional>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -14,6 +15,7 @@
 #include "components/health/ejection_planner.h"
 #include "components/health/path_health.h"
 #include "components/ingress/chosen_upstream.h"
+#include "components/ingress/rollout_board.h"
 #include "components/membership/host_record.h"
 #include "components/rpc/messages.h"
 
@@ -58,6 +60,7 @@
     bool place_by_work = false;
     /// Bandwidth of the link of this host in Mbit/s; 0 if not known.
     int link_mbps = 0;
+    RolloutBoard::Options rollouts;
   };
 
   explicit UpstreamRegistry(Options options);
@@ -139,6 +142,28 @@
   /// Records how long a call to the host of `upstream` took.
   void OnRoundTrip(const std::string& upstream, Duration time);
 
+  /// Counts a request of `service`, and chooses an upstream of the version that
+  /// is rolled out if the request goes there as a trial. The other functions
+  /// never choose an upstream of that version.
+  std::optional<ChosenUpstream> ChooseNewVersion(const std::string& service,
+                                                 bool non_idempotent,
+                                                 Instant now);
+
+  /// Records the start of an attempt. Returns true if its upstream has the
+  /// version that is rolled out.
+  bool OnAttemptStarted(const std::string& service,
+                        const std::string& upstream);
+
+  /// Records the end of an attempt as evidence of a roll-out, if there is one.
+  void OnAttemptEnded(const AttemptEnd& end);
+
+  /// The functions of RolloutBoard with these names.
+  std::vector<health::RolloutState> TickRollouts(Instant now);
+  void OnStoredStatus(const std::string& service,
+                      const std::string& version,
+                      bool is_rolled_back);
+  std::vector<membership::VersionRollback> OwnRollbacks() const;
+
   /// Chooses an upstream of `service` on the home host of `key`. All ingresses
   /// with the same list of hosts find the same home host. Returns nothing if no
   /// upstream there can be used.
@@ -165,6 +190,8 @@
     Instant replied_at;
     /// When the failure probability was reported, with a reply or by gossip.
     Instant health_reported_at;
+    /// Since when the upstream has been known.
+    Instant known_since;
   };
 
   struct Service {
@@ -189,9 +216,13 @@
   static void MergeUpstreams(Service& service,
                              std::map<std::string, UpstreamState> listed,
                              Instant now);
-  std::vector<balancing::Candidate> Candidates(const Service& service,
+  /// Returns the upstreams that are not ejected, without those of the version
+  /// that is held back.
+  std::vector<balancing::Candidate> Candidates(const std::string& name,
+                                               const Service& service,
                                                Instant now) const;
   std::vector<balancing::PlacementCandidate> PlacementCandidates(
+      const std::string& name,
       const Service& service,
       Instant now) const;
   /// Keeps the wait report of `before` unless the record in `listed` is newer.
@@ -200,6 +231,11 @@
                                   Instant now);
   ChosenUpstream LocateUpstream(const Service& service,
                                 const std::string& upstream) const;
+  /// Returns the eligible upstreams that are not ejected.
+  std::vector<balancing::Candidate> CandidatesIf(
+      const Service& service,
+      const std::function<bool(const UpstreamState&)>& is_eligible,
+      Instant now) const;
 
   Options options;
   mutable std::mutex mutex;
@@ -215,6 +251,7 @@
   /// When upstreams that have no room are expected to have some.
   std::map<std::string, Instant> room_at;
   health::PathHealth paths;
+  RolloutBoard rollouts;
   balancing::Chooser chooser;
   balancing::Placement placement;
 };
--- a/components/ingress/request_run.cc
+++ b/components/ingress/request_run.cc
@@ -53,6 +53,17 @@
          refusal->reason == once::RefusalReason::kMisdirected;
 }
 
+health::VersionEvidence EvidenceOf(const once::Outcome& outcome) {
+  if (IsServed(outcome)) {
+    return health::VersionEvidence::kServed;
+  }
+  const auto* unknown = std::get_if<once::Unknown>(&outcome);
+  const bool was_cancelled = unknown != nullptr && unknown->cancelled;
+  return std::holds_alternative<once::NotRun>(outcome) || was_cancelled
+             ? health::VersionEvidence::kNone
+             : health::VersionEvidence::kFailed;
+}
+
 }  // namespace
 
 // An internal request may wait until only the latency objective is left of its
@@ -104,6 +115,28 @@
       results(std::make_shared<Results>()) {}
 
 std::optional<once::Outcome> RequestRun::Execute() {
+  auto outcome = this->RunAttempts();
+  this->ReportAbandoned();
+  return outcome;
+}
+
+void RequestRun::ReportEnd(const Attempt& attempt,
+                           health::VersionEvidence evidence) {
+  this->context.registry.OnAttemptEnded(
+      {.service = this->admitted.service,
+       .new_version = attempt.new_version,
+       .work_class = this->work_class,
+       .evidence = evidence,
+       .latency = MonotonicNow() - attempt.started});
+}
+
+void RequestRun::ReportAbandoned() {
+  for (const auto& [id, attempt] : this->running) {
+    this->ReportEnd(attempt, health::VersionEvidence::kAbandoned);
+  }
+}
+
+std::optional<once::Outcome> RequestRun::RunAttempts() {
   this->has_final_outcome = !this->StartAttempt(true);
   if (this->has_final_outcome && this->admitted.caller->IsCancelled()) {
     return std::nullopt;
@@ -166,6 +199,7 @@
     return false;
   }
   this->context.log_attempt_end("run", attempt->second.choice, ended.outcome);
+  this->ReportEnd(attempt->second, EvidenceOf(ended.outcome));
   this->running.erase(attempt);
   if (IsServed(ended.outcome)) {
     this->last_outcome = std::move(ended.outcome);
@@ -254,7 +288,10 @@
   }
   const std::string id = this->next_attempt_id;
   this->attempted_upstreams.insert(choice->upstream);
-  this->running[id] = {.choice = *choice, .started = MonotonicNow()};
+  this->running[id] = {.choice = *choice,
+                       .started = MonotonicNow(),
+                       .new_version = this->context.registry.OnAttemptStarted(
+                           this->admitted.service, choice->upstream)};
   ++this->attempts;
   this->body_crossed_zones =
       this->body_crossed_zones ||
@@ -272,6 +309,13 @@
 // The caller may disconnect while the request waits for its slot.
 std::optional<ChosenUpstream> RequestRun::FindSlot(bool may_wait) {
   this->next_attempt_id = RandomId();
+  const auto trial = this->FindNewVersionSlot();
+  if (trial.has_value()) {
+    if (!this->admitted.caller->IsCancelled()) {
+      return trial;
+    }
+    this->context.runner.Cancel(*trial, this->next_attempt_id);
+  }
   this->places_by_work = this->admitted.dedupe_key.empty() &&
                          this->context.registry.PlacesByWork(
                              this->admitted.service, MonotonicNow());
@@ -327,6 +371,23 @@
                       .retry_after = std::min(no_room->retry_after, honoured)};
 }
 
+std::optional<ChosenUpstream> RequestRun::FindNewVersionSlot() {
+  if (this->is_counted_for_rollout || this->attempts > 0 ||
+      !this->admitted.dedupe_key.empty()) {
+    return std::nullopt;
+  }
+  this->is_counted_for_rollout = true;
+  const auto choice = this->context.registry.ChooseNewVersion(
+      this->admitted.service, this->IsNonRetryable(), MonotonicNow());
+  if (!choice.has_value()) {
+    return std::nullopt;
+  }
+  SlotSearch search({});
+  return this->RequestSlot(
+      {.kind = SlotStep::Kind::kTryLeastLoaded, .choice = *choice}, search,
+      /*may_wait=*/false);
+}
+
 std::optional<ChosenUpstream> RequestRun::RequestSlot(const SlotStep& step,
                                                       SlotSearch& search,
                                                       bool may_wait) {
@@ -459,6 +520,7 @@
 }
 
 void RequestRun::CancelAttempts() {
+  this->ReportAbandoned();
   for (const auto& [id, attempt] : this->running) {
     boost::fibers::fiber([&runner = this->context.runner,
                           choice = attempt.choice, id = id] {
--- a/components/ingress/request_run.h
+++ b/components/ingress/request_run.h
@@ -65,11 +65,21 @@
   struct Attempt {
     ChosenUpstream choice;
     Instant started;
+    /// The upstream has the version that is rolled out.
+    bool new_version = false;
   };
   struct Results;
   struct QueueWait;
 
+  std::optional<once::Outcome> RunAttempts();
   std::optional<ChosenUpstream> FindSlot(bool may_wait);
+  /// Requests a slot of the version that is rolled out, if the request goes
+  /// there as a trial. Only its first attempt does.
+  std::optional<ChosenUpstream> FindNewVersionSlot();
+  /// Reports the end of an attempt as evidence of a roll-out.
+  void ReportEnd(const Attempt& attempt, health::VersionEvidence evidence);
+  /// Reports the running attempts, of which the results are not awaited.
+  void ReportAbandoned();
   std::optional<ChosenUpstream> RequestSlot(const SlotStep& step,
                                             SlotSearch& search,
                                             bool may_wait);
@@ -130,6 +140,7 @@
   bool places_by_work = false;
   /// The body was sent to another availability zone.
   bool body_crossed_zones = false;
+  bool is_counted_for_rollout = false;
   /// An ended attempt has reached an upstream, so a further one is a retry.
   bool has_reached_upstream = false;
   /// A hedge has started, and no attempt has ended since after which another
--- a/components/store/keys.h
+++ b/components/store/keys.h
@@ -30,6 +30,8 @@
 
 /// Key of the crash evidence of the fleet.
 inline constexpr char kCrashEvidenceKey[] = "kingcupstair/crashes";
+/// Prefix of the keys of the states of roll-outs.
+inline constexpr char kRolloutPrefix[] = "kingcupstair/rollout/";
 
 /// Returns the key of a chunk of the configuration text.
 inline std::string ChunkKey(const std::string& id) {
