--- a/components/balancing/placement.cc
+++ b/components/balancing/placement.cc
@@ -40,8 +40,8 @@
 constexpr double kMaxCountedFailure = 0.75;
 /// Factors on the cost of a hop. Requests begin to leave the zone at
 /// kSpillStart times the cost, and stop at kSpillStop times. In between, a
-/// single request leaves if that makes it sooner by kSpillGain times the cost:
-/// bytes between zones are charged for.
+/// single request leaves if that makes it sooner by kSpillGain times the cost.
+/// The gap keeps the service from changing its mode with each report.
 constexpr double kSpillStart = 3;
 constexpr double kSpillStop = 1;
 constexpr double kSpillGain = 1.5;
@@ -57,16 +57,15 @@
 /// Link that is assumed if the setting does not name one: the slowest in use.
 constexpr int kAssumedLinkMbps = 10;
 constexpr int kBitsPerByte = 8;
-/// Price of bytes between zones, which are charged for, as a fraction of the
-/// objective. In the deployments measured, a kilobyte cost 0.4 and 3.6 % of
-/// what a response is worth, and a response that ends late loses two thirds.
-/// The hop itself is the messages and a response of unknown size. With the
+/// Load that a request puts on the links between zones, as a fraction of its
+/// objective: the hop itself, for the messages and a response of unknown size,
+/// and each byte of the body. Other requests share these links. With the
 /// maximum, a request still leaves a zone where it would be refused.
-constexpr double kPriceOfHop = 0.02;
-constexpr double kPriceOfByte = 1e-5;
-constexpr double kMaxPrice = 0.3;
+constexpr double kLoadOfHop = 0.02;
+constexpr double kLoadOfByte = 1e-5;
+constexpr double kMaxLoad = 0.3;
 /// Expected wait in a zone of which nothing is known, relative to the own zone.
-/// A value below 1 lets the first requests that pay find out.
+/// A value below 1 lets the first requests that gain from it find out.
 constexpr double kUnknownZoneWait = 0.5;
 
 double Micros(Duration duration) {
@@ -172,12 +171,12 @@
   const auto known = this->round_trips.find(zone);
   const Duration round_trip =
       known == this->round_trips.end() ? kDefaultRoundTrip : known->second;
-  const double price = std::min(
-      kMaxPrice,
-      kPriceOfHop + kPriceOfByte * static_cast<double>(request.body_bytes));
+  const double load = std::min(
+      kMaxLoad,
+      kLoadOfHop + kLoadOfByte * static_cast<double>(request.body_bytes));
   return std::max(kMinHopCost, round_trip * kCallsPerRequest) +
          this->TransferTime(request.body_bytes) +
-         FractionOf(request.objective, price);
+         FractionOf(request.objective, load);
 }
 
 Placement::Estimates Placement::EstimateAll(
--- a/components/balancing/placement.h
+++ b/components/balancing/placement.h
@@ -126,8 +126,8 @@
   /// Records how long a call to a host in `zone` took.
   void OnRoundTrip(const std::string& zone, Duration time);
 
-  /// Returns the time that a request loses on its way to `zone`, and the price
-  /// of its bytes as a time; 0 for the own zone.
+  /// Returns the time that a request loses on its way to `zone`, with the
+  /// load of its bytes on the links as a time; 0 for the own zone.
   Duration HopCost(const std::string& zone,
                    const PlacementRequest& request) const;
 
--- a/components/http/server_connection.cc
+++ b/components/http/server_connection.cc
@@ -40,8 +40,8 @@
 constexpr size_t kSmallStepBytes = size_t{4} * 1024;
 constexpr size_t kStepBytes = size_t{64} * 1024;
 constexpr size_t kSmallBodyBytes = size_t{24} * 1024;
-/// Memory of a request beside its message, most of it the stack of its fiber:
-/// 6,400 pipelined requests took 100 MB.
+/// Memory counted for a request beside its message, for the stack of its fiber
+/// and what is kept of it until its response is written.
 constexpr size_t kRequestBytes = size_t{24} * 1024;
 constexpr std::chrono::milliseconds kMemoryPollInterval{5};
 constexpr Instant kNotIdle = Instant::max();
