--- a/components/http/response_reader.cc
+++ b/components/http/response_reader.cc
@@ -9,8 +9,8 @@
 
 #include "components/fibers/await.h"
 #include "components/fibers/worker_pool.h"
-#include "components/http/message.h"
 #include "components/http/byte_lease.h"
+#include "components/http/message.h"
 #include "components/http/response_memory.h"
 
 namespace kingcupstair::http {
