--- a/tests/process/permits_after_restart_test.sh
+++ b/tests/process/permits_after_restart_test.sh
@@ -3,7 +3,7 @@
 # lifetime of a loan. The pool's host has all hosts drop the loans of the former
 # processes, and the organisation still gets no more than its rate and burst.
 . "$(dirname "$0")/lib.sh"
-site_begin "$dir" 11000
+site_begin "$dir" 10600
 rate=100
 burst=20
 rules_with "$(organisation growers $rate $burst grower-key)" >"$dir/rules"
