--- a/review/6/case.cc
+++ b/review/8/case.cc
@@ -1,17 +1,12 @@
-#include <algorithm>
 #include <atomic>
-#include <cstdlib>
 #include <iostream>
-#include <map>
 #include <memory>
-#include <mutex>
-#include <optional>
-#include <set>
 #include <string>
 #include <thread>
 #include <vector>
 
 #include "review/standins-2/site.h"
+#include "review/standins-2/spoiled_answers.h"
 #include "review/standins-2/target.h"
 
 namespace review {
@@ -20,18 +15,10 @@
 constexpr char kHostHeader[] = "shop.example";
 constexpr char kKey[] = "key-of-the-tenant";
 constexpr Millis kTrafficTime{12'000};
-/// The spoiled answers belong to requests of this part of the traffic.
-constexpr int64_t kFaultFromMs = 3000;
-constexpr int64_t kFaultTimeMs = 5000;
 constexpr Millis kRequestInterval{40};
 constexpr Millis kCallTime{5000};
 constexpr int kDeadlineMs = 4000;
 constexpr int kCallers = 8;
-/// One answer in this many is cut off. With the two health checks that each
-/// such answer brings about, fewer than three answers in a hundred are spoiled.
-constexpr int kAnswersPerCut = 130;
-/// Answers of the faulty target before the first one that is cut off.
-constexpr int kAnswersBeforeCut = 30;
 
 std::string Configuration() {
   return R"({"version":7,"resources":[
@@ -42,86 +29,6 @@
 {"resourceType":"limits","metadata":{},"spec":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeout":"3000ms","idleTimeout":"15000ms"}}]})";
 }
 
-/// The faults of one target: it cuts off some of its answers, and sends some
-/// answers a second time, late: where the next answer is expected.
-class SpoiledAnswers {
- public:
-  SpoiledAnswers(Target& target, Record& record)
-      : target(target), record(record) {}
-
-  void Begin() {
-    this->began_at = SinceStart() + kFaultFromMs;
-    this->target.SetFault(
-        [this](const Socket& connection, const Message& request) {
-          return this->Handle(connection, request);
-        });
-  }
-
-  int answers() const { return this->answer_count; }
-  int spoiled() const { return this->spoiled_count; }
-
- private:
-  std::optional<bool> Handle(const Socket& connection, const Message& request) {
-    const std::string late = this->TakeLateAnswer(connection.serial());
-    const int64_t into = SinceStart() - this->began_at;
-    const bool spoils = into >= 0 && into < kFaultTimeMs;
-    this->answer_count += spoils ? 1 : 0;
-    if (request.Target() == "/health") {
-      return spoils ? std::optional(this->HandleHealthCheck(connection))
-                    : std::nullopt;
-    }
-    if (!late.empty()) {
-      this->record.Add(
-          "target sends a health answer a second time, then runs " +
-          request.Find("X-Attempt-Id"));
-      if (!SendAll(connection, late)) {
-        return false;
-      }
-      return std::nullopt;
-    }
-    if (!spoils || --this->runs_to_cut > 0) {
-      return std::nullopt;
-    }
-    this->runs_to_cut = kAnswersPerCut;
-    ++this->spoiled_count;
-    const std::string answer = this->target.Answer(request);
-    SendAll(connection, std::string_view(answer).substr(0, answer.size() - 4));
-    this->record.Add("target cuts off the answer to " +
-                     request.Find("X-Attempt-Id"));
-    return false;
-  }
-
-  bool HandleHealthCheck(const Socket& connection) {
-    const std::string answer = this->target.HealthAnswer();
-    {
-      const std::lock_guard lock(this->mutex);
-      this->late_answers[connection.serial()] = answer;
-    }
-    ++this->spoiled_count;
-    return SendAll(connection, answer);
-  }
-
-  std::string TakeLateAnswer(uint64_t connection) {
-    const std::lock_guard lock(this->mutex);
-    const auto found = this->late_answers.find(connection);
-    if (found == this->late_answers.end()) {
-      return "";
-    }
-    std::string answer = std::move(found->second);
-    this->late_answers.erase(found);
-    return answer;
-  }
-
-  Target& target;
-  Record& record;
-  int64_t began_at = 0;
-  std::mutex mutex;
-  std::map<uint64_t, std::string> late_answers;
-  std::atomic<int> answer_count{0};
-  std::atomic<int> runs_to_cut{kAnswersBeforeCut};
-  std::atomic<int> spoiled_count{0};
-};
-
 struct Totals {
   std::atomic<int> sent{0};
   std::atomic<int> served{0};
--- a/review/standins-2/net.cc
+++ b/review/standins-2/net.cc
@@ -151,12 +151,19 @@
   return ntohs(address.sin_port);
 }
 
+// Below the ports that the system gives to outgoing connections, so that none
+// of these takes a port before its listener does.
 std::vector<uint16_t> FreePorts(size_t count) {
-  std::vector<Socket> held;
+  constexpr uint16_t kFirst = 20'000;
+  constexpr uint16_t kRange = 10'000;
+  constexpr int kStep = 37;
   std::vector<uint16_t> ports;
-  for (size_t i = 0; i < count; ++i) {
-    held.push_back(Listen(0));
-    ports.push_back(PortOf(held.back()));
+  for (int i = 0; ports.size() < count && i < kRange; ++i) {
+    const auto port =
+        static_cast<uint16_t>(kFirst + (getpid() * kStep + i) % kRange);
+    if (Listen(port).IsOpen()) {
+      ports.push_back(port);
+    }
   }
   return ports;
 }
--- a/review/standins-2/target.cc
+++ b/review/standins-2/target.cc
@@ -162,18 +162,18 @@
     }
     const auto faulty =
         present ? present(*connection, *request) : std::optional<bool>();
-    if (!faulty.value_or(true) ||
-        (!faulty.has_value() && !this->ServeOne(*connection, *request))) {
+    const bool goes_on =
+        faulty.has_value() ? *faulty
+                           : SendAll(*connection, this->UsualAnswer(*request));
+    if (!goes_on) {
       return;
     }
   }
 }
 
-bool Target::ServeOne(const Socket& connection, const Message& request) {
-  if (request.Target() == this->options.health_path) {
-    return SendAll(connection, this->HealthAnswer());
-  }
-  return SendAll(connection, this->Answer(request));
+std::string Target::UsualAnswer(const Message& request) {
+  return request.Target() == this->options.health_path ? this->HealthAnswer()
+                                                       : this->Answer(request);
 }
 
 void Target::RecordRun(const Message& request) {
--- a/review/standins-2/target.h
+++ b/review/standins-2/target.h
@@ -86,14 +86,14 @@
 
   /// The usual answer to a request, after the work.
   std::string Answer(const Message& request);
-  /// The usual answer to a health check.
-  std::string HealthAnswer() const;
-  void RecordRun(const Message& request);
+  /// The usual answer to a request or a health check.
+  std::string UsualAnswer(const Message& request);
 
  private:
   void Accept();
   void Serve(const std::shared_ptr<Socket>& connection);
-  bool ServeOne(const Socket& connection, const Message& request);
+  std::string HealthAnswer() const;
+  void RecordRun(const Message& request);
 
   Options options;
   Runs& runs;
