--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -19,7 +19,7 @@
 for pid in "${pids[@]}"; do wait "$pid"; done
 pids=()
 for number in 6 7 8 9 10; do
-  source="review/$number/case.cc"
+  source="review/$number/play.cc"
   [ -f "$source" ] || continue
   compile "$source" "${objects[@]}" -o "$out/case$number" &
   pids+=("$!")
