A value that a library throws for ends a step, not the process

Cause: nlohmann::json::dump() throws for such text, Beast for such messages, and nothing above a fiber caught it. The id had been given to witnesses first, so the next start got it back.

Ruled out: that the name of the departure is the cause alone; the caller's face ends the process too.

Why it works: ids and names are checked at the edge, text is written with replacement, kept names that are none are ignored, and each fiber, loop step and RPC task has a boundary that turns an exception into an outcome that promises nothing, a log line and a counter.

--- a/apps/kingcupstaird/admin_pages.cc
+++ b/apps/kingcupstaird/admin_pages.cc
@@ -6,6 +6,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 #include "components/base/error.h"
+#include "components/base/json_text.h"
 #include "components/ingress/request_run.h"
 
 namespace kingcupstair {
@@ -24,8 +25,7 @@
 }
 
 http::Response ErrorResponse(int status, const std::string& message) {
-  return http::JsonResponse(status,
-                            nlohmann::json{{"error", message}}.dump() + "\n");
+  return http::JsonResponse(status, JsonText({{"error", message}}) + "\n");
 }
 
 nlohmann::json HostsToJson(const std::vector<membership::HostUpdate>& updates) {
@@ -181,12 +181,11 @@
   }
   const auto active = this->fleet.config.snapshot().Read();
   const auto respond = [this](const char* member, nlohmann::json value) {
-    return http::JsonResponse(
-        kOk, nlohmann::json{{"host", this->fleet.settings.host},
-                            {"zone", this->fleet.settings.zone},
-                            {member, std::move(value)}}
-                     .dump() +
-                 "\n");
+    return http::JsonResponse(kOk,
+                              JsonText({{"host", this->fleet.settings.host},
+                                        {"zone", this->fleet.settings.zone},
+                                        {member, std::move(value)}}) +
+                                  "\n");
   };
   const config::RouteRule* route =
       active->FindRoute(values["host"], values["method"], values["path"]);
@@ -256,16 +255,15 @@
 std::string AdminPages::StatusJson() const {
   const bool isolated = this->fleet.isolation.IsIsolated(
       this->fleet.directory.size(), MonotonicNow());
-  return nlohmann::json{{"host", this->fleet.settings.host},
-                        {"zone", this->fleet.settings.zone},
-                        {"region", this->fleet.settings.region},
-                        {"revision", this->fleet.config.Revision()},
-                        {"isolated", isolated},
-                        {"leaving", this->leaving.load()},
-                        {"share", this->fleet.rates.Share()},
-                        {"hosts", HostsToJson(this->fleet.directory.All())},
-                        {"upstreams", UpstreamsToJson(this->guard.Upstreams())}}
-             .dump() +
+  return JsonText({{"host", this->fleet.settings.host},
+                   {"zone", this->fleet.settings.zone},
+                   {"region", this->fleet.settings.region},
+                   {"revision", this->fleet.config.Revision()},
+                   {"isolated", isolated},
+                   {"leaving", this->leaving.load()},
+                   {"share", this->fleet.rates.Share()},
+                   {"hosts", HostsToJson(this->fleet.directory.All())},
+                   {"upstreams", UpstreamsToJson(this->guard.Upstreams())}}) +
          "\n";
 }
 
--- a/apps/kingcupstaird/daemon.cc
+++ b/apps/kingcupstaird/daemon.cc
@@ -10,6 +10,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "components/base/hash.h"
+#include "components/fibers/boundary.h"
 #include "components/http/byte_lease.h"
 #include "components/logging/log.h"
 #include "components/membership/incarnation.h"
@@ -29,6 +30,8 @@
 constexpr Duration kEjectionInterval{std::chrono::milliseconds(50)};
 constexpr Duration kPeerFetchInterval{std::chrono::milliseconds(20)};
 constexpr Duration kDrainPollInterval{std::chrono::milliseconds(20)};
+/// Keeps a loop whose step throws each time from taking the processor.
+constexpr Duration kDelayAfterException{std::chrono::seconds(1)};
 constexpr Duration kLastResultsTime{std::chrono::milliseconds(100)};
 /// Hosts that start together need some rounds of gossip to find each other.
 constexpr Duration kShareGatheringTime{std::chrono::milliseconds(2500)};
@@ -314,7 +317,9 @@
   ++this->loops_running;
   this->workers.Spawn([this, step = std::move(step)] {
     while (!this->stopping) {
-      step();
+      if (!fibers::RunContained("step of a loop", step)) {
+        fibers::SleepFor(kDelayAfterException);
+      }
     }
     --this->loops_running;
   });
@@ -342,6 +347,7 @@
     this->PublishOwn();
     this->RefreshBoard();
     this->CountClosedMessages();
+    this->CountExceptions();
     this->crashes.Expire(MonotonicNow());
     if (this->crashes.TakeNews()) {
       this->fleet.spread_updates();
@@ -431,6 +437,13 @@
                   {.name = "held_bytes", .value = absl::StrCat(use.used)}});
 }
 
+void Daemon::CountExceptions() {
+  const uint64_t reported = fibers::ReportedExceptions();
+  this->recorder.counters().Add("kingcupstair_exceptions_total", {},
+                                reported - this->counted_exceptions);
+  this->counted_exceptions = reported;
+}
+
 void Daemon::PlanEjections() {
   for (const auto& change : this->registry.UpdateEjections(MonotonicNow())) {
     this->recorder.Record({.kind = change.ejected ? "ejected" : "returned",
@@ -481,7 +494,10 @@
       .probe =
           [this](const std::string& host, std::function<void(bool)> done) {
             this->workers.Spawn([this, host, done = std::move(done)] {
-              done(this->gossip_loop.CanReach(host));
+              done(fibers::RunOr(
+                  "probe a host",
+                  [&] { return this->gossip_loop.CanReach(host); },
+                  [] { return false; }));
             });
           },
       .head = [this] { return this->config.HeadText(); },
@@ -527,8 +543,13 @@
               return;
             }
             this->workers.Spawn([this, call, done = std::move(done)] {
-              done(this->permits.AcquireForPeer(call.organisation,
-                                                call.service));
+              done(fibers::RunOr(
+                  "acquire permits",
+                  [&] {
+                    return this->permits.AcquireForPeer(call.organisation,
+                                                        call.service);
+                  },
+                  [] { return limits::PermitGrant{}; }));
             });
           },
       .acquire_retry_token =
@@ -545,13 +566,28 @@
             this->workers.Spawn(
                 [this,
                  run = std::get<guard::AcceptedRun>(std::move(accept_result)),
-                 done = std::move(done)] { done(this->guard.Run(run)); });
+                 done = std::move(done)] {
+                  done(fibers::RunOr(
+                      "run a request", [&] { return this->guard.Run(run); },
+                      [] {
+                        return rpc::RunResult{
+                            .outcome = once::Unknown{
+                                .detail = "the host failed inside"}};
+                      }));
+                });
           },
       .reserve =
           [this](const once::SlotRequest& request,
                  std::function<void(rpc::SlotAnswer)> done) {
             this->workers.Spawn([this, request, done = std::move(done)] {
-              done(this->guard.Reserve(request));
+              done(fibers::RunOr(
+                  "reserve a slot",
+                  [&] { return this->guard.Reserve(request); },
+                  [] {
+                    return rpc::SlotAnswer{
+                        .refusal = {.reason =
+                                        once::RefusalReason::kUpstreamGone}};
+                  }));
             });
           },
       .cancel =
--- a/apps/kingcupstaird/daemon.h
+++ b/apps/kingcupstaird/daemon.h
@@ -63,6 +63,8 @@
   void FetchNewerConfiguration();
   /// Counts and logs the messages that were given up for want of memory.
   void CountClosedMessages();
+  /// Counts the exceptions that ended a step since the last call.
+  void CountExceptions();
   bool IsIsolated() const;
   rpc::ZoneRelation RelationTo(const std::string& host) const;
   /// Waits until no request and no run is in progress, at most until `until`.
@@ -120,6 +122,8 @@
   Instant published_at;
   /// Value of the last CountClosedMessages().
   uint64_t closed_messages = 0;
+  /// Value of the last CountExceptions().
+  uint64_t counted_exceptions = 0;
 };
 
 }  // namespace kingcupstair
--- a/components/config/head.cc
+++ b/components/config/head.cc
@@ -2,14 +2,17 @@
 
 #include <nlohmann/json.hpp>
 
+#include "components/base/json_text.h"
+
 namespace kingcupstair::config {
 
 std::string EncodeHead(const Head& head) {
-  return nlohmann::json{
-      {"revision", head.revision}, {"write_id", head.write_id},
-      {"author", head.author},     {"summary", head.summary},
-      {"chunks", head.chunks},     {"superseded", head.superseded}}
-      .dump();
+  return JsonText({{"revision", head.revision},
+                   {"write_id", head.write_id},
+                   {"author", head.author},
+                   {"summary", head.summary},
+                   {"chunks", head.chunks},
+                   {"superseded", head.superseded}});
 }
 
 absl::StatusOr<Head> DecodeHead(std::string_view text) {
--- a/components/control/config_loop.cc
+++ b/components/control/config_loop.cc
@@ -1,7 +1,5 @@
 #include "components/control/config_loop.h"
 
-#include <boost/fiber/fiber.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -11,6 +9,7 @@
 #include "components/config/chunks.h"
 #include "components/config/head.h"
 #include "components/config/revision.h"
+#include "components/fibers/boundary.h"
 #include "components/fibers/worker_pool.h"
 #include "components/logging/log.h"
 #include "components/store/keys.h"
@@ -272,10 +271,10 @@
 // the first time. A host that had the change from the store needs no second
 // round: then the store serves changes to most others too.
 void ConfigLoop::SpreadAgainLater() {
-  boost::fibers::fiber([this] {
+  fibers::Launch("spread the configuration again", [this] {
     fibers::SleepFor(kSecondSpreadDelay);
     this->fleet.spread_updates();
-  }).detach();
+  });
 }
 
 bool ConfigLoop::Adopt(const std::string& source) {
--- a/components/control/departure_loop.cc
+++ b/components/control/departure_loop.cc
@@ -5,6 +5,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "components/base/error.h"
+#include "components/fibers/boundary.h"
 #include "components/fibers/call_each.h"
 #include "components/fibers/worker_pool.h"
 #include "components/logging/log.h"
@@ -77,9 +78,14 @@
     return absl::OkStatus();
   }
   ++this->calls_to_keep;
-  this->upstreams.publish();
-  this->InformWitnesses();
-  const absl::Status status = this->Write();
+  const absl::Status status = fibers::RunOr(
+      "keep a departure",
+      [this] {
+        this->upstreams.publish();
+        this->InformWitnesses();
+        return this->Write();
+      },
+      [] { return absl::InternalError("the host failed inside"); });
   --this->calls_to_keep;
   this->fleet.recorder.Record(
       {.kind = status.ok() ? "departure_kept" : "departure_not_kept",
--- a/components/control/evidence_loop.cc
+++ b/components/control/evidence_loop.cc
@@ -1,9 +1,8 @@
 #include "components/control/evidence_loop.h"
 
-#include <boost/fiber/fiber.hpp>
-
 #include "absl/strings/str_cat.h"
 #include "components/base/error.h"
+#include "components/fibers/boundary.h"
 #include "components/fibers/call_each.h"
 #include "components/fibers/worker_pool.h"
 #include "components/logging/log.h"
@@ -127,12 +126,15 @@
   if (this->is_writing.exchange(true)) {
     return;
   }
-  boost::fibers::fiber([this] {
-    if (!this->Write().ok()) {
+  fibers::Launch("keep crash evidence", [this] {
+    const bool written = fibers::RunOr(
+        "write crash evidence", [this] { return this->Write().ok(); },
+        [] { return false; });
+    if (!written) {
       this->is_store_failing = true;
     }
     this->is_writing = false;
-  }).detach();
+  });
 }
 
 absl::Status EvidenceLoop::Read() {
--- a/components/control/gossip_loop.cc
+++ b/components/control/gossip_loop.cc
@@ -1,13 +1,12 @@
 #include "components/control/gossip_loop.h"
 
-#include <boost/fiber/fiber.hpp>
-
 #include <algorithm>
 #include <optional>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "components/base/hash.h"
+#include "components/fibers/boundary.h"
 #include "components/fibers/call_each.h"
 #include "components/fibers/worker_pool.h"
 #include "components/once/rumor_selection.h"
@@ -181,11 +180,12 @@
       return;
     }
   }
-  boost::fibers::fiber([this, host] {
-    this->ProbeIndirectly(host);
+  fibers::Launch("probe a host indirectly", [this, host] {
+    fibers::RunContained("probe a host indirectly",
+                         [&] { this->ProbeIndirectly(host); });
     const std::lock_guard lock(this->mutex);
     this->indirectly_probed.erase(host);
-  }).detach();
+  });
 }
 
 // Only the path from this host may be broken, so other hosts probe `host`
--- a/components/control/host_loop.cc
+++ b/components/control/host_loop.cc
@@ -1,13 +1,12 @@
 #include "components/control/host_loop.h"
 
-#include <boost/fiber/fiber.hpp>
-
 #include <algorithm>
 #include <random>
 #include <set>
 #include <utility>
 
 #include "components/base/error.h"
+#include "components/fibers/boundary.h"
 #include "components/fibers/worker_pool.h"
 #include "components/logging/log.h"
 #include "components/store/keys.h"
@@ -141,9 +140,8 @@
                std::mt19937_64{std::random_device{}()});
   new_hosts.resize(std::min(new_hosts.size(), kMaxNewHostsPerRound));
   for (const std::string& host : new_hosts) {
-    boost::fibers::fiber([this, host] {
-      this->gossip.ContactNewHost(host);
-    }).detach();
+    fibers::Launch("contact a new host",
+                   [this, host] { this->gossip.ContactNewHost(host); });
   }
 }
 
--- a/components/control/loan_loop.cc
+++ b/components/control/loan_loop.cc
@@ -1,11 +1,10 @@
 #include "components/control/loan_loop.h"
 
-#include <boost/fiber/fiber.hpp>
-
 #include <algorithm>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "components/fibers/boundary.h"
 #include "components/fibers/worker_pool.h"
 
 namespace kingcupstair::control {
@@ -75,9 +74,14 @@
           !this->fleet.rates.HasLoansUntil(pooled, lender,
                                            now + kRenewBeforeExpiry)) {
         this->next_request_at[lender] = Instant::max();
-        boost::fibers::fiber([this, lender = lender, pooled] {
-          this->RequestLoans(lender, pooled);
-        }).detach();
+        fibers::Launch("request loans", [this, lender = lender, pooled] {
+          if (!fibers::RunContained("request loans", [&] {
+                this->RequestLoans(lender, pooled);
+              })) {
+            this->next_request_at[lender] =
+                MonotonicNow() + kBlockCheckInterval;
+          }
+        });
       }
     }
   }
@@ -111,7 +115,12 @@
   this->sweep.Update(MonotonicNow());
   for (const std::string& host : this->sweep.Unconfirmed()) {
     if (this->dropping.insert(host).second) {
-      boost::fibers::fiber([this, host] { this->DropLoansAt(host); }).detach();
+      fibers::Launch("drop loans", [this, host] {
+        if (!fibers::RunContained("drop loans",
+                                  [&] { this->DropLoansAt(host); })) {
+          this->dropping.erase(host);
+        }
+      });
     }
   }
 }
@@ -233,9 +242,9 @@
   }
   for (const auto& [host, kept] :
        this->fleet.directory.PoolHosts(this->fleet.settings.region)) {
-    boost::fibers::fiber([this, host = host, shards = loans[host]] {
+    fibers::Launch("return loans", [this, host = host, shards = loans[host]] {
       this->ReturnLoans(host, {.shards = shards, .leaving = true});
-    }).detach();
+    });
   }
 }
 
--- a/components/events/event.cc
+++ b/components/events/event.cc
@@ -2,20 +2,21 @@
 
 #include <nlohmann/json.hpp>
 
+#include "components/base/json_text.h"
+
 namespace kingcupstair::events {
 
 std::string EncodeEvent(const Event& event) {
-  return nlohmann::json{{"at_ms", event.at_ms},
-                        {"host", event.host},
-                        {"sequence", event.sequence},
-                        {"kind", event.kind},
-                        {"organisation", event.organisation},
-                        {"upstream", event.upstream},
-                        {"zone", event.zone},
-                        {"revision", event.revision},
-                        {"detail", event.detail},
-                        {"count", event.count}}
-      .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return JsonText({{"at_ms", event.at_ms},
+                   {"host", event.host},
+                   {"sequence", event.sequence},
+                   {"kind", event.kind},
+                   {"organisation", event.organisation},
+                   {"upstream", event.upstream},
+                   {"zone", event.zone},
+                   {"revision", event.revision},
+                   {"detail", event.detail},
+                   {"count", event.count}});
 }
 
 absl::StatusOr<Event> DecodeEvent(std::string_view line) {
--- a/components/events/explain.cc
+++ b/components/events/explain.cc
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
+#include "components/base/json_text.h"
+
 namespace kingcupstair::events {
 namespace {
 
@@ -57,7 +59,7 @@
   std::string text = line.time + " " + line.source + " " + line.message;
   for (const auto& [name, value] : line.fields.items()) {
     text += " " + name + "=" +
-            (value.is_string() ? value.get<std::string>() : value.dump());
+            (value.is_string() ? value.get<std::string>() : JsonText(value));
   }
   return text;
 }
--- a/components/fibers/call_each.cc
+++ b/components/fibers/call_each.cc
@@ -1,4 +1,5 @@
 #include "components/fibers/call_each.h"
+#include "components/fibers/boundary.h"
 
 #include <boost/fiber/fiber.hpp>
 
@@ -11,7 +12,9 @@
   std::atomic<int> succeeded{0};
   std::vector<boost::fibers::fiber> fibers;
   for (const std::string& host : hosts) {
-    fibers.emplace_back([&, host] { succeeded += call(host) ? 1 : 0; });
+    fibers.emplace_back([&, host] {
+      RunContained("call a host", [&] { succeeded += call(host) ? 1 : 0; });
+    });
   }
   for (boost::fibers::fiber& fiber : fibers) {
     fiber.join();
--- a/components/fibers/worker_pool.cc
+++ b/components/fibers/worker_pool.cc
@@ -1,10 +1,10 @@
 #include "components/fibers/worker_pool.h"
 
 #include <boost/asio/post.hpp>
-#include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
 
 #include "components/fibers/asio_scheduler.h"
+#include "components/fibers/boundary.h"
 
 namespace kingcupstair::fibers {
 namespace {
@@ -44,7 +44,7 @@
 void WorkerPool::SpawnOn(size_t index, std::function<void()> task) {
   boost::asio::post(*this->io_contexts[index], [task =
                                                     std::move(task)]() mutable {
-    boost::fibers::fiber(boost::fibers::launch::post, std::move(task)).detach();
+    RunContained("start a fiber", [&task] { Launch("task", std::move(task)); });
   });
 }
 
--- a/components/fibers/worker_pool.h
+++ b/components/fibers/worker_pool.h
@@ -31,7 +31,7 @@
   WorkerPool& operator=(const WorkerPool&) = delete;
 
   /// Starts a fiber that runs `task`; successive calls take the threads in
-  /// turn. Callable from any thread.
+  /// turn. An exception ends the fiber only. Callable from any thread.
   void Spawn(std::function<void()> task);
 
   /// Starts a fiber that runs `task` on thread `index`, counted from 0.
--- a/components/guard/announcement.h
+++ b/components/guard/announcement.h
@@ -42,6 +42,16 @@
   bool operator==(const Announcement&) const = default;
 };
 
+/// Returns whether `id` can be the id of an upstream: it is a part of a path,
+/// the value of a header field and a part of the name of a departure.
+bool IsUpstreamId(std::string_view id);
+
+/// Returns whether `text` can name one start of an upstream.
+bool IsIncarnation(std::string_view text);
+
+/// Returns an error if an id or a name of an announcement is not one.
+absl::Status CheckNames(const Announcement& announcement);
+
 /// Parses the JSON body of an announcement. Returns an error if the body is not
 /// a JSON object or a required field is missing or invalid.
 absl::StatusOr<Announcement> DecodeAnnouncement(std::string_view text);
--- a/components/guard/departures.cc
+++ b/components/guard/departures.cc
@@ -29,6 +29,12 @@
   return absl::StrCat(StartsUntilPrefix(upstream), until_millis);
 }
 
+bool Departures::IsName(const std::string& name) {
+  const size_t slash = name.find('/');
+  return slash != std::string::npos && IsUpstreamId(name.substr(0, slash)) &&
+         IsIncarnation(name.substr(slash + 1));
+}
+
 bool Departures::Add(const std::string& name, Instant now) {
   return this->last_heard.insert_or_assign(name, now).second;
 }
--- a/components/guard/departures.h
+++ b/components/guard/departures.h
@@ -28,6 +28,10 @@
   static std::string StartsUntilName(const std::string& upstream,
                                      uint64_t until_millis);
 
+  /// Returns whether `name` is of one of these forms, for names that were kept
+  /// elsewhere.
+  static bool IsName(const std::string& name);
+
   /// Records a departure by the name of a start or of several. Returns true if
   /// it was not known.
   bool Add(const std::string& name, Instant now);
--- a/components/guard/guard.cc
+++ b/components/guard/guard.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "components/fibers/boundary.h"
 #include "components/fibers/worker_pool.h"
 #include "components/guard/upstream_call.h"
 #include "components/logging/log.h"
@@ -139,7 +140,13 @@
     target.endpoint = upstream.announcement.endpoint;
     start = upstream.announcement.incarnation;
   }
-  UpstreamReply reply = CallUpstream(target, request, deadline, call);
+  UpstreamReply reply = fibers::RunOr(
+      "call an upstream",
+      [&] { return CallUpstream(target, request, deadline, call); },
+      [] {
+        return UpstreamReply{
+            .outcome = once::Unknown{.detail = "the host failed inside"}};
+      });
   if (reply.notice.has_value()) {
     this->ApplyNotice(request.upstream, start, *reply.notice);
   }
--- a/components/guard/guard_announcements.cc
+++ b/components/guard/guard_announcements.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "components/logging/log.h"
+
 namespace kingcupstair::guard {
 namespace {
 
@@ -138,7 +140,13 @@
   DeferredWakeups wakeups;
   const std::lock_guard lock(this->mutex);
   for (const std::string& name : names) {
-    this->departures.Add(name, MonotonicNow());
+    if (Departures::IsName(name)) {
+      this->departures.Add(name, MonotonicNow());
+    } else {
+      logging::Write(logging::Level::kWarning,
+                     "a kept departure has an invalid name and is ignored",
+                     {{.name = "departure", .value = name}});
+    }
   }
   this->DrainDeparted(wakeups);
 }
--- a/components/guard/upstream_call.cc
+++ b/components/guard/upstream_call.cc
@@ -127,8 +127,9 @@
   const auto message = result.failure.status.message();
   return {.outcome = once::Unknown{
               .detail = std::string(message.data(), message.size()),
-              .upstream_broke =
-                  !result.failure.timed_out && !result.failure.cancelled,
+              .upstream_broke = !result.failure.timed_out &&
+                                !result.failure.cancelled &&
+                                !absl::IsInvalidArgument(result.failure.status),
               .cancelled = result.failure.cancelled}};
 }
 
--- a/components/http/client.cc
+++ b/components/http/client.cc
@@ -157,6 +157,16 @@
                           "cancelled before it was sent")}};
 }
 
+/// Result of a call whose request can't be written as an HTTP message. Nothing
+/// of it was sent.
+Result MakeUnsendable(const Call& call, const std::exception& error) {
+  return {.failure = {
+              .stage = Stage::kSend,
+              .status = ErrorAt(absl::StatusCode::kInvalidArgument,
+                                {.step = "send", .peer = ToText(call.server)},
+                                error.what())}};
+}
+
 void SendKeepAliveProbes(tcp::socket& socket) {
   const auto set = [&socket](int level, int option, int value) {
     setsockopt(socket.native_handle(), level, option, &value, sizeof(value));
@@ -182,8 +192,12 @@
   return result.error;
 }
 
-beast::error_code Send(const Call& call, Connection& connection) {
-  beast::http::request<beast::http::span_body<const char>> message;
+using RequestMessage = beast::http::request<beast::http::span_body<const char>>;
+
+/// Returns the message to send. Throws if the library can't represent the
+/// request: a field that is too long, or a body where none is allowed.
+RequestMessage MakeMessage(const Call& call) {
+  RequestMessage message;
   message.version(11);
   message.method_string(call.request.method);
   message.target(call.request.target);
@@ -194,6 +208,10 @@
   const std::string& body = call.request.body.text();
   message.body() = {body.data(), body.size()};
   message.prepare_payload();
+  return message;
+}
+
+beast::error_code Send(RequestMessage& message, Connection& connection) {
   return fibers::Await([&](auto handler) {
            beast::http::async_write(connection.stream, message, handler);
          })
@@ -264,6 +282,12 @@
 
 Result Exchange(const Call& call) {
   const Instant deadline = MonotonicNow() + call.timeout;
+  RequestMessage message;
+  try {
+    message = MakeMessage(call);
+  } catch (const std::exception& error) {
+    return MakeUnsendable(call, error);
+  }
   beast::error_code ec;
   const auto connection = OpenConnection(call, ec);
   if (ec) {
@@ -276,7 +300,7 @@
   connection->stream.expires_after(
       std::max(deadline - MonotonicNow(), Duration(1)));
   CloseOnCancel(call, connection);
-  if ((ec = Send(call, *connection))) {
+  if ((ec = Send(message, *connection))) {
     return MakeFailure(call, Stage::kSend, ec);
   }
   ReadResult read = Receive(call, *connection, deadline);
--- a/components/http/request_check.cc
+++ b/components/http/request_check.cc
@@ -37,4 +37,9 @@
   return names_host && CountOf(fields, field::authorization) <= 1;
 }
 
+// RFC 9110 section 9.3.8. The library refuses to send such a request.
+bool MayHaveBody(boost::beast::http::verb method) {
+  return method != boost::beast::http::verb::trace;
+}
+
 }  // namespace kingcupstair::http
--- a/components/http/request_check.h
+++ b/components/http/request_check.h
@@ -10,6 +10,9 @@
 /// as Beast has it, e.g. 11 for HTTP/1.1.
 bool IsUnambiguous(const boost::beast::http::fields& fields, unsigned version);
 
+/// Returns whether a request with this method may have a body.
+bool MayHaveBody(boost::beast::http::verb method);
+
 }  // namespace kingcupstair::http
 
 #endif  // COMPONENTS_HTTP_REQUEST_CHECK_H_
--- a/components/http/server.cc
+++ b/components/http/server.cc
@@ -5,12 +5,12 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/fiber/fiber.hpp>
 
 #include <sys/socket.h>
 
 #include "components/base/error.h"
 #include "components/fibers/await.h"
+#include "components/fibers/boundary.h"
 #include "components/fibers/worker_pool.h"
 #include "components/http/beast_convert.h"
 #include "components/http/byte_lease.h"
@@ -96,7 +96,8 @@
   const auto connection =
       std::make_shared<ServerConnection>(self, std::move(socket));
   self->Register(connection);
-  boost::fibers::fiber([connection] { connection->ReadRequests(); }).detach();
+  fibers::Launch("serve a connection",
+                 [connection] { connection->ReadRequests(); });
 }
 
 void Server::Shared::Register(
--- a/components/http/server_connection.cc
+++ b/components/http/server_connection.cc
@@ -3,12 +3,13 @@
 #include <poll.h>
 
 #include <algorithm>
+#include <stdexcept>
 #include <utility>
 
 #include <boost/asio/post.hpp>
-#include <boost/fiber/fiber.hpp>
 
 #include "components/fibers/await.h"
+#include "components/fibers/boundary.h"
 #include "components/fibers/worker_pool.h"
 #include "components/http/beast_convert.h"
 #include "components/http/last_request_time.h"
@@ -45,6 +46,7 @@
 constexpr size_t kRequestBytes = size_t{24} * 1024;
 constexpr std::chrono::milliseconds kMemoryPollInterval{5};
 constexpr Instant kNotIdle = Instant::max();
+constexpr int kInternalServerError = 500;
 constexpr int kUnavailable = 503;
 constexpr int kBadRequest = 400;
 constexpr int kPayloadTooLarge = 413;
@@ -58,6 +60,29 @@
                                                    : kBadRequest;
 }
 
+/// Parses `input` and returns the number of bytes that were parsed. The library
+/// throws for a field that is longer than it can hold.
+size_t Parse(beast::http::request_parser<beast::http::string_body>& parser,
+             beast::flat_buffer::const_buffers_type input,
+             beast::error_code& error) {
+  try {
+    return parser.put(input, error);
+  } catch (const std::length_error&) {
+    error = beast::http::error::header_limit;
+    return 0;
+  }
+}
+
+/// Response to a request whose handler threw: it may have run or not.
+Response InternalError() {
+  Response response =
+      JsonResponse(kInternalServerError,
+                   "{\"outcome\":\"unknown\",\"reason\":\"internal_error\"}\n");
+  response.headers.push_back(
+      {.name = "Kingcupstair-Outcome", .value = "unknown"});
+  return response;
+}
+
 bool IsSafe(beast::http::verb method) {
   return method == beast::http::verb::get || method == beast::http::verb::head;
 }
@@ -116,12 +141,17 @@
 }
 
 void ServerConnection::ReadRequests() {
-  ReaderStep next_step = ReaderStep::kReadNext;
-  while (next_step == ReaderStep::kReadNext) {
-    next_step = this->ReadRequest();
-  }
-  if (next_step == ReaderStep::kDiscardInput) {
-    this->DiscardInput();
+  const bool ended = fibers::RunContained("read requests", [this] {
+    ReaderStep next_step = ReaderStep::kReadNext;
+    while (next_step == ReaderStep::kReadNext) {
+      next_step = this->ReadRequest();
+    }
+    if (next_step == ReaderStep::kDiscardInput) {
+      this->DiscardInput();
+    }
+  });
+  if (!ended) {
+    this->Abort();
   }
   for (const auto& pending : this->queue) {
     pending->cancellation->Cancel();
@@ -158,7 +188,9 @@
   if (this->sending_finished || this->last_response_reached) {
     return ReaderStep::kDiscardInput;
   }
-  if (!IsUnambiguous(parser.get(), parser.get().version())) {
+  const auto& message = parser.get();
+  if (!IsUnambiguous(message, message.version()) ||
+      (!message.body().empty() && !MayHaveBody(message.method()))) {
     this->Reject(JsonResponse(kBadRequest, "{}"));
     return ReaderStep::kDiscardInput;
   }
@@ -223,7 +255,7 @@
     // begins in the same buffer (Boost 1.74).
     parser.eager(parser.is_header_done());
     beast::error_code error;
-    this->buffer.consume(parser.put(this->buffer.data(), error));
+    this->buffer.consume(Parse(parser, this->buffer.data(), error));
     needs_more = error == beast::http::error::need_more;
     if (error && !needs_more) {
       return error;
@@ -298,13 +330,16 @@
                   .headers = FromBeast(message),
                   .body = Body(std::move(message.body()), this->lease),
                   .requests_ahead = this->queue.size() - 1};
-  boost::fibers::fiber([self = this->shared_from_this(), pending,
-                        lease = std::exchange(this->lease, nullptr),
-                        request = std::move(request)] {
-    pending->response = self->server->handler(request, pending->cancellation);
+  fibers::Launch("request", [self = this->shared_from_this(), pending,
+                             lease = std::exchange(this->lease, nullptr),
+                             request = std::move(request)] {
+    pending->response = fibers::RunOr(
+        "handle a request",
+        [&] { return self->server->handler(request, pending->cancellation); },
+        InternalError);
     pending->ready = true;
     self->WriteReadyResponses();
-  }).detach();
+  });
   return pending->keep_alive;
 }
 
@@ -347,8 +382,11 @@
     // No request is accepted after the last response: its response could not
     // be sent.
     this->last_response_reached = this->last_response_reached || last;
-    const bool written = next->response.status != kCloseWithoutResponse &&
-                         !this->aborted && this->Write(*next, !last);
+    const bool written =
+        next->response.status != kCloseWithoutResponse && !this->aborted &&
+        fibers::RunOr(
+            "write a response", [&] { return this->Write(*next, !last); },
+            [] { return false; });
     this->queue.pop_front();
     --this->server->in_flight;
     if (!written) {
--- a/components/ingress/caller_response.cc
+++ b/components/ingress/caller_response.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "absl/strings/str_cat.h"
+#include "components/base/json_text.h"
 
 namespace kingcupstair::ingress {
 namespace {
@@ -83,10 +84,8 @@
   if (problem.retry_after > Duration{}) {
     body["retry_after_ms"] = ToMillisRoundedUp(problem.retry_after);
   }
-  http::Response response = http::JsonResponse(
-      problem.status,
-      body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) +
-          "\n");
+  http::Response response =
+      http::JsonResponse(problem.status, JsonText(body) + "\n");
   response.headers.push_back(
       {.name = "Kingcupstair-Outcome", .value = problem.outcome});
   response.headers.push_back(
--- a/components/ingress/request_run.cc
+++ b/components/ingress/request_run.cc
@@ -5,10 +5,10 @@
 #include <utility>
 
 #include <boost/asio/steady_timer.hpp>
-#include <boost/fiber/fiber.hpp>
 
 #include "components/base/hash.h"
 #include "components/fibers/await.h"
+#include "components/fibers/boundary.h"
 #include "components/fibers/worker_pool.h"
 #include "components/ingress/slot_search.h"
 #include "components/ingress/work_class.h"
@@ -38,6 +38,8 @@
 /// at most a third of the time that is left.
 constexpr double kMaxRetryAfterFraction = 1.0 / 3;
 constexpr Duration kMinRetryAfter{std::chrono::milliseconds(200)};
+/// Detail of an attempt that an exception ended in this process.
+constexpr char kInternalError[] = "the host failed inside";
 
 bool IsServed(const once::Outcome& outcome) {
   constexpr int kFirstServerError = 500;
@@ -296,13 +298,16 @@
   this->body_crossed_zones =
       this->body_crossed_zones ||
       (choice->in_other_zone && this->admitted.request.body.size() > 0);
-  boost::fibers::fiber([results = this->results, &runner = this->context.runner,
-                        choice = *choice, run = this->MakeRunRequest(*choice)] {
-    once::Outcome outcome = runner.Run(choice, run);
+  fibers::Launch("attempt", [results = this->results,
+                             &runner = this->context.runner, choice = *choice,
+                             run = this->MakeRunRequest(*choice)] {
+    once::Outcome outcome = fibers::RunOr(
+        "attempt", [&] { return runner.Run(choice, run); },
+        [] { return once::Outcome(once::Unknown{.detail = kInternalError}); });
     results->ended.push_back(
         {.attempt = run.request_id, .outcome = std::move(outcome)});
     results->timer.cancel();
-  }).detach();
+  });
   return true;
 }
 
@@ -438,13 +443,19 @@
 rpc::SlotAnswer RequestRun::WaitInQueue(const ChosenUpstream& choice,
                                         const once::SlotRequest& request) {
   const auto wait = std::make_shared<QueueWait>();
-  boost::fibers::fiber([wait, &runner = this->context.runner, choice, request] {
-    wait->answer = runner.Reserve(choice, request);
+  fibers::Launch("wait for a slot", [wait, &runner = this->context.runner,
+                                     choice, request] {
+    wait->answer = fibers::RunOr(
+        "reserve a slot", [&] { return runner.Reserve(choice, request); },
+        [] {
+          return rpc::SlotAnswer{
+              .refusal = {.reason = once::RefusalReason::kConnectFailed}};
+        });
+    wait->timer.cancel();
     if (wait->abandoned && wait->answer->granted) {
       runner.Cancel(choice, request.request_id);
     }
-    wait->timer.cancel();
-  }).detach();
+  });
   while (!wait->answer.has_value() && MonotonicNow() < this->Deadline() &&
          !this->admitted.caller->IsCancelled()) {
     WaitOnTimer(wait->timer, this->NextWakeTime(MonotonicNow()));
@@ -522,10 +533,9 @@
 void RequestRun::CancelAttempts() {
   this->ReportAbandoned();
   for (const auto& [id, attempt] : this->running) {
-    boost::fibers::fiber([&runner = this->context.runner,
-                          choice = attempt.choice, id = id] {
-      runner.Cancel(choice, id);
-    }).detach();
+    fibers::Launch("cancel an attempt",
+                   [&runner = this->context.runner, choice = attempt.choice,
+                    id = id] { runner.Cancel(choice, id); });
   }
   this->running.clear();
 }
--- a/components/limits/share_table.cc
+++ b/components/limits/share_table.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "components/base/json_text.h"
+
 namespace kingcupstair::limits {
 namespace {
 
@@ -110,7 +112,7 @@
                    {"region", entry.region},
                    {"admin", entry.admin}};
   }
-  return nlohmann::json{{"hosts", hosts}}.dump();
+  return JsonText({{"hosts", hosts}});
 }
 
 absl::StatusOr<ShareTable> DecodeShareTable(std::string_view text) {
--- a/components/rpc/loop.cc
+++ b/components/rpc/loop.cc
@@ -8,6 +8,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "components/fibers/boundary.h"
 #include "components/logging/log.h"
 
 namespace kingcupstair::rpc {
@@ -63,7 +64,7 @@
 void EventLoop::PostAndWait(const std::function<void()>& task) {
   std::promise<void> done;
   this->Post([&] {
-    task();
+    fibers::RunContained("RPC task", task);
     done.set_value();
   });
   done.get_future().wait();
@@ -120,7 +121,7 @@
     batch.swap(this->posted);
   }
   for (std::function<void()>& task : batch) {
-    task();
+    fibers::RunContained("RPC task", task);
   }
 }
 
--- a/components/store/crash_evidence.cc
+++ b/components/store/crash_evidence.cc
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "components/base/json_text.h"
 #include "components/store/keys.h"
 
 namespace kingcupstair::store {
@@ -67,10 +68,9 @@
 
 std::string EncodeEvidence(const once::EvidenceContent& content,
                            int64_t wall_clock_ms) {
-  return nlohmann::json{
-      {kCrashes, EncodePieces(content.crashes, wall_clock_ms)},
-      {kClearances, EncodePieces(content.clearances, wall_clock_ms)}}
-      .dump();
+  return JsonText(
+      {{kCrashes, EncodePieces(content.crashes, wall_clock_ms)},
+       {kClearances, EncodePieces(content.clearances, wall_clock_ms)}});
 }
 
 StoredEvidence DecodeEvidence(const Entry& entry, int64_t wall_clock_ms) {
--- a/components/store/departures.cc
+++ b/components/store/departures.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "absl/strings/str_cat.h"
+#include "components/base/json_text.h"
 #include "components/store/keys.h"
 
 namespace kingcupstair::store {
@@ -42,8 +43,7 @@
                                           const std::string& host,
                                           const std::vector<std::string>& names,
                                           const StoredDepartures& base) {
-  return client.Put(DeparturesKey(host), nlohmann::json(names).dump(),
-                    base.version);
+  return client.Put(DeparturesKey(host), JsonText(names), base.version);
 }
 
 }  // namespace kingcupstair::store
--- a/tests/guard/guard_test.cc
+++ b/tests/guard/guard_test.cc
@@ -287,6 +287,14 @@
   LONGS_EQUAL(2, this->guard.Upstreams().size());
 }
 
+// A departure whose name is not text, kept by a peer, ended each start of the
+// host.
+TEST(Guard, ALearnedDepartureThatIsNoNameIsIgnored) {
+  this->guard.LearnDepartures(
+      {"lote-\xff\xfe/@1", "/@1", "lote-1", "lote-2/@ 1", "lote-2/@1"});
+  CHECK(std::vector<std::string>{"lote-2/@1"} == this->guard.KnownDepartures());
+}
+
 TEST(Guard, AnUpstreamInUseIsDrainedWhenItsDepartureIsLearned) {
   this->guard.LearnDepartures({"lote-1/"});
   CHECK(this->guard.Upstreams().empty());
--- a/tests/http/server_test.cc
+++ b/tests/http/server_test.cc
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <stdexcept>
 #include <string>
 
 #include "components/fibers/worker_pool.h"
@@ -70,13 +71,13 @@
 /// Requests whose path starts with /slow take 200 ms or until cancelled; /big
 /// returns kBigBody bytes.
 struct TestServer {
-  TestServer()
+  explicit TestServer(int64_t header_bytes = 1000)
       : address{.address = "127.0.0.1", .port = FreePort()},
         server(Workers(),
                {.listen = this->address,
                 .limits =
-                    [] {
-                      return ServerLimits{.header_bytes = 1000,
+                    [header_bytes] {
+                      return ServerLimits{.header_bytes = header_bytes,
                                           .body_bytes = 100,
                                           .idle_timeout = Millis(300)};
                     }},
@@ -100,6 +101,9 @@
       }
       this->cancelled += caller->IsCancelled() ? 1 : 0;
     }
+    if (request.target == "/throw") {
+      throw std::length_error("a test of exceptions");
+    }
     if (request.target == "/big") {
       return {.body = std::string(kBigBody, 'x') + "</big>"};
     }
@@ -242,6 +246,37 @@
 
 // A stopping host took requests behind one that hung, and was killed with their
 // responses.
+// An exception of a handler ended the process.
+TEST(HttpServer, ARequestWhoseHandlerThrowsGetsAnUnknownOutcome) {
+  const RawClient client(this->server.address);
+  client.Send(Get("/throw"));
+  const std::string response = client.ReadUntil("\r\n\r\n");
+  STRCMP_CONTAINS("HTTP/1.1 500", response.c_str());
+  STRCMP_CONTAINS("Kingcupstair-Outcome: unknown", response.c_str());
+  client.Send(Get("/next"));
+  STRCMP_CONTAINS("</next>", client.ReadUntil("</next>").c_str());
+  LONGS_EQUAL(0, this->server.server.InFlight());
+}
+
+// A server refuses it, since no upstream could be sent it: that threw.
+TEST(HttpServer, ATraceRequestWithABodyIsRefused) {
+  const RawClient client(this->server.address);
+  client.Send("TRACE /a HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nab");
+  STRCMP_CONTAINS("HTTP/1.1 400", client.ReadUntil("\r\n\r\n").c_str());
+  LONGS_EQUAL(0, this->server.handled);
+}
+
+// The library holds fields of 65,535 bytes at most, and throws for others.
+TEST(HttpServer, AFieldLongerThanTheLibraryHoldsIsRefused) {
+  auto& large = *new TestServer(/*header_bytes=*/131'072);
+  const std::string text(70'000, 'x');
+  for (const std::string& field : {"X-Long: " + text, text + ": v"}) {
+    const RawClient client(large.address);
+    client.Send("GET /a HTTP/1.1\r\nHost: a\r\n" + field + "\r\n\r\n");
+    STRCMP_CONTAINS("HTTP/1.1 431", client.ReadUntil("\r\n\r\n").c_str());
+  }
+}
+
 TEST(HttpServer, AStoppingServerHandlesNoRequestBehindAnUnansweredOne) {
   const RawClient client(this->server.address);
   client.Send(Get("/slow"));
--- a/tests/platform/upstream_calls_test.cc
+++ b/tests/platform/upstream_calls_test.cc
@@ -2,8 +2,10 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <cstring>
 #include <future>
 #include <nlohmann/json.hpp>
+#include <random>
 
 #include "components/fibers/worker_pool.h"
 
@@ -120,6 +122,45 @@
   }
 }
 
+// An id that is not text was taken, and the process ended when it wrote the
+// departure to the store.
+TEST(UpstreamCalls, AnIdThatIsNoVisibleTextNamesNoUpstream) {
+  const std::string ids[] = {"i-\xff\xfe", "i-\x01", "i 1",
+                             "i-\xc3\xa4", "i-\x7f", std::string(201, 'i')};
+  for (const std::string& id : ids) {
+    for (const char* method : {"PUT", "DELETE"}) {
+      const auto call = ReadUpstreamCall({.method = method,
+                                          .target = "/v1/instances/" + id,
+                                          .body = std::string(kBody)});
+      CHECK(call.has_value());
+      CHECK_FALSE(call->ok());
+    }
+  }
+}
+
+// Each field goes to all hosts, the store and pages.
+TEST(UpstreamCalls, ALongNameIsRejected) {
+  const std::string long_name(201, 'x');
+  for (const char* field : {R"("lote")", R"("v1")"}) {
+    std::string body = kBody;
+    body.replace(body.find(field), strlen(field), '"' + long_name + '"');
+    CHECK_FALSE(ReadUpstreamCall(Heartbeat(body))->ok());
+  }
+}
+
+// An exception of a decoder ended the process.
+TEST(UpstreamCalls, SpoiledHeartbeatsAreParsedOrRejected) {
+  std::mt19937_64 random(1);
+  for (int i = 0; i < 20'000; ++i) {
+    std::string body = kBody;
+    const size_t changes = 1 + random() % 4;
+    for (size_t j = 0; j < changes; ++j) {
+      body[random() % body.size()] = static_cast<char>(random());
+    }
+    ReadUpstreamCall(Heartbeat(body))->status().IgnoreError();
+  }
+}
+
 TEST(UpstreamCalls, ADeleteIsParsedAsADeparture) {
   const auto call =
       ReadUpstreamCall({.method = "DELETE", .target = "/v1/instances/i-1"});
--- a/tests/store/departures_test.cc
+++ b/tests/store/departures_test.cc
@@ -53,6 +53,20 @@
   }
 }
 
+// Writing a name that is not text threw, which ended the process.
+TEST(StoredDepartures, WithBytesThatAreNoTextAreWritten) {
+  static auto* workers = new fibers::WorkerPool(1);
+  const RawServer server(
+      {{.text = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}});
+  const Client client({.server = server.Address(), .timeout = Millis(300)});
+  std::promise<absl::StatusOr<PutResult>> result;
+  workers->Spawn([&] {
+    result.set_value(
+        WriteDepartures(client, "10.0.0.1:7000", {"lote-\xff\xfe/@1"}, {}));
+  });
+  CHECK(result.get_future().get().ok());
+}
+
 TEST(StoredDepartures, OfAStoreThatDoesNotRespondAreAnError) {
   CHECK_FALSE(ReadFrom("").ok());
 }
