One value that no rule can state adjusts its entry, not the version

Cause: the adapter made one text of all records, and a line out of the rule file's ranges refuses a text.

Ruled out: that the idle time alone is meant; rates, weights, priorities and names do the same.

Why it works: values become the nearest that a rule can state, names are quoted, entries that can't be read are left out, and what is invalid all the same is left out line by line. Each adjustment is an event.

--- a/components/config/edit.cc
+++ b/components/config/edit.cc
@@ -6,6 +6,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 #include "components/config/line_reader.h"
+#include "components/config/words.h"
 
 namespace kingcupstair::config {
 namespace {
@@ -26,7 +27,7 @@
 bool IsOutRule(const std::string& line,
                OutRuleKind kind,
                std::string_view name) {
-  LineReader reader(std::string_view(line).substr(0, line.find('#')), 1);
+  LineReader reader(std::string_view(line).substr(0, FindComment(line)), 1);
   return reader.ReadWord("kind") == RuleWord(kind) &&
          reader.ReadWord("name") == name && reader.ReadWord("out") == "out";
 }
@@ -73,7 +74,7 @@
   if (!result.empty() && result.back() != '\n') {
     result.push_back('\n');
   }
-  absl::StrAppend(&result, RuleWord(kind), " ", std::string(name),
+  absl::StrAppend(&result, RuleWord(kind), " ", QuoteWord(name),
                   " out # asked by: ", std::string(asked_by), "\n");
   return result;
 }
--- a/components/config/line_reader.cc
+++ b/components/config/line_reader.cc
@@ -6,25 +6,6 @@
 namespace kingcupstair::config {
 namespace {
 
-constexpr std::string_view kWhitespace = " \t\r";
-/// Well below the time for which a host keeps the outcome of a request.
-constexpr std::chrono::seconds kMaxDuration{300};
-
-std::vector<Word> SplitWords(std::string_view line) {
-  std::vector<Word> words;
-  size_t start = line.find_first_not_of(kWhitespace);
-  while (start != std::string_view::npos) {
-    size_t end = line.find_first_of(kWhitespace, start);
-    if (end == std::string_view::npos) {
-      end = line.size();
-    }
-    words.push_back({.text = std::string(line.substr(start, end - start)),
-                     .column = static_cast<int>(start) + 1});
-    start = line.find_first_not_of(kWhitespace, end);
-  }
-  return words;
-}
-
 std::string ToStdString(std::string_view view) {
   return std::string(view);
 }
@@ -78,7 +59,7 @@
   return value;
 }
 
-Duration LineReader::ReadDuration(std::string_view what) {
+Duration LineReader::ReadDuration(std::string_view what, Duration longest) {
   const std::string text = this->ReadWord(what);
   if (this->failed()) {
     return {};
@@ -89,15 +70,18 @@
                          absl::SimpleAtoi(text.substr(0, unit_start), &count) &&
                          count > 0;
   const std::string unit = has_count ? text.substr(unit_start) : "";
-  if (unit == "ms" && std::chrono::milliseconds(count) <= kMaxDuration) {
+  if (unit == "ms" && count <= ToMillisRoundedUp(longest)) {
     return std::chrono::milliseconds(count);
   }
-  if (unit == "s" && std::chrono::seconds(count) <= kMaxDuration) {
+  const auto longest_seconds =
+      std::chrono::duration_cast<std::chrono::seconds>(longest).count();
+  if (unit == "s" && count <= longest_seconds) {
     return std::chrono::seconds(count);
   }
   this->AddError(
       absl::StrCat("'", text, "' is not a valid ", ToStdString(what),
-                   "; expected a duration such as 250ms or 2s, at most 300s"));
+                   "; expected a duration such as 250ms or 2s, at most ",
+                   longest_seconds, "s"));
   return {};
 }
 
--- a/components/config/line_reader.h
+++ b/components/config/line_reader.h
@@ -7,18 +7,12 @@
 #include <vector>
 
 #include "components/base/time.h"
+#include "components/config/bounds.h"
 #include "components/config/rule_error.h"
+#include "components/config/words.h"
 
 namespace kingcupstair::config {
 
-/// A word of a line and the column at which the word starts, counted from 1.
-struct Word {
-  std::string text;
-  int column = 0;
-
-  bool operator==(const Word&) const = default;
-};
-
 /// Reads the words of one line in order and keeps the first error.
 class LineReader {
  public:
@@ -36,9 +30,10 @@
   double ReadNumber(std::string_view what, double low, double high);
 
   /// Reads the next word as a duration such as "250ms" or "2s", above 0 and at
-  /// most 300 s. Records an error and returns zero if the word is missing or
-  /// not such a duration.
-  Duration ReadDuration(std::string_view what);
+  /// most `longest`. Records an error and returns zero if the word is missing
+  /// or not such a duration.
+  Duration ReadDuration(std::string_view what,
+                        Duration longest = kMaxRequestTime);
 
   /// Records an error at the last word that was read. Does nothing if there is
   /// an error already.
--- a/components/config/parse.cc
+++ b/components/config/parse.cc
@@ -5,19 +5,16 @@
 #include <optional>
 
 #include "absl/strings/str_cat.h"
+#include "components/config/bounds.h"
 #include "components/config/line_reader.h"
+#include "components/config/words.h"
 
 namespace kingcupstair::config {
 namespace {
 
 constexpr std::string_view kAskedByMarker = "asked by:";
 constexpr size_t kDigestHexDigits = 64;
-constexpr double kMaxRate = 1e6;
 constexpr double kMaxSlots = 10'000;
-constexpr double kMaxPriority = 100;
-constexpr double kMaxWeight = 1e6;
-constexpr double kMaxAttempts = 100;
-constexpr double kMaxBytes = 1e9;
 
 std::string_view Trim(std::string_view text) {
   const size_t start = text.find_first_not_of(" \t\r");
@@ -174,14 +171,16 @@
   while (const auto word = reader.NextWord()) {
     if (word->text == "header-bytes") {
       rule.header_bytes =
-          static_cast<int64_t>(reader.ReadNumber("size", 1, kMaxBytes));
+          static_cast<int64_t>(reader.ReadNumber("size", 1, kMaxHeaderBytes));
     } else if (word->text == "body-bytes") {
       rule.body_bytes =
-          static_cast<int64_t>(reader.ReadNumber("size", 0, kMaxBytes));
+          static_cast<int64_t>(reader.ReadNumber("size", 0, kMaxBodyBytes));
     } else if (word->text == "header-timeout") {
-      rule.header_timeout = reader.ReadDuration("header-timeout");
+      rule.header_timeout =
+          reader.ReadDuration("header-timeout", kMaxConnectionTime);
     } else if (word->text == "idle-timeout") {
-      rule.idle_timeout = reader.ReadDuration("idle-timeout");
+      rule.idle_timeout =
+          reader.ReadDuration("idle-timeout", kMaxConnectionTime);
     } else {
       reader.AddError(
           "expected 'header-bytes', 'body-bytes', 'header-timeout' or "
@@ -277,7 +276,7 @@
 
  private:
   void ParseLine(std::string_view line, int line_number) {
-    const size_t comment_start = line.find('#');
+    const size_t comment_start = FindComment(line);
     const std::string_view rule_text = line.substr(0, comment_start);
     if (Trim(rule_text).empty()) {
       return;
--- a/components/control/config_loop.cc
+++ b/components/control/config_loop.cc
@@ -9,6 +9,7 @@
 #include "components/config/chunks.h"
 #include "components/config/head.h"
 #include "components/config/revision.h"
+#include "components/config/valid_rules.h"
 #include "components/fibers/boundary.h"
 #include "components/fibers/worker_pool.h"
 #include "components/logging/log.h"
@@ -168,11 +169,12 @@
 
 void ConfigLoop::AdoptRecords(const site::OperatorRecords& source) {
   const auto in_force = this->records.All();
-  config::Head head{.revision = config::Pack(
-                        {.content_version = source.content_version(in_force),
-                         .era = this->records.era(),
-                         .number = this->records.content_revision()}),
-                    .author = "operator"};
+  const config::Head head{
+      .revision =
+          config::Pack({.content_version = source.content_version(in_force),
+                        .era = this->records.era(),
+                        .number = this->records.content_revision()}),
+      .author = "operator"};
   if (head.revision <= this->fleet.config.Revision()) {
     return;
   }
@@ -182,17 +184,45 @@
         {.kind = "configuration_refused", .detail = MessageOf(rules.status())});
     return;
   }
-  const auto chunks = config::SplitIntoChunks(*rules);
+  this->RecordAdjustments(rules->adjustments);
+  if (this->AdoptText(head, rules->text)) {
+    return;
+  }
+  const config::ValidRules valid = config::KeepValidRules(rules->text);
+  if (valid.left_out.empty()) {
+    return;
+  }
+  std::vector<std::string> left_out;
+  for (const config::RuleError& error : valid.left_out) {
+    left_out.push_back(
+        absl::StrCat("a rule is left out, ", config::ToText(error)));
+  }
+  this->RecordAdjustments(left_out);
+  this->AdoptText(head, valid.text);
+}
+
+bool ConfigLoop::AdoptText(config::Head head, const std::string& text) {
+  const auto chunks = config::SplitIntoChunks(text);
   for (const config::Chunk& chunk : chunks) {
     head.chunks.push_back(chunk.id);
   }
   if (!this->fleet.config.OfferHead(config::EncodeHead(head))) {
-    return;
+    return false;
   }
   for (const config::Chunk& chunk : chunks) {
     this->fleet.config.AddChunk(chunk.id, chunk.text);
   }
-  this->Adopt(kStoreSource);
+  return this->Adopt(kStoreSource);
+}
+
+// The operators have a confirmation for all of the version. What can't be used
+// as it stands must not keep the rest of it out of force.
+void ConfigLoop::RecordAdjustments(
+    const std::vector<std::string>& adjustments) {
+  for (const std::string& detail : adjustments) {
+    this->fleet.recorder.Record(
+        {.kind = "configuration_adjusted", .detail = detail});
+  }
 }
 
 void ConfigLoop::WatchSource(const site::PublishedConfiguration&) {
--- a/components/control/config_loop.h
+++ b/components/control/config_loop.h
@@ -46,6 +46,10 @@
   void ReadRecords(const site::OperatorRecords& source);
   void WatchRecords(const site::OperatorRecords& source, uint64_t revision);
   void AdoptRecords(const site::OperatorRecords& source);
+  /// Offers a text of rules and adopts it. Returns false if it is invalid or
+  /// not newer.
+  bool AdoptText(config::Head head, const std::string& text);
+  void RecordAdjustments(const std::vector<std::string>& adjustments);
   /// Records an event when the store has been restored from an older copy.
   void NoticeEra();
   void FetchFromStore(const std::string& head_text);
--- a/components/site/site_interface.h
+++ b/components/site/site_interface.h
@@ -24,13 +24,23 @@
   bool operator==(const PublishedConfiguration&) const = default;
 };
 
+/// Operator records as configuration rules.
+struct TranslatedRules {
+  std::string text;
+  /// What the rules don't hold as the records have it: values that were
+  /// replaced, and entries that were left out. One sentence each.
+  std::vector<std::string> adjustments;
+
+  bool operator==(const TranslatedRules&) const = default;
+};
+
 /// Configuration source for operator records in a form of the site. All records
 /// below `prefix` together are the configuration. Its revision consists of the
 /// operators' version and the store's era and revision.
 struct OperatorRecords {
   std::string prefix;
   /// Translates the records into configuration rules.
-  std::function<absl::StatusOr<std::string>(
+  std::function<absl::StatusOr<TranslatedRules>(
       const std::vector<store::KeyedEntry>&)>
       to_rules;
   /// Returns the version that the operators gave the records, or 0.
--- a/tests/config/configuration_test.cc
+++ b/tests/config/configuration_test.cc
@@ -7,6 +7,8 @@
 #include "components/base/hash.h"
 #include "components/config/chunks.h"
 #include "components/config/edit.h"
+#include "components/config/valid_rules.h"
+#include "components/config/words.h"
 
 namespace kingcupstair::config {
 namespace {
@@ -120,6 +122,26 @@
       FirstError(Rules() + same_key).c_str());
 }
 
+TEST(Configuration, AWordInQuotesMayHaveSpacesAndMarks) {
+  const std::string name = "the # \"lote\" \\ of Rosa";
+  const Configuration config =
+      BuildValid("service " + QuoteWord(name) + " # asked by: R # S\n");
+  CHECK(config.FindService(name) != nullptr);
+  const std::string out = AddOutRule("", OutRuleKind::kZone, name, "Rosa");
+  CHECK(BuildValid(out).IsZoneOutOfService(name));
+  STRCMP_EQUAL("", RemoveOutRules(out, OutRuleKind::kZone, name).c_str());
+}
+
+TEST(Configuration, ValidRulesAreKeptWithoutThoseThatAreNot) {
+  const ValidRules valid =
+      KeepValidRules(Rules() + "servce a # asked by: R\n" +
+                     "route GET /x service b # asked by: R\n" +
+                     "zone aqp-1 out # asked by: R\n");
+  LONGS_EQUAL(2, valid.left_out.size());
+  CHECK(BuildValid(valid.text).IsZoneOutOfService("aqp-1"));
+  CHECK(KeepValidRules(Rules()) == ValidRules({.text = Rules()}));
+}
+
 TEST(Configuration, EditsTextToTakeZoneOutAndBackIn) {
   const std::string out =
       AddOutRule(Rules(), OutRuleKind::kZone, "aqp-1", "Rosa");
--- a/tests/platform/operator_records_test.cc
+++ b/tests/platform/operator_records_test.cc
@@ -4,6 +4,7 @@
 
 #include "components/base/hash.h"
 #include "components/config/configuration.h"
+#include "components/config/valid_rules.h"
 
 namespace kingcupstair::platform {
 namespace {
@@ -37,7 +38,7 @@
     const std::vector<store::KeyedEntry>& records) {
   const auto rules = TranslateRecords(records);
   CHECK(rules.ok());
-  auto result = config::Configuration::Build(1, *rules);
+  auto result = config::Configuration::Build(1, rules->text);
   CHECK(std::holds_alternative<config::Configuration>(result));
   return std::get<config::Configuration>(std::move(result));
 }
@@ -124,6 +125,104 @@
   }
 }
 
+/// Returns the record with the first `from` replaced by `to`.
+std::string RecordWith(const std::string& from, const std::string& to) {
+  std::string record = kRecord;
+  const size_t at = record.find(from);
+  CHECK(at != std::string::npos);
+  return record.replace(at, from.size(), to);
+}
+
+// One value that no rule could state kept a whole version out of force: keys
+// that it withdrew went on working, and evacuations that followed were ignored.
+TEST(OperatorRecords, NoValueKeepsTheRestOfAVersionOutOfForce) {
+  const std::pair<const char*, const char*> changes[] = {
+      {R"("idleTimeout":"15000ms")", R"("idleTimeout":"600s")"},
+      {R"("idleTimeout":"15000ms")", R"("idleTimeout":"100000000s")"},
+      {R"("idleTimeout":"15000ms")", R"("idleTimeout":15)"},
+      {R"("headerTimeout":"3000ms")", R"("headerTimeout":"301s")"},
+      {R"("maxBodyBytes":1000)", R"("maxBodyBytes":1073741824)"},
+      {R"("maxBodyBytes":1000)", R"("maxBodyBytes":1e300)"},
+      {R"("maxBodyBytes":1000)", R"("maxBodyBytes":-1)"},
+      {R"("maxHeaderBytes":16384)", R"("maxHeaderBytes":0)"},
+      {R"("timeout":"2500ms")", R"("timeout":"3600s")"},
+      {R"("targetLatency":"1.2s")", R"("targetLatency":"301s")"},
+      {R"("priority":1)", R"("priority":-1)"},
+      {R"("priority":1)", R"("priority":1000)"},
+      {R"("priority":1)", R"("priority":"1")"},
+      {R"("priority":1)", R"("priority":[])"},
+      {R"("maxAttempts":2)", R"("maxAttempts":1000)"},
+      {R"("anonymous":false)", R"("anonymous":"no")"},
+      {R"("weight":90)", R"("weight":9000000)"},
+      {R"("weight":90)", R"("weight":"90")"},
+      {R"("weight":90)", R"("weight":null)"},
+      {R"("weight":90)", R"("weight":-90)"},
+      {R"("warmupPerS":27.0)", R"("warmupPerS":2e6)"},
+      {R"("ratePerS":45)", R"("ratePerS":2e6)"},
+      {R"("ratePerS":45)", R"("ratePerS":"45")"},
+      {R"("ratePerS":45)", R"("ratePerS":{})"},
+      {R"("burst":30)", R"("burst":2e6)"},
+      {R"("apiKeys":[],)", R"("apiKeys":["key",7],)"},
+      {R"("name":"staff")", R"("name":"the # staff \"of\" lote")"},
+      {R"("name":"staff")", R"("name":"growers")"},
+      {R"("name":"staff")", R"("name":"a\nb")"},
+      {R"("name":"staff")", R"("name":"")"},
+      {R"("metadata":{"name":"staff"})", R"("metadata":7)"},
+      {R"("prefix":"/status/")", R"("prefix":"status")"},
+      {R"("prefix":"/status/")", R"("prefix":"/a b/")"},
+      {R"("service":"humedad")", R"("service":"unknown service")"},
+      {R"({"name":"humedad"})", R"({"name":"lote"})"},
+      {R"("spec":{}})", R"("spec":7})"},
+      {R"("spec":{}})", R"("spec":{}},7,{"resourceType":"routes"},)"
+                        R"({"resourceType":"hosts","metadata":{},"spec":{}})"},
+  };
+  for (const auto& [from, to] : changes) {
+    const auto rules =
+        TranslateRecords({Record("op/config", RecordWith(from, to)),
+                          Record("op/evacuate/aqp-2", "{}")});
+    CHECK(rules.ok());
+    const config::ValidRules valid = config::KeepValidRules(rules->text);
+    auto built = config::Configuration::Build(1, valid.text);
+    const auto& config = std::get<config::Configuration>(built);
+    CHECK(config.IsZoneOutOfService("aqp-2"));
+    CHECK(config.FindByKeyDigest(Sha256Hex("key")) != nullptr);
+    CHECK(config.FindRoute("site.example", "POST", "/orders/7") != nullptr);
+  }
+}
+
+TEST(OperatorRecords, AValueThatNoRuleCanStateBecomesTheNearest) {
+  const auto rules = TranslateRecords(
+      {Record("op/config",
+              RecordWith(R"("timeout":"2500ms")", R"("timeout":"3600s")"))});
+  CHECK(rules.ok());
+  LONGS_EQUAL(1, rules->adjustments.size());
+  STRCMP_EQUAL("routes r-1: timeout of 3600000ms becomes 300000ms",
+               rules->adjustments[0].c_str());
+  const auto config = BuildConfiguration(
+      {Record("op/config",
+              RecordWith(R"("timeout":"2500ms")", R"("timeout":"3600s")"))});
+  CHECK(config.FindRoute("site.example", "POST", "/orders/7")->deadline ==
+        std::chrono::seconds(300));
+}
+
+TEST(OperatorRecords, ValuesOfConnectionsAreTakenAsTheyAre) {
+  const auto config = BuildConfiguration(
+      {Record("op/config", RecordWith(R"("maxBodyBytes":1000,"headerTimeout")",
+                                      R"("maxBodyBytes":67108864,"x")"))});
+  LONGS_EQUAL(67'108'864, config.callers().body_bytes);
+  const auto idle =
+      BuildConfiguration({Record("op/config", RecordWith("15000ms", "600s"))});
+  CHECK(idle.callers().idle_timeout == std::chrono::seconds(600));
+}
+
+TEST(OperatorRecords, ANameMayHaveSpacesAndMarks) {
+  const auto config = BuildConfiguration(
+      {Record("op/config", RecordWith(R"({"name":"growers"})",
+                                      R"({"name":"the # \"g\" \\ x"})"))});
+  STRCMP_EQUAL("the # \"g\" \\ x",
+               config.FindByKeyDigest(Sha256Hex("key"))->name.c_str());
+}
+
 TEST(OperatorRecords, MissingOrUnreadableConfigurationIsAnError) {
   CHECK_FALSE(TranslateRecords({}).ok());
   CHECK_FALSE(TranslateRecords({Record("op/config", "not JSON")}).ok());
