A departure by id stands for all starts that have begun

Cause: the departure was kept for the start that was heard of last, which was the one before.

Two tests of Guard fail on: a start announced after it has left, and the same when the host starts again in between.

Why it works: the starts of an id follow each other, so a departure covers all that began before it. A start that follows is used: 4 s later, or at once where the upstream had been draining.

--- a/components/guard/departures.cc
+++ b/components/guard/departures.cc
@@ -44,19 +44,31 @@
 }
 
 bool Departures::Covers(const Announcement& announcement) const {
-  if (this->Contains(StartName(announcement))) {
-    return true;
-  }
-  const std::string prefix = StartsUntilPrefix(announcement.id);
+  return this->Contains(StartName(announcement)) ||
+         this->FindCovering(announcement.id, announcement.started_at)
+             .has_value();
+}
+
+std::string Departures::NameOfStartsUntil(const std::string& upstream,
+                                          const StartsBegun& starts) const {
+  return this->FindCovering(upstream, starts.begun)
+      .value_or(StartsUntilName(
+          upstream, starts.begun + static_cast<uint64_t>(
+                                       ToMillisRoundedUp(starts.margin))));
+}
+
+std::optional<std::string> Departures::FindCovering(const std::string& upstream,
+                                                    uint64_t started_at) const {
+  const std::string prefix = StartsUntilPrefix(upstream);
   for (auto at = this->last_heard.lower_bound(prefix);
        at != this->last_heard.end() && at->first.rfind(prefix, 0) == 0; ++at) {
     uint64_t until_millis = 0;
     if (absl::SimpleAtoi(at->first.substr(prefix.size()), &until_millis) &&
-        announcement.started_at <= until_millis) {
-      return true;
+        started_at <= until_millis) {
+      return at->first;
     }
   }
-  return false;
+  return std::nullopt;
 }
 
 void Departures::Expire(Instant now) {
--- a/components/guard/departures.h
+++ b/components/guard/departures.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,18 @@
   static std::string StartsUntilName(const std::string& upstream,
                                      uint64_t until_millis);
 
+  /// The starts of an upstream that have begun by a time, in milliseconds since
+  /// the Unix epoch, by a clock that may differ from that of the upstream.
+  struct StartsBegun {
+    uint64_t begun = 0;
+    Duration margin{};
+  };
+
+  /// Returns the name of a known departure that covers these starts, or a name
+  /// for them.
+  std::string NameOfStartsUntil(const std::string& upstream,
+                                const StartsBegun& starts) const;
+
   /// Returns whether `name` is of one of these forms, for names that were kept
   /// elsewhere.
   static bool IsName(const std::string& name);
@@ -50,6 +63,10 @@
   std::vector<std::string> Names() const;
 
  private:
+  /// Returns the name of a departure of all starts until `started_at` or later.
+  std::optional<std::string> FindCovering(const std::string& upstream,
+                                          uint64_t started_at) const;
+
   /// Time of the last message about the departure, by its name.
   std::map<std::string, Instant> last_heard;
 };
--- a/components/guard/guard_announcements.cc
+++ b/components/guard/guard_announcements.cc
@@ -1,5 +1,6 @@
 #include "components/guard/guard.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "components/logging/log.h"
@@ -114,21 +115,32 @@
   }
 }
 
-// Only the id is known of an upstream that leaves. If its announcements have
-// been missing, earlier ones may still arrive, of a start that is not known.
+// Only the id is known of an upstream that leaves, and the start that was heard
+// of last need not be the one that leaves: announcements of a later one may
+// still be on their way. The starts of an id follow each other, so that all
+// that have begun have left.
 std::string Guard::Withdraw(const std::string& id) {
   DeferredWakeups wakeups;
   const std::lock_guard lock(this->mutex);
   const Instant now = MonotonicNow();
   const auto found = this->upstreams.find(id);
+  const bool is_known =
+      found != this->upstreams.end() &&
+      now - found->second.last_seen <= this->options.announcement_lifetime;
   std::string departure;
-  if (found != this->upstreams.end() &&
-      now - found->second.last_seen <= this->options.announcement_lifetime) {
+  if (is_known && found->second.announcement.started_at == 0) {
     departure = Departures::StartName(found->second.announcement);
   } else {
-    departure = Departures::StartsUntilName(
-        id, static_cast<uint64_t>(WallClockMillis() +
-                                  ToMillisRoundedUp(kMaxClockDifference)));
+    const uint64_t last_start =
+        is_known ? found->second.announcement.started_at : 0;
+    // One that was draining ends after this call, and another may start at
+    // once.
+    const bool ends_now = is_known && found->second.announcement.draining;
+    departure = this->departures.NameOfStartsUntil(
+        id, {.begun = std::max<uint64_t>(WallClockMillis(), last_start),
+             .margin = ends_now ? Duration{} : kMaxClockDifference});
+  }
+  if (!is_known) {
     this->RecordUpstreamEvent("upstream_left", {.id = id}, departure);
   }
   this->departures.Add(departure, now);
--- a/tests/guard/guard_test.cc
+++ b/tests/guard/guard_test.cc
@@ -83,6 +83,16 @@
     return ended.get_future().get().outcome;
   }
 
+  /// The first announcement of a start of lote-2.
+  static Announcement StartAt(uint64_t started_at) {
+    return {.id = "lote-2",
+            .service = "lote",
+            .endpoint = {.port = 2},
+            .incarnation = "@" + std::to_string(started_at),
+            .started_at = started_at,
+            .sequence = 1};
+  }
+
   void AddCrash(const char* upstream) {
     this->crashes.Add({.fingerprint = kFingerprint, .upstream = upstream}, {},
                       MonotonicNow());
@@ -346,6 +356,75 @@
   LONGS_EQUAL(2, this->guard.Upstreams().size());
 }
 
+// A departure by id was kept for the start that was heard of last. It was that
+// of a later one, whose announcement came late and brought it back.
+TEST(Guard, AStartWhoseAnnouncementsComeAfterItHasLeftIsNotUsed) {
+  const auto now = static_cast<uint64_t>(WallClockMillis());
+  this->guard.Announce(StartAt(now - 10'000));
+  LONGS_EQUAL(2, this->guard.Upstreams().size());
+  this->guard.Withdraw("lote-2");
+  LONGS_EQUAL(1, this->guard.Upstreams().size());
+  this->guard.Announce(StartAt(now - 500));
+  LONGS_EQUAL(1, this->guard.Upstreams().size());
+}
+
+// The same when the host starts again in between.
+TEST(Guard, ADepartureByIdHoldsForAStartThatTheFormerProcessHadNotHeardOf) {
+  const auto now = static_cast<uint64_t>(WallClockMillis());
+  Departures kept;
+  {
+    Guard former{{.incarnation = [] { return kIncarnation; }},
+                 this->configuration,
+                 this->crashes,
+                 this->recorder};
+    former.Announce(StartAt(now - 10'000));
+    kept.Add(former.Withdraw("lote-2"), MonotonicNow());
+  }
+  this->guard.LearnDepartures(kept.Names());
+  this->guard.Announce(StartAt(now - 500));
+  LONGS_EQUAL(1, this->guard.Upstreams().size());
+}
+
+TEST(Guard, ADepartureThatIsSentAgainIsTheSame) {
+  this->guard.Announce(StartAt(static_cast<uint64_t>(WallClockMillis()) - 9));
+  const std::string departure = this->guard.Withdraw("lote-2");
+  CHECK(departure == this->guard.Withdraw("lote-2"));
+  LONGS_EQUAL(1, this->guard.KnownDepartures().size());
+}
+
+TEST(Guard, TheNextStartOfAnUpstreamThatLeftIsUsed) {
+  const auto now = static_cast<uint64_t>(WallClockMillis());
+  this->guard.Announce(StartAt(now - 10'000));
+  this->guard.Withdraw("lote-2");
+  this->guard.Announce(StartAt(now + 4'000));
+  LONGS_EQUAL(2, this->guard.Upstreams().size());
+}
+
+// An upstream that was draining ends with its departure, and its next start may
+// begin at once.
+TEST(Guard, TheNextStartOfADrainedUpstreamIsUsedAtOnce) {
+  const auto now = static_cast<uint64_t>(WallClockMillis());
+  Announcement draining = StartAt(now - 10'000);
+  this->guard.Announce(draining);
+  draining.draining = true;
+  draining.sequence = 2;
+  this->guard.Announce(draining);
+  this->guard.Withdraw("lote-2");
+  this->guard.Announce(StartAt(now + 1'000));
+  LONGS_EQUAL(2, this->guard.Upstreams().size());
+}
+
+// The clock of the host was set back after the upstream had started.
+TEST(Guard, ADepartureByIdHoldsForAStartAheadOfTheClock) {
+  const auto ahead = static_cast<uint64_t>(WallClockMillis()) + 60'000;
+  Announcement announcement = StartAt(ahead);
+  this->guard.Announce(announcement);
+  this->guard.Withdraw("lote-2");
+  announcement.sequence = 2;
+  this->guard.Announce(announcement);
+  LONGS_EQUAL(1, this->guard.Upstreams().size());
+}
+
 // A late announcement of a departure was dropped as out of date: the upstream
 // stayed in use.
 TEST(Guard, ADepartureThatIsAnnouncedLateHolds) {
