An announcement of an earlier start is stale at any endpoint

A late announcement of a start that had ended replaced the present start of the upstream where that had another endpoint: requests went to a port where nobody listened.

Cause: starts were compared only if the endpoints were the same.

Evidence: ALateAnnouncementOfAnEarlierStartAtAnotherEndpointIsIgnored counts two restarts without the change and one with it.

--- a/components/guard/guard_announcements.cc
+++ b/components/guard/guard_announcements.cc
@@ -77,7 +77,7 @@
   }
   for (const auto& [id, upstream] : this->upstreams) {
     const Announcement& known = upstream.announcement;
-    if (known.endpoint != announcement.endpoint) {
+    if (known.endpoint != announcement.endpoint && id != announcement.id) {
       continue;
     }
     if (known.started_at > announcement.started_at) {
--- a/tests/guard/guard_test.cc
+++ b/tests/guard/guard_test.cc
@@ -425,6 +425,25 @@
   LONGS_EQUAL(1, this->guard.Upstreams().size());
 }
 
+// A late announcement of an earlier start, at an endpoint that it no longer
+// had, took the place of the present start.
+TEST(Guard, ALateAnnouncementOfAnEarlierStartAtAnotherEndpointIsIgnored) {
+  const auto restarts = [this] {
+    return this->recorder.counters().Value(
+        "kingcupstair_events_total",
+        {{.name = "kind", .value = "upstream_restarted"}});
+  };
+  this->guard.Announce(StartAt(1));
+  Announcement next = StartAt(2);
+  next.endpoint = {.port = 3};
+  this->guard.Announce(next);
+  LONGS_EQUAL(1, restarts());
+  Announcement late = StartAt(1);
+  late.sequence = 2;
+  this->guard.Announce(late);
+  LONGS_EQUAL(1, restarts());
+}
+
 // A late announcement of a departure was dropped as out of date: the upstream
 // stayed in use.
 TEST(Guard, ADepartureThatIsAnnouncedLateHolds) {
