Test: upstreams that send without end leave memory for others

Operators of other systems reported a machine that kept bytes without end until its memory was full.

--- a/tests/support/spoiled_client.cc
+++ b/tests/support/spoiled_client.cc
@@ -4,9 +4,12 @@
 //
 //   spoiled_client send ADDRESS:PORT TEMPLATE-FILE SEED COUNT
 //   spoiled_client answer ADDRESS:PORT TEMPLATE-FILE SEED
+//   spoiled_client endless ADDRESS:PORT TEMPLATE-FILE REPEATED-BYTES
 //
-// `send` prints the number of responses by status; `answer` runs until SIGTERM.
-// A template holds one message; \r\n ends its lines as in the file.
+// `send` prints the number of responses by status; the others run until
+// SIGTERM. `endless` answers each call with the message and then the repeated
+// bytes until the caller closes. A template holds one message; \r\n ends its
+// lines as in the file.
 
 #include <fstream>
 #include <iostream>
@@ -14,6 +17,7 @@
 #include <map>
 #include <random>
 #include <string>
+#include <thread>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -32,6 +36,7 @@
 constexpr size_t kMaxRepeated = 70'000;
 constexpr size_t kStatusStart = 9;
 constexpr size_t kStatusLength = 3;
+constexpr size_t kEndlessWriteBytes = 65'536;
 constexpr int kReceiveTimeoutMillis = 100;
 
 class Spoiler {
@@ -143,11 +148,38 @@
   }
 }
 
+void SendWithoutEnd(tcp::socket socket,
+                    const std::string& begin,
+                    const std::string& repeated) {
+  std::string many;
+  while (many.size() < kEndlessWriteBytes) {
+    many += repeated;
+  }
+  boost::system::error_code error;
+  boost::asio::write(socket, boost::asio::buffer(begin), error);
+  while (!error) {
+    boost::asio::write(socket, boost::asio::buffer(many), error);
+  }
+}
+
+int AnswerWithoutEnd(const tcp::endpoint& listen,
+                     const std::string& begin,
+                     const std::string& repeated) {
+  boost::asio::io_context io;
+  tcp::acceptor acceptor(io, listen);
+  while (true) {
+    tcp::socket socket(io);
+    acceptor.accept(socket);
+    std::thread(SendWithoutEnd, std::move(socket), begin, repeated).detach();
+  }
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
   if (argc < 5) {
-    std::cerr << "spoiled_client send|answer ADDRESS:PORT FILE SEED [COUNT]\n";
+    std::cerr << "spoiled_client send|answer|endless ADDRESS:PORT FILE "
+                 "SEED|BYTES [COUNT]\n";
     return 2;
   }
   const auto endpoint = kingcupstair::ParseEndpoint(argv[2]);
@@ -158,6 +190,9 @@
     return 2;
   }
   const auto address = kingcupstair::http::ToAsio(*endpoint);
+  if (std::string(argv[1]) == "endless") {
+    return AnswerWithoutEnd(address, message, argv[4]);
+  }
   const uint64_t seed = std::stoull(argv[4]);
   Spoiler spoiler(std::move(message), seed);
   if (std::string(argv[1]) == "answer") {
