A request in progress counts in the memory for messages

Cause: the memory of a request's fiber, 24 KiB, was a constant that no code used. Six thousand fibers were counted as nothing.

Ruled out: leases that end before their stacks are freed. SmallRequestsInProgressLeaveRoomForResponses is new with the method that it tests.

Why it works: a request asks before it is handled. One behind others on its connection is refused at once, which is true and costs no fiber; small requests in progress leave half of the budget to responses.

--- a/components/http/byte_budget.cc
+++ b/components/http/byte_budget.cc
@@ -27,8 +27,9 @@
   if (holder.closing) {
     return Grant::kClose;
   }
+  const bool may_start = !holder.starting || this->MayStart(bytes);
   if (this->options.bytes == 0 || bytes <= holder.bytes ||
-      this->Fits(id, holder, bytes)) {
+      (may_start && this->Fits(id, holder, bytes))) {
     this->Charge(id, std::max(bytes, holder.bytes));
     holder.waiting_since.reset();
     holder.step_since = now;
@@ -48,6 +49,18 @@
   return holder.closing ? Grant::kClose : Grant::kWait;
 }
 
+ByteBudget::Grant ByteBudget::TryStart(HolderId id, size_t bytes, Instant now) {
+  Holder& holder = this->holders.at(id);
+  holder.starting = true;
+  const Grant grant = this->TryGrow(id, bytes, now);
+  holder.starting = false;
+  if (grant == Grant::kGranted && bytes <= this->options.small_bytes) {
+    holder.started_bytes = bytes;
+    this->small_started_bytes += bytes;
+  }
+  return grant;
+}
+
 void ByteBudget::Charge(HolderId id, size_t bytes) {
   Holder& holder = this->holders.at(id);
   const size_t growth = bytes - std::min(bytes, holder.bytes);
@@ -80,6 +93,7 @@
   if (found->second.kind == Kind::kRequest) {
     this->request_bytes -= found->second.bytes;
   }
+  this->small_started_bytes -= found->second.started_bytes;
   if (this->exempt_response == id) {
     this->exempt_response = 0;
   }
@@ -129,6 +143,13 @@
   return fits || this->exempt_response == id;
 }
 
+// Requests that a crowd has sent completely must leave room for the responses,
+// without which none of them ends.
+bool ByteBudget::MayStart(size_t bytes) const {
+  return bytes > this->options.small_bytes ||
+         this->small_started_bytes + bytes <= this->RequestLimit();
+}
+
 bool ByteBudget::IsOldestWaiting(HolderId id, const Holder& holder) const {
   for (const auto& [other_id, other] : this->holders) {
     if (other_id >= id) {
--- a/components/http/byte_budget.h
+++ b/components/http/byte_budget.h
@@ -56,6 +56,10 @@
   /// before.
   Grant TryGrow(HolderId holder, size_t bytes, Instant now);
 
+  /// Asks for memory, `bytes` in all, to handle a request that was received.
+  /// Small requests in progress hold no more than the part of requests.
+  Grant TryStart(HolderId holder, size_t bytes, Instant now);
+
   /// Adds memory that is in use already, beyond the limit if need be.
   void Charge(HolderId holder, size_t bytes);
 
@@ -85,11 +89,15 @@
     std::optional<Instant> waiting_since;
     bool small_wait = false;
     bool pinned = false;
+    bool starting = false;
+    /// Bytes with which a small request was started.
+    size_t started_bytes = 0;
     bool closing = false;
     bool reported = false;
   };
 
   bool Fits(HolderId id, const Holder& holder, size_t bytes);
+  bool MayStart(size_t bytes) const;
   bool IsOldestWaiting(HolderId id, const Holder& holder) const;
   size_t RequestLimit() const;
   size_t Reserve() const;
@@ -102,6 +110,8 @@
   size_t used_bytes = 0;
   /// Part of `used_bytes` in requests.
   size_t request_bytes = 0;
+  /// Bytes of the small requests that were started.
+  size_t small_started_bytes = 0;
   /// The response that may exceed the budget; 0 if there is none.
   HolderId exempt_response = 0;
 };
--- a/components/http/byte_lease.cc
+++ b/components/http/byte_lease.cc
@@ -97,9 +97,18 @@
 }
 
 ByteBudget::Grant ByteLease::TryGrow(size_t bytes) {
+  return this->Ask(&ByteBudget::TryGrow, bytes);
+}
+
+ByteBudget::Grant ByteLease::TryStart(size_t bytes) {
+  return this->Ask(&ByteBudget::TryStart, bytes);
+}
+
+ByteBudget::Grant ByteLease::Ask(Question question, size_t bytes) {
   ProcessBudget& process = Process();
   const std::lock_guard lock(process.mutex);
-  const auto grant = process.budget.TryGrow(this->id, bytes, MonotonicNow());
+  const auto grant =
+      (process.budget.*question)(this->id, bytes, MonotonicNow());
   process.closed += grant == ByteBudget::Grant::kClose ? 1 : 0;
   process.CallClosed();
   return grant;
--- a/components/http/byte_lease.h
+++ b/components/http/byte_lease.h
@@ -42,6 +42,7 @@
   ByteLease& operator=(const ByteLease&) = delete;
 
   ByteBudget::Grant TryGrow(size_t bytes);
+  ByteBudget::Grant TryStart(size_t bytes);
   void Charge(size_t bytes);
   void Pin();
   void Unpin();
@@ -52,6 +53,12 @@
   void OnClose(std::function<void()> callback);
 
  private:
+  using Question = ByteBudget::Grant (ByteBudget::*)(ByteBudget::HolderId,
+                                                     size_t,
+                                                     Instant);
+
+  ByteBudget::Grant Ask(Question question, size_t bytes);
+
   explicit ByteLease(ByteBudget::HolderId id) : id(id) {}
 
   ByteBudget::HolderId id;
--- a/components/http/server_connection.cc
+++ b/components/http/server_connection.cc
@@ -83,6 +83,19 @@
   return response;
 }
 
+/// Response to a request for which there is no memory. Nothing of it has been
+/// passed on, so that it has not run.
+Response OutOfMemory() {
+  Response response =
+      JsonResponse(kUnavailable,
+                   "{\"outcome\":\"not-run\",\"reason\":\"out_of_memory\","
+                   "\"retry_after_ms\":1000}\n");
+  response.headers.push_back(
+      {.name = "Kingcupstair-Outcome", .value = "not-run"});
+  response.headers.push_back({.name = "Retry-After", .value = "1"});
+  return response;
+}
+
 bool IsSafe(beast::http::verb method) {
   return method == beast::http::verb::get || method == beast::http::verb::head;
 }
@@ -197,6 +210,9 @@
   if (!this->WaitForPipelineSlot(parser.get().method())) {
     return ReaderStep::kStop;
   }
+  if (!this->WaitForRequestMemory(parser.get().body().size())) {
+    return this->RefuseForMemory(parser);
+  }
   if (this->sending_finished || this->last_response_reached) {
     return ReaderStep::kDiscardInput;
   }
@@ -268,8 +284,13 @@
 }
 
 bool ServerConnection::WaitForMemory(size_t bytes) {
+  return this->WaitForGrant([&] { return this->lease->TryGrow(bytes); });
+}
+
+bool ServerConnection::WaitForGrant(
+    const std::function<ByteBudget::Grant()>& ask) {
   while (this->lease != nullptr) {
-    const auto grant = this->lease->TryGrow(bytes);
+    const auto grant = ask();
     this->lease_ended = this->lease_ended || grant == ByteBudget::Grant::kClose;
     if (this->lease_ended) {
       return false;
@@ -282,6 +303,24 @@
   return true;
 }
 
+// Pipelined requests are short, and each takes a fiber: a crowd of clients that
+// read no responses would hold as many stacks as it has requests. One that is
+// alone on its connection waits for its memory; others are refused at once, so
+// that those that wait soon have less before them.
+bool ServerConnection::WaitForRequestMemory(size_t body_bytes) {
+  if (this->lease == nullptr) {
+    return true;
+  }
+  const size_t bytes = body_bytes + this->buffer.size() + kRequestBytes;
+  this->lease->Unpin();
+  const auto ask = [&] { return this->lease->TryStart(bytes); };
+  const bool granted = this->queue.empty()
+                           ? this->WaitForGrant(ask)
+                           : ask() == ByteBudget::Grant::kGranted;
+  this->lease->Pin();
+  return granted;
+}
+
 ServerConnection::ReaderStep ServerConnection::HandleReadError(
     const Parser& parser,
     const beast::error_code& error) {
@@ -344,9 +383,14 @@
 }
 
 void ServerConnection::Reject(Response response) {
+  this->Respond(std::move(response), /*keep_alive=*/false, /*head=*/false);
+}
+
+void ServerConnection::Respond(Response response, bool keep_alive, bool head) {
   auto pending = std::make_shared<PendingResponse>();
   pending->response = std::move(response);
-  pending->keep_alive = false;
+  pending->keep_alive = keep_alive;
+  pending->head = head;
   pending->ready = true;
   this->queue.push_back(pending);
   this->idle_since = kNotIdle;
@@ -354,20 +398,24 @@
   this->WriteReadyResponses();
 }
 
-// Nothing of the request has been passed on, so that it has not run.
+ServerConnection::ReaderStep ServerConnection::RefuseForMemory(Parser& parser) {
+  if (this->queue.empty()) {
+    this->RejectForMemory();
+    return ReaderStep::kDiscardInput;
+  }
+  const bool keep_alive = parser.get().keep_alive();
+  this->lease.reset();
+  this->Respond(OutOfMemory(), keep_alive,
+                parser.get().method() == beast::http::verb::head);
+  return keep_alive ? ReaderStep::kReadNext : ReaderStep::kDiscardInput;
+}
+
 void ServerConnection::RejectForMemory() {
   this->parser.emplace();
   this->buffer.clear();
   this->buffer.shrink_to_fit();
   this->lease.reset();
-  Response response =
-      JsonResponse(kUnavailable,
-                   "{\"outcome\":\"not-run\",\"reason\":\"out_of_memory\","
-                   "\"retry_after_ms\":1000}\n");
-  response.headers.push_back(
-      {.name = "Kingcupstair-Outcome", .value = "not-run"});
-  response.headers.push_back({.name = "Retry-After", .value = "1"});
-  this->Reject(std::move(response));
+  this->Reject(OutOfMemory());
 }
 
 void ServerConnection::WriteReadyResponses() {
--- a/components/http/server_connection.h
+++ b/components/http/server_connection.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -71,6 +72,11 @@
   /// Waits until the request that is received may grow to `bytes`. Returns
   /// false if its memory is needed for others.
   bool WaitForMemory(size_t bytes);
+  bool WaitForGrant(const std::function<ByteBudget::Grant()>& ask);
+
+  /// Waits until a request with a body of `body_bytes` may be handled, unless
+  /// there are requests before it. Returns false if there is no memory for it.
+  bool WaitForRequestMemory(size_t body_bytes);
 
   ReaderStep HandleReadError(const Parser& parser,
                              const boost::beast::error_code& error);
@@ -83,11 +89,19 @@
 
   bool StartRequest(Parser& parser);
 
+  /// Responds to a request that no handler gets.
+  void Respond(Response response, bool keep_alive, bool head);
+
+  /// Responds and ends the connection.
   void Reject(Response response);
 
   /// Refuses the request that is received now for want of memory.
   void RejectForMemory();
 
+  /// Refuses the request that was received for want of memory. The connection
+  /// goes on if there are requests before it.
+  ReaderStep RefuseForMemory(Parser& parser);
+
   void WriteReadyResponses();
 
   bool Write(PendingResponse& pending, bool keep_alive);
--- a/tests/http/byte_budget_test.cc
+++ b/tests/http/byte_budget_test.cc
@@ -25,6 +25,11 @@
     CHECK(this->budget.TryGrow(id, bytes, this->now) == Grant::kGranted);
     return id;
   }
+  /// Asks to start a request that holds nothing yet.
+  Grant Start(size_t bytes) {
+    const auto id = this->budget.Add(Kind::kRequest, this->now);
+    return this->budget.TryStart(id, bytes, this->now);
+  }
   Grant Grow(ByteBudget::HolderId id, size_t bytes) {
     return this->budget.TryGrow(id, bytes, this->now);
   }
@@ -66,6 +71,16 @@
   this->Holding(Kind::kRequest, kSmall);
 }
 
+// A crowd of pipelined requests held all memory, so that no response was read.
+TEST(ByteBudget, SmallRequestsInProgressLeaveRoomForResponses) {
+  for (size_t held = 0; held < kBytes / 2; held += kSmall) {
+    CHECK(this->Start(kSmall) == Grant::kGranted);
+  }
+  CHECK(this->Start(kSmall) == Grant::kWait);
+  this->Holding(Kind::kRequest, kSmall);
+  this->Holding(Kind::kResponse, kBytes / 4);
+}
+
 TEST(ByteBudget, OldestWaitingRequestGoesFirst) {
   const auto first = this->Holding(Kind::kRequest, 500);
   const auto older = this->budget.Add(Kind::kRequest, this->now);
