The connection of a check of an upstream is not used for requests

Cause: the check after a broken connection kept its connection for requests. It has no id, so its late answer passed for that to the next request.

Why it works: the connection ends with the check. All other calls to an upstream have an id that it echoes.

--- a/components/guard/upstream_call.cc
+++ b/components/guard/upstream_call.cc
@@ -141,7 +141,8 @@
         http::Exchange({.server = endpoint,
                         .request = {.method = "GET", .target = kHealthTarget},
                         .timeout = kConnectCheckTimeout,
-                        .reuse_connection = false});
+                        .reuse_connection = false,
+                        .keep_connection = false});
     if (!result.ok() && result.failure.stage == http::Stage::kConnect) {
       return false;
     }
--- a/components/http/client.cc
+++ b/components/http/client.cc
@@ -310,7 +310,8 @@
   if (call.cancellation != nullptr) {
     call.cancellation->OnCancel(nullptr);
   }
-  const bool reusable = read.keep_alive && connection->buffer.size() == 0;
+  const bool reusable =
+      call.keep_connection && read.keep_alive && connection->buffer.size() == 0;
   Result result{.response = {.status = read.status,
                              .headers = FromBeast(read.fields),
                              .body = std::move(read.body)}};
--- a/components/http/client.h
+++ b/components/http/client.h
@@ -46,6 +46,10 @@
   /// second run of the request would do harm: the server can close an idle
   /// connection unnoticed between two requests.
   bool reuse_connection = true;
+  /// Keeps the connection for later calls. Set to false for a request that the
+  /// server doesn't name in its response: a late copy of that would be taken
+  /// for the response to a later request.
+  bool keep_connection = true;
   /// Sends keep-alive probes over a new connection, so that a connection that
   /// has gone silent is found long before the timeout of a long exchange.
   bool detect_silence = false;
--- a/tests/guard/guard_test.cc
+++ b/tests/guard/guard_test.cc
@@ -187,6 +187,30 @@
 
 // The last response of a start that left came after the next start under its id
 // had announced itself, which was then taken for departed.
+// The connection of a check was kept for requests, and a late copy of the
+// answer to the check was taken for that to an order, which then ran twice.
+TEST(Guard, AnAnswerToACheckIsNotTakenForThatToARequest) {
+  static auto* workers = new fibers::WorkerPool(1);
+  const std::string refusal =
+      "HTTP/1.1 400 Bad Request\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+  const RawServer server(
+      {{.text = refusal, .next = refusal},
+       {.text = refusal, .next = refusal},
+       {.text = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"}});
+  const UpstreamTarget target{
+      .endpoint = server.Address(),
+      .header_names = std::make_shared<const HeaderNames>(
+          HeaderNames{.not_run = "X-Not-Run"})};
+  std::promise<once::Outcome> ended;
+  workers->Spawn([&] {
+    AcceptsConnections(target.endpoint);
+    ended.set_value(CallUpstream(target, {.idempotent = true},
+                                 MonotonicNow() + Millis(500), {})
+                        .outcome);
+  });
+  CHECK(std::holds_alternative<once::Ran>(ended.get_future().get()));
+}
+
 TEST(Guard, AResponseOfTheLastStartSaysNothingAboutTheNext) {
   const Listener upstream = ListenOnLoopback(1);
   static auto* workers = new fibers::WorkerPool(1);
