A listing of the store that does not end is an error

A store whose listing always has a further page filled the memory of the process that read it.

Cause: pages were read as long as the store said that there are more.

Why it works: each page has to end after the one before, and a listing has a bound on its bytes.

--- a/components/store/client.cc
+++ b/components/store/client.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr int kNotFound = 404;
+/// Longest listing that is read.
+constexpr size_t kMaxListingBytes = size_t{64} * 1024 * 1024;
 
 }  // namespace
 
@@ -79,6 +81,7 @@
                                      bool may_be_stale) const {
   Listing listing;
   std::string after;
+  size_t bytes = 0;
   do {
     const auto response = this->SendRequest(
         "list",
@@ -103,14 +106,31 @@
                      "the store was restored between two pages");
     }
     listing.more = page->more && !page->entries.empty();
+    if (listing.more && page->entries.back().key <= after) {
+      return this->ListingError(absl::StrCat("a page after ", after,
+                                             " ends at the key ",
+                                             page->entries.back().key));
+    }
     for (KeyedEntry& entry : page->entries) {
+      bytes += entry.key.size() + entry.entry.value.size();
       after = entry.key;
       listing.entries.push_back(std::move(entry));
     }
+    if (bytes > kMaxListingBytes) {
+      return this->ListingError(absl::StrCat("the entries below ", prefix,
+                                             " have more than ",
+                                             kMaxListingBytes, " bytes"));
+    }
   } while (listing.more);
   return listing;
 }
 
+absl::Status Client::ListingError(const std::string& reason) const {
+  return ErrorAt(absl::StatusCode::kDataLoss,
+                 {.step = "list", .peer = ToText(this->options.server)},
+                 reason);
+}
+
 absl::StatusOr<Changes> Client::WatchPrefix(const WatchCall& call) const {
   const auto response =
       this->SendRequest("watch", this->options.protocol.watch(call),
--- a/components/store/client.h
+++ b/components/store/client.h
@@ -88,6 +88,7 @@
 
   /// Records an era of which a peer has told.
   void RecordEra(uint64_t era) const;
+  absl::Status ListingError(const std::string& reason) const;
 
  private:
   /// Sends a request and returns the response. An error carries `step` and the
--- a/tests/store/client_test.cc
+++ b/tests/store/client_test.cc
@@ -5,6 +5,7 @@
 #include <functional>
 #include <future>
 #include <string>
+#include <vector>
 
 #include "components/fibers/worker_pool.h"
 #include "tests/http/raw_server.h"
@@ -33,8 +34,41 @@
   ended.get_future().get();
 }
 
+/// Lists from a store that always has a further page. `next_page` returns its
+/// entry. Returns the number of pages until the call failed.
+int PagesOfEndlessListing(const std::function<KeyedEntry(int)>& next_page) {
+  constexpr int kMaxPages = 20;
+  static auto* workers = new fibers::WorkerPool(1);
+  const RawServer server(std::vector<RawServer::Reply>(
+      kMaxPages, {.text = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}));
+  int pages = 0;
+  Protocol protocol = FleetProtocol();
+  protocol.list = [](const ListCall&) { return http::Request{}; };
+  protocol.read_listing = [&](const http::Response&) {
+    return Listing{.entries = {next_page(++pages)}, .more = true};
+  };
+  const Client client({.server = server.Address(),
+                       .timeout = Millis(300),
+                       .protocol = protocol});
+  std::promise<bool> ended;
+  workers->Spawn([&] { ended.set_value(client.List("a", false).ok()); });
+  CHECK_FALSE(ended.get_future().get());
+  return pages;
+}
+
 TEST_GROUP(StoreClient){};
 
+// A listing without end filled the memory of the process.
+TEST(StoreClient, AListingThatDoesNotEndIsAnError) {
+  LONGS_EQUAL(
+      2, PagesOfEndlessListing([](int) { return KeyedEntry{.key = "a"}; }));
+  LONGS_EQUAL(8, PagesOfEndlessListing([](int page) {
+                return KeyedEntry{
+                    .key = "a" + std::to_string(page),
+                    .entry = {.value = std::string(8 * 1024 * 1024, 'v')}};
+              }));
+}
+
 // Otherwise a write of unknown effect counts as done, and an era that no store
 // has makes the client reject the responses of the store for good.
 TEST(StoreClient, AResponseWithAnInvalidStatusIsAFailedCall) {
