--- a/apps/kingcupstaird/daemon.cc
+++ b/apps/kingcupstaird/daemon.cc
@@ -252,6 +252,7 @@
           this->workers,
           {.listen = this->settings.listen,
            .limits = [this] { return this->CallerLimits(); },
+           .counts_requests = true,
            .max_connections = MaxConnections(this->settings.max_connections)},
           http::CancellableHandler([this](const http::Request& request,
                                           const CancellationPtr& caller) {
@@ -571,8 +572,8 @@
                       "run a request", [&] { return this->guard.Run(run); },
                       [] {
                         return rpc::RunResult{
-                            .outcome = once::Unknown{
-                                .detail = "the host failed inside"}};
+                            .outcome =
+                                once::Unknown{.detail = once::kInternalError}};
                       }));
                 });
           },
--- a/components/control/departure_loop.cc
+++ b/components/control/departure_loop.cc
@@ -11,6 +11,7 @@
 #include "components/logging/log.h"
 #include "components/membership/incarnation.h"
 #include "components/membership/witnesses.h"
+#include "components/once/outcome.h"
 
 namespace kingcupstair::control {
 namespace {
@@ -85,7 +86,7 @@
         this->InformWitnesses();
         return this->Write();
       },
-      [] { return absl::InternalError("the host failed inside"); });
+      [] { return absl::InternalError(once::kInternalError); });
   --this->calls_to_keep;
   this->fleet.recorder.Record(
       {.kind = status.ok() ? "departure_kept" : "departure_not_kept",
--- a/components/guard/guard.cc
+++ b/components/guard/guard.cc
@@ -144,8 +144,8 @@
       "call an upstream",
       [&] { return CallUpstream(target, request, deadline, call); },
       [] {
-        return UpstreamReply{
-            .outcome = once::Unknown{.detail = "the host failed inside"}};
+        return UpstreamReply{.outcome =
+                                 once::Unknown{.detail = once::kInternalError}};
       });
   if (reply.notice.has_value()) {
     this->ApplyNotice(request.upstream, start, *reply.notice);
--- a/components/http/server.h
+++ b/components/http/server.h
@@ -39,6 +39,9 @@
     Endpoint listen;
     /// Called for each request; if empty, the defaults apply.
     std::function<ServerLimits()> limits;
+    /// Counts requests in progress in the memory for messages, beside their
+    /// bytes. For servers whose clients are not controlled.
+    bool counts_requests = false;
     /// Open connections; 0 for no limit. Beyond it, a new connection closes the
     /// one that has been without a request in progress for the longest time, or
     /// is closed if there is none.
--- a/components/http/server_connection.cc
+++ b/components/http/server_connection.cc
@@ -308,7 +308,7 @@
 // alone on its connection waits for its memory; others are refused at once, so
 // that those that wait soon have less before them.
 bool ServerConnection::WaitForRequestMemory(size_t body_bytes) {
-  if (this->lease == nullptr) {
+  if (this->lease == nullptr || !this->server->options.counts_requests) {
     return true;
   }
   const size_t bytes = body_bytes + this->buffer.size() + kRequestBytes;
--- a/components/ingress/request_run.cc
+++ b/components/ingress/request_run.cc
@@ -38,8 +38,6 @@
 /// at most a third of the time that is left.
 constexpr double kMaxRetryAfterFraction = 1.0 / 3;
 constexpr Duration kMinRetryAfter{std::chrono::milliseconds(200)};
-/// Detail of an attempt that an exception ended in this process.
-constexpr char kInternalError[] = "the host failed inside";
 
 bool IsServed(const once::Outcome& outcome) {
   constexpr int kFirstServerError = 500;
@@ -303,7 +301,9 @@
                              run = this->MakeRunRequest(*choice)] {
     once::Outcome outcome = fibers::RunOr(
         "attempt", [&] { return runner.Run(choice, run); },
-        [] { return once::Outcome(once::Unknown{.detail = kInternalError}); });
+        [] {
+          return once::Outcome(once::Unknown{.detail = once::kInternalError});
+        });
     results->ended.push_back(
         {.attempt = run.request_id, .outcome = std::move(outcome)});
     results->timer.cancel();
--- a/components/once/outcome.h
+++ b/components/once/outcome.h
@@ -62,6 +62,9 @@
   bool operator==(const Unknown&) const = default;
 };
 
+/// Detail of an unknown outcome after an exception in this process.
+inline constexpr char kInternalError[] = "the host failed inside";
+
 /// Outcome of one attempt to run a request.
 using Outcome = std::variant<Ran, NotRun, Unknown>;
 
