faulty_version_test waits until the stand-in serves

Cause: the faults of lote-4 are set right after its process is started. If the process does not listen yet, curl is refused, and the error was dropped. The version is then sound and gets its share, as it should.

Now the test waits until the stand-in serves, and fails by itself if the faults were not set. No other check changes.

--- a/scripts/lib/site.sh
+++ b/scripts/lib/site.sh
@@ -80,9 +80,15 @@
     --service "$service" "$@"
 }
 
-site_faults() { curl -s --max-time 1 -X POST --data "$2" "http://127.0.0.1:${site_upstream_ports[$1]}/faults" >/dev/null; }
+# Sets the faults of a stand-in at an address.
+site_set_faults() {
+  curl -sf -o /dev/null --max-time 1 -X POST --data "$2" "http://$1/faults" && return 0
+  echo "the faults at $1 were not set: $2" >&2
+  return 1
+}
+site_faults() { site_set_faults "127.0.0.1:${site_upstream_ports[$1]}" "$2"; }
 site_counts() { curl -s --max-time 5 "http://127.0.0.1:${site_upstream_ports[$1]}/counts"; }
-site_store_faults() { curl -s --max-time 1 -X POST --data "$1" "http://$site_store_address/v1/faults" >/dev/null; }
+site_store_faults() { site_set_faults "$site_store_address/v1" "$1"; }
 site_ctl() { "$site_bin/kingcupstairctl" --author "${SITE_AUTHOR:-operator}" "$@"; }
 site_status() { curl -s --max-time 2 "http://127.0.0.1:$(site_admin_port "$1")/status"; }
 
@@ -147,9 +153,7 @@
   site_host "$number" "$zone" --peer-address "$relay" "$@"
 }
 
-site_relay_faults() {
-  curl -s --max-time 1 -X POST --data "$2" "http://127.0.0.1:$((site_base + 10 * $1 + 6))/faults" >/dev/null
-}
+site_relay_faults() { site_set_faults "127.0.0.1:$((site_base + 10 * $1 + 6))" "$2"; }
 
 site_hosts() {
   local number list=""
@@ -175,6 +179,4 @@
   site_host "$@" --store "$(site_store_relay_address "$1")"
 }
 
-site_store_relay_faults() {
-  curl -s --max-time 1 -X POST --data "$2" "http://127.0.0.1:$((site_base + 10 * $1 + 8))/faults" >/dev/null
-}
+site_store_relay_faults() { site_set_faults "127.0.0.1:$((site_base + 10 * $1 + 8))" "$2"; }
--- a/tests/process/faulty_version_test.sh
+++ b/tests/process/faulty_version_test.sh
@@ -24,7 +24,9 @@
 site_ctl apply "$dir/ordered" >/dev/null
 site_wait_revision 2 1 2 3
 site_upstream lote-4 lote 1 --slots 7 --program-version v2 --run-log "$dir/runs.log"
+site_wait_http "http://127.0.0.1:${site_upstream_ports[lote-4]}/counts"
 site_faults lote-4 '{"error_share":0.5,"lie":true}'
+expect "the new version is faulty" $? = 0
 for number in 1 2 3; do site_wait_upstreams "$number" 4; done
 
 site_call --hosts "$(site_hosts 1 2 3)" --target /lote/status/1 --key grower-key \
