Long bodies from other hosts take memory before they are sent

Cause: the memory for messages counts what callers send and upstreams answer. A request of another host is read whole by the RPC library and copied, and slots were granted whatever the length of its body, so the host of the upstream held what all others sent.

Others wait as for a slot, then they are refused with queue_full, which is true: nothing was sent. The memory is kept until the run ends, also when the reservation of the slot expires, since the message may still come.

--- a/apps/kingcupstaird/daemon.cc
+++ b/apps/kingcupstaird/daemon.cc
@@ -47,6 +47,17 @@
                     : std::min(unbounded, bytes / kRetainedResponsesDivisor);
 }
 
+/// Part of the memory that long bodies from other hosts may take, together with
+/// the messages of callers and upstreams. The rest is for the process itself,
+/// one more copy of a body while its message is read, and growth of the other
+/// messages.
+constexpr double kPeerBodyFraction = 0.62;
+constexpr double kBytesPerMb = 1e6;
+
+size_t MaxPeerBodyBytes(int memory_mb) {
+  return static_cast<size_t>(kPeerBodyFraction * kBytesPerMb * memory_mb);
+}
+
 /// Descriptors that are kept for peers, the store, upstreams and operators: a
 /// number, and one in so many of the limit.
 constexpr rlim_t kReservedDescriptors = 64;
@@ -174,32 +185,36 @@
                                                is_rolled_back);
                }}),
       permits(this->fleet),
-      guard({.zone = this->settings.zone,
-             .warm_up = this->settings.warm_up,
-             .admission_by_work = this->settings.admission_by_work,
-             .incarnation = [this] { return this->directory.OwnIncarnation(); },
-             .isolated = [this] { return this->IsIsolated(); },
-             .departures_known =
-                 [this] {
-                   return this->departures.IsKnown() &&
-                          this->evidence.IsWaitOver();
-                 },
-             .on_departure =
-                 [this](const std::string& departure) {
-                   this->workers.Spawn([this, departure] {
-                     this->departures.Keep(departure).IgnoreError();
-                   });
-                 },
-             .keep_evidence =
-                 [this](once::Fingerprint fingerprint) {
-                   this->evidence.Keep(fingerprint);
-                 },
-             .header_names = this->header_names,
-             .max_retained_response_bytes =
-                 MaxRetainedResponseBytes(this->settings.memory_mb)},
-            this->config.snapshot(),
-            this->crashes,
-            this->recorder),
+      guard(
+          {.zone = this->settings.zone,
+           .warm_up = this->settings.warm_up,
+           .admission_by_work = this->settings.admission_by_work,
+           .incarnation = [this] { return this->directory.OwnIncarnation(); },
+           .isolated = [this] { return this->IsIsolated(); },
+           .departures_known =
+               [this] {
+                 return this->departures.IsKnown() &&
+                        this->evidence.IsWaitOver();
+               },
+           .on_departure =
+               [this](const std::string& departure) {
+                 this->workers.Spawn([this, departure] {
+                   this->departures.Keep(departure).IgnoreError();
+                 });
+               },
+           .keep_evidence =
+               [this](once::Fingerprint fingerprint) {
+                 this->evidence.Keep(fingerprint);
+               },
+           .header_names = this->header_names,
+           .max_retained_response_bytes =
+               MaxRetainedResponseBytes(this->settings.memory_mb),
+           .peer_bodies =
+               {.max_bytes = MaxPeerBodyBytes(this->settings.memory_mb),
+                .own_bytes = [] { return http::ProcessByteBudgetUse().used; }}},
+          this->config.snapshot(),
+          this->crashes,
+          this->recorder),
       registry({.own_zone = this->settings.zone,
                 .seed = this->incarnation,
                 .place_by_work = this->settings.place_by_work,
@@ -583,7 +598,7 @@
             this->workers.Spawn([this, request, done = std::move(done)] {
               done(fibers::RunOr(
                   "reserve a slot",
-                  [&] { return this->guard.Reserve(request); },
+                  [&] { return this->guard.ReserveForPeer(request); },
                   [] {
                     return rpc::SlotAnswer{
                         .refusal = {.reason =
--- a/components/guard/guard.cc
+++ b/components/guard/guard.cc
@@ -25,9 +25,11 @@
       crashes(crashes),
       recorder(recorder),
       ledger({.max_retained_bytes = this->options.max_retained_response_bytes}),
-      keys({}) {}
+      keys({}),
+      peer_bodies(this->options.peer_bodies) {}
 
 AcceptAnswer Guard::Accept(const once::RunRequest& request) {
+  BodyLease body_lease = this->peer_bodies.Take(request.request_id);
   DeferredWakeups wakeups;
   const std::lock_guard lock(this->mutex);
   once::RefusalReason reason =
@@ -50,7 +52,7 @@
         once::NotRun{.reason = once::RefusalReason::kCrashesUpstreams,
                      .retry_after = refused_for});
   }
-  AcceptedRun accepted{.request = request};
+  AcceptedRun accepted{.request = request, .body_lease = std::move(body_lease)};
   if (!request.dedupe_key.empty()) {
     const auto earlier = this->keys.Find(request.dedupe_key, now);
     const auto state =
@@ -220,6 +222,7 @@
   if (incarnation != this->options.incarnation()) {
     return;
   }
+  this->peer_bodies.Drop(request_id);
   std::optional<RunningCall> cancelled;
   {
     DeferredWakeups wakeups;
@@ -383,6 +386,7 @@
   DeferredWakeups wakeups;
   const std::lock_guard lock(this->mutex);
   const Instant now = MonotonicNow();
+  this->peer_bodies.Expire(now);
   this->ledger.Expire(now);
   this->ExpireReservations(now, wakeups);
   this->departures.Expire(now);
--- a/components/guard/guard.h
+++ b/components/guard/guard.h
@@ -19,6 +19,7 @@
 #include "components/guard/announcement.h"
 #include "components/guard/departures.h"
 #include "components/guard/guarded_upstream.h"
+#include "components/guard/peer_bodies.h"
 #include "components/guard/shared_crash_ledger.h"
 #include "components/guard/upstream_call.h"
 #include "components/guard/waiters.h"
@@ -40,6 +41,8 @@
   std::string earlier_attempt;
   /// Ticket of the slot that was reserved for the attempt.
   admission::TicketId ticket = 0;
+  /// Memory of the body, if another host has sent a long one.
+  BodyLease body_lease;
 };
 
 /// A slot reserved for a request that is about to be submitted.
@@ -94,6 +97,8 @@
     /// See once::RunLedger.
     size_t max_retained_response_bytes =
         once::RunLedger::Options{}.max_retained_bytes;
+    /// Memory for long bodies of requests that other hosts send.
+    PeerBodies::Options peer_bodies = {};
   };
 
   Guard(Options options,
@@ -120,6 +125,11 @@
   /// the request. Suspends the calling fiber while it waits for a slot.
   rpc::SlotAnswer Reserve(const once::SlotRequest& request);
 
+  /// Reserves a slot for a request that another host is about to send, and
+  /// memory for its body, or refuses the request. Suspends the calling fiber
+  /// while it waits for either.
+  rpc::SlotAnswer ReserveForPeer(const once::SlotRequest& request);
+
   /// Cancels a request whose response is no longer waited for, and releases a
   /// slot reserved for the request. Fences the request if it has not been sent
   /// to its upstream, also while the connection to the upstream is opened, and
@@ -175,6 +185,9 @@
   int CountRequestsAtRisk(const GuardedUpstream& upstream) const;
   admission::GateDecision WaitForSlot(const once::SlotRequest& request,
                                       admission::TicketId ticket);
+  /// Returns false if no memory became free in the time that the request may
+  /// wait.
+  bool WaitForBodyMemory(const once::SlotRequest& request);
   /// Takes over the limit that the upstream has named to other hosts, if this
   /// host has had no response from it.
   void LearnNamedRate(const once::SlotRequest& request);
@@ -241,6 +254,7 @@
   once::KeyIndex keys;
   Waiters waiters;
   std::map<std::string, SlotReservation> reservations;
+  PeerBodies peer_bodies;
   /// Requests that are running at an upstream, by request id.
   std::map<std::string, RunningCall> running_calls;
   Departures departures;
--- a/components/guard/guard_slots.cc
+++ b/components/guard/guard_slots.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "components/fibers/worker_pool.h"
+
 namespace kingcupstair::guard {
 namespace {
 
@@ -17,6 +19,7 @@
 /// being busier than others. A slow upstream that was given many requests at
 /// once would get none until they have ended.
 constexpr Duration kMaxTimeWithoutStart{std::chrono::milliseconds(700)};
+constexpr Duration kBodyMemoryPollInterval{std::chrono::milliseconds(20)};
 
 }  // namespace
 
@@ -44,6 +47,47 @@
   return this->SlotAnswerFor(request.upstream, {}, true);
 }
 
+// The memory is held before the wait for a slot: a slot that waits for memory
+// would be lost to short requests.
+rpc::SlotAnswer Guard::ReserveForPeer(const once::SlotRequest& request) {
+  const Instant asked_at = MonotonicNow();
+  if (!this->WaitForBodyMemory(request)) {
+    const std::lock_guard lock(this->mutex);
+    const auto reason = this->ReasonToRefuseSlot(request, MonotonicNow());
+    return this->SlotAnswerFor(request.upstream,
+                               {.reason = reason == once::RefusalReason::kNone
+                                              ? once::RefusalReason::kQueueFull
+                                              : reason},
+                               false);
+  }
+  once::SlotRequest with_memory = request;
+  const Duration waited = MonotonicNow() - asked_at;
+  with_memory.max_wait = std::max(Duration{}, request.max_wait - waited);
+  with_memory.remaining_time =
+      std::max(Duration{}, request.remaining_time - waited);
+  rpc::SlotAnswer answer = this->Reserve(with_memory);
+  if (!answer.granted) {
+    this->peer_bodies.Drop(request.request_id);
+  }
+  return answer;
+}
+
+bool Guard::WaitForBodyMemory(const once::SlotRequest& request) {
+  const Instant asked_at = MonotonicNow();
+  const Instant expires_at = asked_at + request.remaining_time;
+  while (!this->peer_bodies.TryHold(request.request_id, request.body_bytes,
+                                    expires_at)) {
+    if (MonotonicNow() - asked_at >= request.max_wait) {
+      this->peer_bodies.StopWaiting(request.request_id);
+      this->recorder.counters().Add("kingcupstair_body_memory_refusals_total",
+                                    {});
+      return false;
+    }
+    fibers::SleepFor(kBodyMemoryPollInterval);
+  }
+  return true;
+}
+
 // A host that has restarted has no response yet that names the limit.
 void Guard::LearnNamedRate(const once::SlotRequest& request) {
   const auto found = this->upstreams.find(request.upstream);
