Who has no fleet key sends 64 KiB to a host, not 64 MiB

What would be seen: anyone who reaches the peers' port ends a process, which runs out of memory.

Cause: the RPC library reads a message whole, up to 64 MiB, before anything is proved, and a connection that proves nothing was kept for good.

rpc::EntryStream reads 64 KiB from a connection until its peer has proved the fleet key; after 10 s without the proof it is closed. Peers send nothing long before, and wait for the reply to the proof before they call anything.

--- a/components/rpc/peer_server.cc
+++ b/components/rpc/peer_server.cc
@@ -7,8 +7,10 @@
 #include <utility>
 
 #include "components/base/hash.h"
+#include "components/logging/log.h"
 #include "components/rpc/convert.h"
 #include "components/rpc/credentials.h"
+#include "components/rpc/entry_stream.h"
 #include "components/rpc/network.h"
 
 namespace kingcupstair::rpc {
@@ -30,10 +32,16 @@
   std::map<std::string, ConnectionId> newest;
   /// Challenges that no `enter` has used yet, oldest first.
   std::deque<std::string> nonces;
-  kj::Own<capnp::TwoPartyServer> server;
   kj::Own<kj::ConnectionReceiver> receiver;
 };
 
+/// One connection to this server. The server of the RPC library uses the
+/// stream.
+struct PeerServer::Connection {
+  kj::Own<EntryStream> stream;
+  kj::Own<capnp::TwoPartyServer> server;
+};
+
 /// Implements wire::Ticket for one submitted run. Every call of `outcome`
 /// returns the same result.
 class PeerServer::TicketImpl final : public wire::Ticket::Server {
@@ -283,11 +291,14 @@
   std::shared_ptr<HostTraffic> traffic;
 };
 
-/// Implements wire::Door, which gives access to wire::Peer to those that prove
-/// that they have the fleet key.
+/// Implements wire::Door for one connection, which gives access to wire::Peer
+/// to those that prove that they have the fleet key.
 class PeerServer::AuthenticatorImpl final : public wire::Door::Server {
  public:
-  AuthenticatorImpl(EventLoop& loop, State& state) : loop(loop), state(state) {}
+  AuthenticatorImpl(EventLoop& loop,
+                    State& state,
+                    std::shared_ptr<bool> entered)
+      : loop(loop), state(state), entered(std::move(entered)) {}
 
   kj::Promise<void> challenge(ChallengeContext context) override {
     const std::string nonce = RandomId();
@@ -315,6 +326,7 @@
     if (!fresh || !proved) {
       return KJ_EXCEPTION(FAILED, "the fleet key was not proved");
     }
+    *this->entered = true;
     ConnectionId& newest = this->state.newest[connection.host];
     newest = std::max(newest, connection);
     context.getResults().setPeer(
@@ -325,6 +337,7 @@
  private:
   EventLoop& loop;
   State& state;
+  std::shared_ptr<bool> entered;
 };
 
 PeerServer::PeerServer(EventLoop& loop, Options options, PeerHandlers handlers)
@@ -345,15 +358,46 @@
       return;
     }
     this->state->receiver = kj::mv(*receiver);
-    this->state->server = kj::heap<capnp::TwoPartyServer>(
-        kj::heap<AuthenticatorImpl>(this->loop, *this->state));
-    this->loop.AddTask(this->state->server->listen(*this->state->receiver));
-    this->loop.RunAtExit([state = this->state.get()] {
-      state->server = nullptr;
-      state->receiver = nullptr;
-    });
+    this->loop.AddTask(this->AcceptAll());
+    this->loop.RunAtExit(
+        [state = this->state.get()] { state->receiver = nullptr; });
   });
   return status;
 }
 
+kj::Promise<void> PeerServer::AcceptAll() {
+  return this->state->receiver->accept().then(
+      [this](kj::Own<kj::AsyncIoStream> stream) {
+        this->loop.AddTask(this->Serve(kj::mv(stream)));
+        return this->AcceptAll();
+      });
+}
+
+kj::Promise<void> PeerServer::Serve(kj::Own<kj::AsyncIoStream> stream) {
+  const auto entered = std::make_shared<bool>(false);
+  auto connection = kj::heap<Connection>();
+  connection->stream = kj::heap<EntryStream>(kj::mv(stream), entered);
+  connection->server = kj::heap<capnp::TwoPartyServer>(
+      kj::heap<AuthenticatorImpl>(this->loop, *this->state, entered));
+  auto too_late =
+      this->loop.io()
+          .provider->getTimer()
+          .afterDelay(this->state->options.max_entry_time.count() *
+                      kj::MICROSECONDS)
+          .then([entered]() -> kj::Promise<void> {
+            if (*entered) {
+              return kj::NEVER_DONE;
+            }
+            logging::Write(
+                logging::Level::kWarning,
+                "a connection to the peers' port was closed: no proof of the "
+                "fleet key in time",
+                {});
+            return kj::READY_NOW;
+          });
+  return connection->server->accept(*connection->stream)
+      .exclusiveJoin(kj::mv(too_late))
+      .attach(kj::mv(connection));
+}
+
 }  // namespace kingcupstair::rpc
--- a/components/rpc/peer_server.h
+++ b/components/rpc/peer_server.h
@@ -6,6 +6,7 @@
 
 #include "absl/status/status.h"
 #include "components/base/endpoint.h"
+#include "components/base/time.h"
 #include "components/rpc/loop.h"
 #include "components/rpc/peer_handlers.h"
 #include "components/rpc/traffic_counters.h"
@@ -21,6 +22,9 @@
     std::string fleet_key;
     /// Counts the bytes of the replies; may be null.
     TrafficCounters* traffic = nullptr;
+    /// A connection whose peer has not proved the fleet key for longer is
+    /// closed.
+    Duration max_entry_time{std::chrono::seconds(10)};
   };
 
   PeerServer(EventLoop& loop, Options options, PeerHandlers handlers);
@@ -33,8 +37,12 @@
   class AuthenticatorImpl;
   class PeerImpl;
   class TicketImpl;
+  struct Connection;
   struct State;
 
+  kj::Promise<void> AcceptAll();
+  kj::Promise<void> Serve(kj::Own<kj::AsyncIoStream> stream);
+
   EventLoop& loop;
   std::unique_ptr<State> state;
 };
