A slot that nobody waits for is free at once

Cause: reservations that other hosts had given up while the process was frozen were carried out when it went on. Each that found a slot held it for 0.8 s, here both that the limit allowed, and requests wait for 0.6 s.

The RPC library tells a server that a call was given up. PeerServer passes it on for reservations, and the guard gives back the slot and the memory.

Without the notice, and without the guard's use of it, one of the two new tests fails each.

--- a/apps/kingcupstaird/daemon.cc
+++ b/apps/kingcupstaird/daemon.cc
@@ -593,12 +593,16 @@
                 });
           },
       .reserve =
-          [this](const once::SlotRequest& request,
+          [this](const once::SlotRequest& request, CancellationPtr abandoned,
                  std::function<void(rpc::SlotAnswer)> done) {
-            this->workers.Spawn([this, request, done = std::move(done)] {
+            this->workers.Spawn([this, request,
+                                 abandoned = std::move(abandoned),
+                                 done = std::move(done)] {
               done(fibers::RunOr(
                   "reserve a slot",
-                  [&] { return this->guard.ReserveForPeer(request); },
+                  [&] {
+                    return this->guard.ReserveForPeer(request, abandoned);
+                  },
                   [] {
                     return rpc::SlotAnswer{
                         .refusal = {.reason =
--- a/components/guard/guard.h
+++ b/components/guard/guard.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "components/admission/upstream_gate.h"
+#include "components/base/cancellation.h"
 #include "components/base/snapshot.h"
 #include "components/config/configuration.h"
 #include "components/dialect/dialect.h"
@@ -127,8 +128,10 @@
 
   /// Reserves a slot for a request that another host is about to send, and
   /// memory for its body, or refuses the request. Suspends the calling fiber
-  /// while it waits for either.
-  rpc::SlotAnswer ReserveForPeer(const once::SlotRequest& request);
+  /// while it waits for either. Both are given back when `abandoned` is
+  /// cancelled.
+  rpc::SlotAnswer ReserveForPeer(const once::SlotRequest& request,
+                                 const CancellationPtr& abandoned);
 
   /// Cancels a request whose response is no longer waited for, and releases a
   /// slot reserved for the request. Fences the request if it has not been sent
@@ -187,7 +190,9 @@
                                       admission::TicketId ticket);
   /// Returns false if no memory became free in the time that the request may
   /// wait.
-  bool WaitForBodyMemory(const once::SlotRequest& request);
+  bool WaitForBodyMemory(const once::SlotRequest& request,
+                         const Cancellation& abandoned);
+  void AbandonReservation(const std::string& request_id);
   /// Takes over the limit that the upstream has named to other hosts, if this
   /// host has had no response from it.
   void LearnNamedRate(const once::SlotRequest& request);
--- a/components/guard/guard_slots.cc
+++ b/components/guard/guard_slots.cc
@@ -49,9 +49,10 @@
 
 // The memory is held before the wait for a slot: a slot that waits for memory
 // would be lost to short requests.
-rpc::SlotAnswer Guard::ReserveForPeer(const once::SlotRequest& request) {
+rpc::SlotAnswer Guard::ReserveForPeer(const once::SlotRequest& request,
+                                      const CancellationPtr& abandoned) {
   const Instant asked_at = MonotonicNow();
-  if (!this->WaitForBodyMemory(request)) {
+  if (!this->WaitForBodyMemory(request, *abandoned)) {
     const std::lock_guard lock(this->mutex);
     const auto reason = this->ReasonToRefuseSlot(request, MonotonicNow());
     return this->SlotAnswerFor(request.upstream,
@@ -66,18 +67,31 @@
   with_memory.remaining_time =
       std::max(Duration{}, request.remaining_time - waited);
   rpc::SlotAnswer answer = this->Reserve(with_memory);
-  if (!answer.granted) {
+  if (answer.granted) {
+    abandoned->OnCancel([this, request_id = request.request_id] {
+      this->AbandonReservation(request_id);
+    });
+  } else {
     this->peer_bodies.Drop(request.request_id);
   }
   return answer;
 }
 
-bool Guard::WaitForBodyMemory(const once::SlotRequest& request) {
+void Guard::AbandonReservation(const std::string& request_id) {
+  this->peer_bodies.Drop(request_id);
+  DeferredWakeups wakeups;
+  const std::lock_guard lock(this->mutex);
+  this->ReleaseReservation(request_id, wakeups);
+}
+
+bool Guard::WaitForBodyMemory(const once::SlotRequest& request,
+                              const Cancellation& abandoned) {
   const Instant asked_at = MonotonicNow();
   const Instant expires_at = asked_at + request.remaining_time;
   while (!this->peer_bodies.TryHold(request.request_id, request.body_bytes,
                                     expires_at)) {
-    if (MonotonicNow() - asked_at >= request.max_wait) {
+    if (MonotonicNow() - asked_at >= request.max_wait ||
+        abandoned.IsCancelled()) {
       this->peer_bodies.StopWaiting(request.request_id);
       this->recorder.counters().Add("kingcupstair_body_memory_refusals_total",
                                     {});
--- a/components/rpc/peer_handlers.h
+++ b/components/rpc/peer_handlers.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "components/base/cancellation.h"
 #include "components/limits/rate_pool.h"
 #include "components/membership/directory.h"
 #include "components/once/run_request.h"
@@ -66,8 +67,10 @@
   std::function<bool(const RetryTokenRequest&)> acquire_retry_token;
   /// Accepts a run and calls `done` when it has ended.
   std::function<void(const once::RunRequest&, RunDone done)> submit;
-  /// Reserves a slot and calls `done` with the reply.
+  /// Reserves a slot and calls `done` with the reply. Cancels `abandoned` if
+  /// the reply is waited for no more before it is sent.
   std::function<void(const once::SlotRequest&,
+                     CancellationPtr abandoned,
                      std::function<void(SlotAnswer)> done)>
       reserve;
   /// Cancels an attempt whose result is not needed any more.
--- a/components/rpc/peer_server.cc
+++ b/components/rpc/peer_server.cc
@@ -6,6 +6,7 @@
 #include <map>
 #include <utility>
 
+#include "components/base/cancellation.h"
 #include "components/base/hash.h"
 #include "components/logging/log.h"
 #include "components/rpc/convert.h"
@@ -231,15 +232,23 @@
     return kj::READY_NOW;
   }
 
+  // A process that was frozen finds calls that their senders have given up. The
+  // library then destroys the promise.
   kj::Promise<void> reserve(ReserveContext context) override {
     auto [promise, done] = this->MakeReply<SlotAnswer>();
-    this->state.handlers.reserve(Read(context.getParams().getSlot()), done);
-    return promise.then(
-        [context, traffic = this->traffic](SlotAnswer answer) mutable {
+    const auto abandoned = std::make_shared<Cancellation>();
+    this->state.handlers.reserve(Read(context.getParams().getSlot()), abandoned,
+                                 done);
+    context.allowCancellation();
+    return promise
+        .then([context, abandoned,
+               traffic = this->traffic](SlotAnswer answer) mutable {
+          abandoned->OnCancel({});
           auto results = context.getResults();
           Write(answer, results.initAnswer());
           traffic->AddMessage(TrafficPurpose::kSlot, results);
-        });
+        })
+        .attach(kj::defer([abandoned] { abandoned->Cancel(); }));
   }
 
   kj::Promise<void> cancel(CancelContext context) override {
--- a/tests/guard/guard_test.cc
+++ b/tests/guard/guard_test.cc
@@ -526,6 +526,29 @@
   close(upstream.socket);
 }
 
+// Guards against slots that are held for hosts which gave up while this process
+// was frozen: the requests that came next waited in vain.
+TEST(Guard, ASlotOfASenderThatHasGivenUpIsFreeAtOnce) {
+  const auto reserve = [this](const char* request_id,
+                              const CancellationPtr& abandoned) {
+    return this->guard
+        .ReserveForPeer({.request_id = request_id,
+                         .incarnation = kIncarnation,
+                         .upstream = "lote-1",
+                         .remaining_time = Millis(1'000)},
+                        abandoned)
+        .granted;
+  };
+  const auto early = std::make_shared<Cancellation>();
+  early->Cancel();
+  reserve("given-up-before", early);
+  const auto late = std::make_shared<Cancellation>();
+  CHECK(reserve("given-up-after", late));
+  CHECK_FALSE(reserve("too-early", std::make_shared<Cancellation>()));
+  late->Cancel();
+  CHECK(reserve("next", std::make_shared<Cancellation>()));
+}
+
 TEST(Guard, OnlyASuccessProvesThatARequestIsHarmless) {
   CHECK(ProvesHarmless(once::Ran{.response = {.status = 200}}));
   CHECK_FALSE(ProvesHarmless(once::Ran{.response = {.status = 500}}));
--- a/tests/rpc/peer_clients_test.cc
+++ b/tests/rpc/peer_clients_test.cc
@@ -305,6 +305,48 @@
   CHECK(long_call.get_future().get());
 }
 
+// Guards against a server that goes on with a call whose sender has given up.
+TEST(PeerClients, AServerLearnsThatAReservationIsWaitedForNoMore) {
+  static auto* workers = new fibers::WorkerPool(1);
+  static auto* loop = new EventLoop;
+  constexpr char kKey[] = "a key for this test";
+  constexpr uint16_t kPort = kServerPort + 8;
+  static std::promise<void> given_up;
+  static auto* answered = new Cancellation;
+  static std::function<void(SlotAnswer)> unanswered;
+  static auto* server = new PeerServer(
+      *loop,
+      {.listen = {.address = "127.0.0.1", .port = kPort}, .fleet_key = kKey},
+      {.reserve = [](const once::SlotRequest& request,
+                     const CancellationPtr& abandoned,
+                     const std::function<void(SlotAnswer)>& done) {
+        if (request.request_id == "slow") {
+          abandoned->OnCancel([] { given_up.set_value(); });
+          unanswered = done;
+        } else {
+          abandoned->OnCancel([] { answered->Cancel(); });
+          done({.granted = true});
+        }
+      }});
+  CHECK(server->Start().ok());
+  static auto* peers = new PeerClients(
+      *loop, {.own_host = "127.0.0.1:1", .incarnation = 1, .fleet_key = kKey});
+  const std::string name = "127.0.0.1:" + std::to_string(kPort);
+  const auto reserve = [&](const char* id, Duration timeout) {
+    std::promise<bool> granted;
+    workers->Spawn([&] {
+      const auto answer = peers->Reserve(name, {.request_id = id}, timeout);
+      granted.set_value(answer.ok() && answer->granted);
+    });
+    return granted.get_future().get();
+  };
+  CHECK(reserve("quick", Millis(3'000)));
+  CHECK_FALSE(reserve("slow", Millis(100)));
+  CHECK(given_up.get_future().wait_for(std::chrono::seconds(2)) ==
+        std::future_status::ready);
+  CHECK_FALSE(answered->IsCancelled());
+}
+
 // The departures of a record travel among its upstreams, which older hosts
 // know.
 TEST(PeerClients, ARecordKeepsItsDepartures) {
