Reads of a peer that has proved the fleet key are passed on

Cause: EntryStream continued each read with a promise of its own, which is one more turn of the event loop for each read of the RPC library, two for a message. On hosts with a tenth of a core requests then waited until they were given up late.

--- a/components/rpc/entry_stream.cc
+++ b/components/rpc/entry_stream.cc
@@ -23,8 +23,9 @@
 kj::Promise<size_t> EntryStream::tryRead(void* buffer,
                                          size_t min_bytes,
                                          size_t max_bytes) {
-  return this->ReadPart(static_cast<kj::byte*>(buffer), min_bytes, max_bytes,
-                        0);
+  return *this->entered ? this->stream->tryRead(buffer, min_bytes, max_bytes)
+                        : this->ReadPart(static_cast<kj::byte*>(buffer),
+                                         min_bytes, max_bytes, 0);
 }
 
 // One call may ask for a whole message. Only what the limit allows is read from
