--- a/tests/rpc/peer_server_test.cc
+++ b/tests/rpc/peer_server_test.cc
@@ -18,9 +18,9 @@
 constexpr uint16_t kSlowPort = 18'478;
 
 /// A server of the test and one connection to it whose peer has no fleet key.
-class Stranger {
+class PeerWithoutKey {
  public:
-  Stranger(uint16_t port, Duration max_entry_time) {
+  PeerWithoutKey(uint16_t port, Duration max_entry_time) {
     static std::vector<PeerServer*> servers;
     static auto* loop = new EventLoop;
     servers.push_back(
@@ -42,9 +42,9 @@
                        sizeof(timeout)) == 0);
     }
   }
-  ~Stranger() { close(this->fd); }
-  Stranger(const Stranger&) = delete;
-  Stranger& operator=(const Stranger&) = delete;
+  ~PeerWithoutKey() { close(this->fd); }
+  PeerWithoutKey(const PeerWithoutKey&) = delete;
+  PeerWithoutKey& operator=(const PeerWithoutKey&) = delete;
 
   bool Send(const void* bytes, size_t size) {
     return send(this->fd, bytes, size, MSG_NOSIGNAL) ==
@@ -73,22 +73,22 @@
 TEST(PeerServer, APeerWithoutTheFleetKeySendsNoLongMessage) {
   constexpr uint32_t kWords = 7'000'000;
   const std::vector<char> chunk(1'000'000);
-  Stranger stranger(kPort, Millis(60'000));
+  PeerWithoutKey peer(kPort, Millis(60'000));
   const uint32_t segment_table[] = {0, kWords};
-  CHECK(stranger.Send(segment_table, sizeof(segment_table)));
+  CHECK(peer.Send(segment_table, sizeof(segment_table)));
   int chunks = 0;
-  while (chunks < 40 && stranger.Send(chunk.data(), chunk.size())) {
+  while (chunks < 40 && peer.Send(chunk.data(), chunk.size())) {
     ++chunks;
   }
   // The buffers of both sockets take some of them.
   CHECK(chunks < 20);
-  CHECK(stranger.IsClosed());
+  CHECK(peer.IsClosed());
 }
 
 // Guards against connections that do nothing and are kept for good.
 TEST(PeerServer, APeerThatDoesNotProveTheFleetKeyInTimeIsClosed) {
-  Stranger stranger(kSlowPort, Millis(200));
-  CHECK(stranger.IsClosed());
+  PeerWithoutKey peer(kSlowPort, Millis(200));
+  CHECK(peer.IsClosed());
 }
 
 }  // namespace
