Long responses from other hosts take memory before they are read

Callers saw (crowd_remote_responses_test): 40 clients that read responses of 8 MB slowly took a process of 96 MB to 348 MB if the upstreams were at other hosts; an ordinary request there got 503.

Cause: the outcome of a run came with its whole body in one message of the RPC library, and the body was only added to the sum when it was written, beyond the limit. Nothing waited for memory, so no slow client was closed for it.

A body of over 64 KiB is left out of the outcome. The host of the caller takes memory for it as for a response of an upstream, then reads it in parts from the ticket, which keeps it until 1 s after the deadline. The same holds for the answer to resolve. The receiver names the bound, so that hosts of earlier versions send and get whole bodies as before.

--- a/components/ingress/attempt_runner.cc
+++ b/components/ingress/attempt_runner.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "absl/strings/str_cat.h"
 #include "components/fibers/worker_pool.h"
 
 namespace kingcupstair::ingress {
@@ -148,8 +149,11 @@
   while (true) {
     const bool is_last_query = MonotonicNow() >= deadline;
     const auto answer = this->peers.Resolve(
-        host, request.request_id, request.incarnation, kResolveTimeout);
-    if (!answer.ok()) {
+        host, request.request_id, request.incarnation, kResolveTimeout,
+        std::max<Duration>(kResolveTimeout, deadline - MonotonicNow()));
+    if (absl::IsResourceExhausted(answer.status())) {
+      this->registry.OnPathReached(host);
+    } else if (!answer.ok()) {
       this->RecordPathLost(host);
     } else if (std::holds_alternative<rpc::OtherIncarnation>(*answer)) {
       return once::Unknown{
@@ -162,7 +166,10 @@
       }
     }
     if (is_last_query) {
-      return once::Unknown{.detail = "no outcome before the deadline"};
+      return once::Unknown{
+          .detail = absl::StrCat("no outcome before the deadline: ",
+                                 answer.ok() ? "the upstream is still at work"
+                                             : answer.status().message())};
     }
     fibers::SleepFor(interval);
     interval = std::min(interval * 2, kMaxResolveInterval);
--- a/components/rpc/convert.h
+++ b/components/rpc/convert.h
@@ -1,6 +1,8 @@
 #ifndef COMPONENTS_RPC_CONVERT_H_
 #define COMPONENTS_RPC_CONVERT_H_
 
+#include <cstddef>
+#include <limits>
 #include <map>
 #include <string>
 #include <vector>
@@ -19,6 +21,8 @@
 // the size of the value's; each `Read` returns a copy. Durations have the unit
 // that the name of the wire field gives.
 
+inline constexpr size_t kAnySize = std::numeric_limits<size_t>::max();
+
 void Write(const GossipMessage& message, wire::Gossip::Builder out);
 GossipMessage Read(wire::Gossip::Reader in);
 
@@ -49,10 +53,17 @@
 void Write(const once::RunRequest& request, wire::Run::Builder out);
 once::RunRequest Read(wire::Run::Reader in);
 
-void Write(const once::Outcome& outcome, wire::Outcome::Builder out);
+/// Leaves out a response body of more than `max_body_bytes`.
+void Write(const once::Outcome& outcome,
+           wire::Outcome::Builder out,
+           size_t max_body_bytes = kAnySize);
+/// Returns the size of the body that was left out of `in`; 0 if none was.
+size_t LeftOutBytes(wire::Outcome::Reader in);
 once::Outcome Read(wire::Outcome::Reader in);
 
-void Write(const ResolveAnswer& answer, wire::Resolution::Builder out);
+void Write(const ResolveAnswer& answer,
+           wire::Resolution::Builder out,
+           size_t max_body_bytes = kAnySize);
 ResolveAnswer Read(wire::Resolution::Reader in);
 
 void Write(const limits::LoanOffer& offer, wire::Offer::Builder out);
--- a/components/rpc/convert_run.cc
+++ b/components/rpc/convert_run.cc
@@ -61,7 +61,8 @@
 /// Visitor that writes each alternative of an outcome.
 class OutcomeWriter {
  public:
-  explicit OutcomeWriter(wire::Outcome::Builder out) : out(out) {}
+  OutcomeWriter(wire::Outcome::Builder out, size_t max_body_bytes)
+      : out(out), max_body_bytes(max_body_bytes) {}
 
   // An invalid status might not fit into the field and arrive as a valid one.
   void operator()(const once::Ran& ran) {
@@ -71,7 +72,12 @@
     }
     auto response = this->out.initRan();
     response.setStatus(static_cast<uint16_t>(ran.response.status));
-    response.setBody(ToData(ran.response.body.text()));
+    const std::string& body = ran.response.body.text();
+    if (body.size() > this->max_body_bytes) {
+      response.setLeftOutBytes(body.size());
+    } else {
+      response.setBody(ToData(body));
+    }
     WriteHeaders(ran.response.headers,
                  response.initHeaders(
                      static_cast<unsigned>(ran.response.headers.size())));
@@ -90,16 +96,18 @@
 
  private:
   wire::Outcome::Builder out;
+  size_t max_body_bytes;
 };
 
 /// Visitor that writes each alternative of the reply to `resolve`.
 class ResolutionWriter {
  public:
-  explicit ResolutionWriter(wire::Resolution::Builder out) : out(out) {}
+  ResolutionWriter(wire::Resolution::Builder out, size_t max_body_bytes)
+      : out(out), max_body_bytes(max_body_bytes) {}
 
   void operator()(const once::Resolution& resolution) {
     if (const auto* outcome = std::get_if<once::Outcome>(&resolution)) {
-      Write(*outcome, this->out.initOutcome());
+      Write(*outcome, this->out.initOutcome(), this->max_body_bytes);
     } else {
       this->out.setRunning();
     }
@@ -109,6 +117,7 @@
 
  private:
   wire::Resolution::Builder out;
+  size_t max_body_bytes;
 };
 
 }  // namespace
@@ -206,8 +215,14 @@
                       .body = ToString(in.getBody())}};
 }
 
-void Write(const once::Outcome& outcome, wire::Outcome::Builder out) {
-  std::visit(OutcomeWriter(out), outcome);
+void Write(const once::Outcome& outcome,
+           wire::Outcome::Builder out,
+           size_t max_body_bytes) {
+  std::visit(OutcomeWriter(out, max_body_bytes), outcome);
+}
+
+size_t LeftOutBytes(wire::Outcome::Reader in) {
+  return in.isRan() ? in.getRan().getLeftOutBytes() : 0;
 }
 
 once::Outcome Read(wire::Outcome::Reader in) {
@@ -233,8 +248,10 @@
   return once::Unknown{.detail = "an outcome of a kind not known here"};
 }
 
-void Write(const ResolveAnswer& answer, wire::Resolution::Builder out) {
-  std::visit(ResolutionWriter(out), answer);
+void Write(const ResolveAnswer& answer,
+           wire::Resolution::Builder out,
+           size_t max_body_bytes) {
+  std::visit(ResolutionWriter(out, max_body_bytes), answer);
 }
 
 ResolveAnswer Read(wire::Resolution::Reader in) {
--- a/components/rpc/peer.capnp
+++ b/components/rpc/peer.capnp
@@ -60,10 +60,11 @@
   submit @8 (run :Run) -> (ticket :Ticket);
   # Runs a request in the slot that is reserved for it. Returns as soon as the
   # request is accepted; the ticket gives the outcome.
-  resolve @9 (requestId :Text, incarnation :UInt64) -> (resolution :Resolution);
+  resolve @9 (requestId :Text, incarnation :UInt64, inlineBytes :UInt32)
+      -> (resolution :Resolution, ticket :Ticket);
   # Returns what became of an attempt. An attempt that the receiver has not
   # accepted, or not yet forwarded to its upstream, is fenced and never runs
-  # there.
+  # there. `inlineBytes` is as in `Run`; `ticket` gives a body that is left out.
 
   reserve @10 (slot :SlotRequest) -> (answer :SlotAnswer);
   # Reserves a slot of an upstream for a request that follows at once.
@@ -275,10 +276,17 @@
   repeatProbability @14 :Float64;
   workClass @15 :UInt64;
   # As in SlotRequest.
+  inlineBytes @16 :UInt32;
+  # A response body of this size or less comes with the outcome; a longer one is
+  # left out. 0 if the sender takes any body with the outcome.
 }
 
 interface Ticket {
   outcome @0 () -> (outcome :Outcome, report :Upstream, load :Load);
+
+  bodyPart @1 (offset :UInt64, size :UInt32) -> (bytes :Data);
+  # Returns a part of a response body that was left out of the outcome. The
+  # receiver keeps the body no longer than the request may take.
 }
 
 struct Load {
@@ -298,6 +306,8 @@
   status @0 :UInt16;
   headers @1 :List(Header);
   body @2 :Data;
+  leftOutBytes @3 :UInt64;
+  # Size of a body that is left out; 0 if `body` is whole.
 }
 
 struct Refusal {
--- a/components/rpc/peer.capnp.h
+++ b/components/rpc/peer.capnp.h
@@ -77,6 +77,8 @@
 CAPNP_DECLARE_SCHEMA(cecafe743a9fd3be);
 CAPNP_DECLARE_SCHEMA(8258553f25ee808b);
 CAPNP_DECLARE_SCHEMA(b7a2ffdf9a5d2fd2);
+CAPNP_DECLARE_SCHEMA(9563d20aa5227e76);
+CAPNP_DECLARE_SCHEMA(c3a3f53d51b023f9);
 CAPNP_DECLARE_SCHEMA(ef2b63743a2cf4a4);
 CAPNP_DECLARE_SCHEMA(aceb48aff02af401);
 CAPNP_DECLARE_SCHEMA(f136f1f1dab04c8b);
@@ -512,7 +514,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ce408482415e1d4b, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(ce408482415e1d4b, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -527,7 +529,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(baa6a069cee085b5, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(baa6a069cee085b5, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -964,6 +966,8 @@
 
   struct OutcomeParams;
   struct OutcomeResults;
+  struct BodyPartParams;
+  struct BodyPartResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -1003,6 +1007,36 @@
   };
 };
 
+struct Ticket::BodyPartParams {
+  BodyPartParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9563d20aa5227e76, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Ticket::BodyPartResults {
+  BodyPartResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c3a3f53d51b023f9, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Load {
   Load() = delete;
 
@@ -1046,7 +1080,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f136f1f1dab04c8b, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(f136f1f1dab04c8b, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3267,6 +3301,8 @@
 
   inline  ::uint64_t getIncarnation() const;
 
+  inline  ::uint32_t getInlineBytes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3305,6 +3341,9 @@
   inline  ::uint64_t getIncarnation();
   inline void setIncarnation( ::uint64_t value);
 
+  inline  ::uint32_t getInlineBytes();
+  inline void setInlineBytes( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3351,6 +3390,11 @@
   inline bool hasResolution() const;
   inline  ::kingcupstair::rpc::wire::Resolution::Reader getResolution() const;
 
+  inline bool hasTicket() const;
+#if !CAPNP_LITE
+  inline  ::kingcupstair::rpc::wire::Ticket::Client getTicket() const;
+#endif  // !CAPNP_LITE
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3386,6 +3430,15 @@
   inline void adoptResolution(::capnp::Orphan< ::kingcupstair::rpc::wire::Resolution>&& value);
   inline ::capnp::Orphan< ::kingcupstair::rpc::wire::Resolution> disownResolution();
 
+  inline bool hasTicket();
+#if !CAPNP_LITE
+  inline  ::kingcupstair::rpc::wire::Ticket::Client getTicket();
+  inline void setTicket( ::kingcupstair::rpc::wire::Ticket::Client&& value);
+  inline void setTicket( ::kingcupstair::rpc::wire::Ticket::Client& value);
+  inline void adoptTicket(::capnp::Orphan< ::kingcupstair::rpc::wire::Ticket>&& value);
+  inline ::capnp::Orphan< ::kingcupstair::rpc::wire::Ticket> disownTicket();
+#endif  // !CAPNP_LITE
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3405,6 +3458,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::kingcupstair::rpc::wire::Resolution::Pipeline getResolution();
+  inline  ::kingcupstair::rpc::wire::Ticket::Client getTicket();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -6151,6 +6205,8 @@
 
   inline  ::uint64_t getWorkClass() const;
 
+  inline  ::uint32_t getInlineBytes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -6263,6 +6319,9 @@
   inline  ::uint64_t getWorkClass();
   inline void setWorkClass( ::uint64_t value);
 
+  inline  ::uint32_t getInlineBytes();
+  inline void setInlineBytes( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6310,6 +6369,8 @@
 
   ::capnp::Request< ::kingcupstair::rpc::wire::Ticket::OutcomeParams,  ::kingcupstair::rpc::wire::Ticket::OutcomeResults> outcomeRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::kingcupstair::rpc::wire::Ticket::BodyPartParams,  ::kingcupstair::rpc::wire::Ticket::BodyPartResults> bodyPartRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -6330,6 +6391,10 @@
   typedef  ::kingcupstair::rpc::wire::Ticket::OutcomeResults OutcomeResults;
   typedef ::capnp::CallContext<OutcomeParams, OutcomeResults> OutcomeContext;
   virtual ::kj::Promise<void> outcome(OutcomeContext context);
+  typedef  ::kingcupstair::rpc::wire::Ticket::BodyPartParams BodyPartParams;
+  typedef  ::kingcupstair::rpc::wire::Ticket::BodyPartResults BodyPartResults;
+  typedef ::capnp::CallContext<BodyPartParams, BodyPartResults> BodyPartContext;
+  virtual ::kj::Promise<void> bodyPart(BodyPartContext context);
 
   inline  ::kingcupstair::rpc::wire::Ticket::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -6517,6 +6582,168 @@
 };
 #endif  // !CAPNP_LITE
 
+class Ticket::BodyPartParams::Reader {
+public:
+  typedef BodyPartParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getOffset() const;
+
+  inline  ::uint32_t getSize() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Ticket::BodyPartParams::Builder {
+public:
+  typedef BodyPartParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getOffset();
+  inline void setOffset( ::uint64_t value);
+
+  inline  ::uint32_t getSize();
+  inline void setSize( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Ticket::BodyPartParams::Pipeline {
+public:
+  typedef BodyPartParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Ticket::BodyPartResults::Reader {
+public:
+  typedef BodyPartResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasBytes() const;
+  inline  ::capnp::Data::Reader getBytes() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Ticket::BodyPartResults::Builder {
+public:
+  typedef BodyPartResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasBytes();
+  inline  ::capnp::Data::Builder getBytes();
+  inline void setBytes( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBytes(unsigned int size);
+  inline void adoptBytes(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBytes();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Ticket::BodyPartResults::Pipeline {
+public:
+  typedef BodyPartResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Load::Reader {
 public:
   typedef Load Reads;
@@ -6732,6 +6959,8 @@
   inline bool hasBody() const;
   inline  ::capnp::Data::Reader getBody() const;
 
+  inline  ::uint64_t getLeftOutBytes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -6777,6 +7006,9 @@
   inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownBody();
 
+  inline  ::uint64_t getLeftOutBytes();
+  inline void setLeftOutBytes( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -8194,6 +8426,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Peer::ResolveParams::Reader::getInlineBytes() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Peer::ResolveParams::Builder::getInlineBytes() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Peer::ResolveParams::Builder::setInlineBytes( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Peer::ResolveResults::Reader::hasResolution() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -8233,6 +8479,45 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::ResolveResults::Reader::hasTicket() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::ResolveResults::Builder::hasTicket() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+#if !CAPNP_LITE
+inline  ::kingcupstair::rpc::wire::Ticket::Client Peer::ResolveResults::Reader::getTicket() const {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Ticket>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::kingcupstair::rpc::wire::Ticket::Client Peer::ResolveResults::Builder::getTicket() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Ticket>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::kingcupstair::rpc::wire::Ticket::Client Peer::ResolveResults::Pipeline::getTicket() {
+  return  ::kingcupstair::rpc::wire::Ticket::Client(_typeless.getPointerField(1).asCap());
+}
+inline void Peer::ResolveResults::Builder::setTicket( ::kingcupstair::rpc::wire::Ticket::Client&& cap) {
+  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Ticket>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(cap));
+}
+inline void Peer::ResolveResults::Builder::setTicket( ::kingcupstair::rpc::wire::Ticket::Client& cap) {
+  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Ticket>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), cap);
+}
+inline void Peer::ResolveResults::Builder::adoptTicket(
+    ::capnp::Orphan< ::kingcupstair::rpc::wire::Ticket>&& value) {
+  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Ticket>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::kingcupstair::rpc::wire::Ticket> Peer::ResolveResults::Builder::disownTicket() {
+  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::Ticket>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#endif  // !CAPNP_LITE
+
 inline bool Peer::ReserveParams::Reader::hasSlot() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -11029,6 +11314,20 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Run::Reader::getInlineBytes() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Run::Builder::getInlineBytes() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Run::Builder::setInlineBytes( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Ticket::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -11170,6 +11469,68 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Ticket::BodyPartParams::Reader::getOffset() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Ticket::BodyPartParams::Builder::getOffset() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Ticket::BodyPartParams::Builder::setOffset( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Ticket::BodyPartParams::Reader::getSize() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Ticket::BodyPartParams::Builder::getSize() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Ticket::BodyPartParams::Builder::setSize( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Ticket::BodyPartResults::Reader::hasBytes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Ticket::BodyPartResults::Builder::hasBytes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Ticket::BodyPartResults::Reader::getBytes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Ticket::BodyPartResults::Builder::getBytes() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Ticket::BodyPartResults::Builder::setBytes( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Ticket::BodyPartResults::Builder::initBytes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Ticket::BodyPartResults::Builder::adoptBytes(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Ticket::BodyPartResults::Builder::disownBytes() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint32_t Load::Reader::getInFlight() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -11451,6 +11812,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Response::Reader::getLeftOutBytes() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Response::Builder::getLeftOutBytes() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Response::Builder::setLeftOutBytes( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint8_t Refusal::Reader::getReason() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/components/rpc/peer_clients.cc
+++ b/components/rpc/peer_clients.cc
@@ -6,10 +6,11 @@
 
 #include <capnp/rpc-twoparty.h>
 
-#include "components/base/error.h"
+#include "components/rpc/call_timeout.h"
 #include "components/rpc/convert.h"
 #include "components/rpc/credentials.h"
 #include "components/rpc/network.h"
+#include "components/rpc/remote_body.h"
 
 namespace kingcupstair::rpc {
 namespace {
@@ -30,33 +31,36 @@
 constexpr int kQuietChecksBeforeCall = 2;
 constexpr int kQuietChecksBeforeClose = 6;
 
-absl::Status FromException(const std::string& host,
-                           const char* step,
-                           const kj::Exception& error) {
-  // WithTimeout reports a timeout as OVERLOADED.
-  const bool timed_out = error.getType() == kj::Exception::Type::OVERLOADED;
-  return ErrorAt(timed_out ? absl::StatusCode::kDeadlineExceeded
-                           : absl::StatusCode::kUnavailable,
-                 {.step = step, .peer = host}, error.getDescription().cStr());
-}
-
-kj::Duration ToKj(Duration duration) {
-  return std::max<int64_t>(0, duration.count()) * kj::MICROSECONDS;
+/// Largest response body that a host sends with the outcome of a run. A longer
+/// one is read in parts, as the process has memory for them.
+constexpr uint32_t kInlineBodyBytes = 64 * 1024;
+
+/// Returns the body that was left out of `outcome`, or null. Only for the
+/// loop's thread.
+std::unique_ptr<RemoteBody> LeftOutBody(EventLoop& loop,
+                                        wire::Outcome::Reader outcome,
+                                        wire::Ticket::Client ticket,
+                                        const std::string& host,
+                                        std::shared_ptr<HostTraffic> traffic) {
+  const size_t bytes = LeftOutBytes(outcome);
+  return bytes == 0 ? nullptr
+                    : std::make_unique<RemoteBody>(
+                          loop, kj::mv(ticket),
+                          RemoteBody::Options{.host = host,
+                                              .bytes = bytes,
+                                              .traffic = std::move(traffic)});
 }
 
-/// Returns the result of `promise`, or an exception of type OVERLOADED if it
-/// does not arrive within `timeout`.
-template <typename T>
-kj::Promise<T> WithTimeout(EventLoop& loop,
-                           kj::Promise<T> promise,
-                           Duration timeout) {
-  return promise.exclusiveJoin(loop.io()
-                                   .provider->getTimer()
-                                   .afterDelay(ToKj(timeout))
-                                   .then([]() -> kj::Promise<T> {
-                                     return KJ_EXCEPTION(OVERLOADED,
-                                                         "no answer in time");
-                                   }));
+/// Reads the body that was left out of `outcome`.
+absl::Status Complete(once::Outcome& outcome,
+                      RemoteBody& left_out,
+                      Duration timeout) {
+  auto body = left_out.Read(timeout);
+  if (!body.ok()) {
+    return body.status();
+  }
+  std::get<once::Ran>(outcome).response.body = *std::move(body);
+  return absl::OkStatus();
 }
 
 }  // namespace
@@ -278,7 +282,7 @@
     auto peer = KJ_ASSERT_NONNULL(link.peer).addBranch();
     kj::Promise<T> call =
         peer.then([start, traffic = link.traffic](wire::Peer::Client client) {
-          return start(client, *traffic);
+          return start(client, traffic);
         });
     this->loop.AddTask(
         WithTimeout(this->loop, kj::mv(call), timeout)
@@ -300,11 +304,12 @@
                                                   Duration timeout) {
   return this->Call<GossipMessage>(
       host, "gossip", timeout,
-      [message](wire::Peer::Client& peer, HostTraffic& traffic) {
+      [message](wire::Peer::Client& peer,
+                const std::shared_ptr<HostTraffic>& traffic) {
         auto request = peer.gossipRequest();
         auto out = request.initMessage();
         Write(message, out);
-        traffic.AddGossip(request, out.getUpdates());
+        traffic->AddGossip(request, out.getUpdates());
         return request.send().then(
             [](auto response) { return Read(response.getMessage()); });
       });
@@ -368,11 +373,12 @@
     TrafficPurpose purpose) {
   return this->Call<SyncAnswer>(
       host, "sync", timeout,
-      [versions, purpose](wire::Peer::Client& peer, HostTraffic& traffic) {
+      [versions, purpose](wire::Peer::Client& peer,
+                          const std::shared_ptr<HostTraffic>& traffic) {
         auto request = peer.syncRequest();
         Write(versions,
               request.initVersions(static_cast<unsigned>(versions.size())));
-        traffic.AddMessage(purpose, request);
+        traffic->AddMessage(purpose, request);
         return request.send().then([](auto response) {
           return SyncAnswer{.updates = Read(response.getUpdates()),
                             .wanted = ReadHashes(response.getWanted())};
@@ -385,10 +391,11 @@
                                         Duration timeout) {
   return this->Call<bool>(
       helper, "probe", timeout,
-      [target](wire::Peer::Client& peer, HostTraffic& traffic) {
+      [target](wire::Peer::Client& peer,
+               const std::shared_ptr<HostTraffic>& traffic) {
         auto request = peer.probeRequest();
         request.setHost(target);
-        traffic.AddMessage(TrafficPurpose::kGossip, request);
+        traffic->AddMessage(TrafficPurpose::kGossip, request);
         return request.send().then(
             [](auto response) { return response.getReached(); });
       });
@@ -398,9 +405,10 @@
                                               Duration timeout) {
   return this->Call<std::string>(
       host, "head", timeout,
-      [](wire::Peer::Client& peer, HostTraffic& traffic) {
+      [](wire::Peer::Client& peer,
+         const std::shared_ptr<HostTraffic>& traffic) {
         auto request = peer.headRequest();
-        traffic.AddMessage(TrafficPurpose::kConfiguration, request);
+        traffic->AddMessage(TrafficPurpose::kConfiguration, request);
         return request.send().then([](auto response) {
           return std::string(response.getHead().cStr());
         });
@@ -413,13 +421,14 @@
     Duration timeout) {
   return this->Call<std::vector<std::string>>(
       host, "chunks", timeout,
-      [ids](wire::Peer::Client& peer, HostTraffic& traffic) {
+      [ids](wire::Peer::Client& peer,
+            const std::shared_ptr<HostTraffic>& traffic) {
         auto request = peer.chunksRequest();
         auto out = request.initIds(static_cast<unsigned>(ids.size()));
         for (unsigned i = 0; i < ids.size(); ++i) {
           out.set(i, ids[i]);
         }
-        traffic.AddMessage(TrafficPurpose::kConfiguration, request);
+        traffic->AddMessage(TrafficPurpose::kConfiguration, request);
         return request.send().then([](auto response) {
           std::vector<std::string> texts;
           for (const auto text : response.getTexts()) {
@@ -437,15 +446,16 @@
     Duration timeout) {
   return this->Call<std::vector<limits::LoanGrant>>(
       host, "lend", timeout,
-      [shards, loan_sequence_number](wire::Peer::Client& peer,
-                                     HostTraffic& traffic) {
+      [shards, loan_sequence_number](
+          wire::Peer::Client& peer,
+          const std::shared_ptr<HostTraffic>& traffic) {
         auto request = peer.lendRequest();
         request.setMark(loan_sequence_number);
         auto out = request.initShards(static_cast<unsigned>(shards.size()));
         for (unsigned i = 0; i < shards.size(); ++i) {
           out.set(i, static_cast<uint16_t>(shards[i]));
         }
-        traffic.AddMessage(TrafficPurpose::kLoans, request);
+        traffic->AddMessage(TrafficPurpose::kLoans, request);
         return request.send().then([](auto response) {
           std::vector<limits::LoanGrant> grants;
           for (const auto loan : response.getLoans()) {
@@ -462,10 +472,11 @@
     Duration timeout) {
   return this->Call<limits::LoanBlock>(
       host, "loan block", timeout,
-      [clearance](wire::Peer::Client& peer, HostTraffic& traffic) {
+      [clearance](wire::Peer::Client& peer,
+                  const std::shared_ptr<HostTraffic>& traffic) {
         auto request = peer.loanBlockRequest();
         request.setClearance(clearance);
-        traffic.AddMessage(TrafficPurpose::kLoans, request);
+        traffic->AddMessage(TrafficPurpose::kLoans, request);
         return request.send().then([](auto response) {
           return limits::LoanBlock{.token = response.getToken(),
                                    .hosts = response.getHosts()};
@@ -478,14 +489,15 @@
                                     Duration timeout) {
   return this
       ->Call<bool>(host, "drop loans", timeout,
-                   [lenders](wire::Peer::Client& peer, HostTraffic& traffic) {
+                   [lenders](wire::Peer::Client& peer,
+                             const std::shared_ptr<HostTraffic>& traffic) {
                      auto request = peer.dropLoansRequest();
                      auto out = request.initLenders(
                          static_cast<unsigned>(lenders.size()));
                      for (unsigned i = 0; i < lenders.size(); ++i) {
                        out.set(i, lenders[i]);
                      }
-                     traffic.AddMessage(TrafficPurpose::kLoans, request);
+                     traffic->AddMessage(TrafficPurpose::kLoans, request);
                      return request.send().then([](auto) { return true; });
                    })
       .status();
@@ -497,7 +509,8 @@
   return this
       ->Call<bool>(
           host, "give back", timeout,
-          [returned](wire::Peer::Client& peer, HostTraffic& traffic) {
+          [returned](wire::Peer::Client& peer,
+                     const std::shared_ptr<HostTraffic>& traffic) {
             auto request = peer.giveBackRequest();
             request.setLeaving(returned.leaving);
             request.setMark(returned.loan_sequence_number);
@@ -506,7 +519,7 @@
             for (unsigned i = 0; i < shards.size(); ++i) {
               out.set(i, static_cast<uint16_t>(shards[i]));
             }
-            traffic.AddMessage(TrafficPurpose::kLoans, request);
+            traffic->AddMessage(TrafficPurpose::kLoans, request);
             return request.send().then([](auto) { return true; });
           })
       .status();
@@ -518,7 +531,8 @@
     Duration timeout) {
   return this->Call<bool>(
       host, "retry", timeout,
-      [call](wire::Peer::Client& peer, HostTraffic& traffic) {
+      [call](wire::Peer::Client& peer,
+             const std::shared_ptr<HostTraffic>& traffic) {
         auto request = peer.retryRequest();
         request.setService(call.service);
         request.setOrganisation(call.organisation);
@@ -526,7 +540,7 @@
             static_cast<uint32_t>(call.requests_without_permit));
         Write(call.call_counts, request.initRepeatedCalls(static_cast<unsigned>(
                                     call.call_counts.size())));
-        traffic.AddMessage(TrafficPurpose::kPermits, request);
+        traffic->AddMessage(TrafficPurpose::kPermits, request);
         return request.send().then(
             [](auto response) { return response.getGranted(); });
       });
@@ -538,7 +552,8 @@
     Duration timeout) {
   return this->Call<limits::PermitGrant>(
       host, "acquire", timeout,
-      [call](wire::Peer::Client& peer, HostTraffic& traffic) {
+      [call](wire::Peer::Client& peer,
+             const std::shared_ptr<HostTraffic>& traffic) {
         auto request = peer.acquireRequest();
         request.setRelay(call.relay);
         request.setOrganisation(call.organisation);
@@ -549,7 +564,7 @@
         }
         Write(call.call_counts, request.initRepeatedCalls(static_cast<unsigned>(
                                     call.call_counts.size())));
-        traffic.AddMessage(TrafficPurpose::kPermits, request);
+        traffic->AddMessage(TrafficPurpose::kPermits, request);
         return request.send().then(
             [](auto response) { return Read(response.getGrant()); });
       });
@@ -559,18 +574,44 @@
     const std::string& host,
     const std::string& request_id,
     uint64_t incarnation,
-    Duration timeout) {
-  return this->Call<ResolveAnswer>(
+    Duration timeout,
+    Duration body_timeout) {
+  struct Reply {
+    ResolveAnswer answer;
+    std::unique_ptr<RemoteBody> left_out;
+  };
+  auto reply = this->Call<Reply>(
       host, "resolve", timeout,
-      [request_id, incarnation](wire::Peer::Client& peer,
-                                HostTraffic& traffic) {
+      [this, host, request_id, incarnation](
+          wire::Peer::Client& peer,
+          const std::shared_ptr<HostTraffic>& traffic) {
         auto request = peer.resolveRequest();
         request.setRequestId(request_id);
         request.setIncarnation(incarnation);
-        traffic.AddMessage(TrafficPurpose::kRun, request);
-        return request.send().then(
-            [](auto response) { return Read(response.getResolution()); });
+        request.setInlineBytes(kInlineBodyBytes);
+        traffic->AddMessage(TrafficPurpose::kRun, request);
+        return request.send().then([this, host, traffic](auto response) {
+          const auto resolution = response.getResolution();
+          Reply reply{.answer = Read(resolution)};
+          if (resolution.isOutcome()) {
+            reply.left_out = LeftOutBody(this->loop, resolution.getOutcome(),
+                                         response.getTicket(), host, traffic);
+          }
+          return reply;
+        });
       });
+  if (!reply.ok()) {
+    return reply.status();
+  }
+  if (reply->left_out != nullptr) {
+    auto& outcome =
+        std::get<once::Outcome>(std::get<once::Resolution>(reply->answer));
+    const auto status = Complete(outcome, *reply->left_out, body_timeout);
+    if (!status.ok()) {
+      return status;
+    }
+  }
+  return std::move(reply->answer);
 }
 
 absl::StatusOr<SlotAnswer> PeerClients::Reserve(const std::string& host,
@@ -578,10 +619,11 @@
                                                 Duration timeout) {
   return this->Call<SlotAnswer>(
       host, "reserve", timeout,
-      [slot](wire::Peer::Client& peer, HostTraffic& traffic) {
+      [slot](wire::Peer::Client& peer,
+             const std::shared_ptr<HostTraffic>& traffic) {
         auto request = peer.reserveRequest();
         Write(slot, request.initSlot());
-        traffic.AddMessage(TrafficPurpose::kSlot, request);
+        traffic->AddMessage(TrafficPurpose::kSlot, request);
         return request.send().then(
             [](auto response) { return Read(response.getAnswer()); });
       });
@@ -593,12 +635,13 @@
                                  Duration timeout) {
   return this
       ->Call<bool>(host, "cancel", timeout,
-                   [request_id, incarnation](wire::Peer::Client& peer,
-                                             HostTraffic& traffic) {
+                   [request_id, incarnation](
+                       wire::Peer::Client& peer,
+                       const std::shared_ptr<HostTraffic>& traffic) {
                      auto request = peer.cancelRequest();
                      request.setRequestId(request_id);
                      request.setIncarnation(incarnation);
-                     traffic.AddMessage(TrafficPurpose::kRun, request);
+                     traffic->AddMessage(TrafficPurpose::kRun, request);
                      return request.send().then([](auto) { return true; });
                    })
       .status();
@@ -610,8 +653,17 @@
                                  const once::RunRequest& run,
                                  Duration accept_timeout,
                                  Duration result_timeout) {
-  auto reply = std::make_shared<boost::fibers::promise<SubmitResult>>();
-  auto future = reply->get_future();
+  struct Reply {
+    SubmitResult result;
+    std::unique_ptr<RemoteBody> left_out;
+  };
+  struct Ended {
+    RunResult run;
+    std::unique_ptr<RemoteBody> left_out;
+  };
+  const Instant deadline = MonotonicNow() + run.remaining_time;
+  auto promise = std::make_shared<boost::fibers::promise<Reply>>();
+  auto future = promise->get_future();
   this->loop.Post([=, this] {
     Link& link = this->Connect(host);
     const uint64_t number = link.number;
@@ -620,10 +672,13 @@
     auto sent = KJ_ASSERT_NONNULL(link.peer).addBranch().then(
         [=, this, traffic = link.traffic](wire::Peer::Client peer) {
           auto request = peer.submitRequest();
-          Write(run, request.initRun());
+          auto out = request.initRun();
+          Write(run, out);
+          out.setInlineBytes(kInlineBodyBytes);
           traffic->AddMessage(TrafficPurpose::kRun, request);
           auto accepted = request.send();
-          auto result = accepted.getTicket().outcomeRequest().send();
+          wire::Ticket::Client ticket = accepted.getTicket();
+          auto result = ticket.outcomeRequest().send();
           kj::Promise<void> acceptance =
               accepted.then([this, host, number, weak, stage](auto) {
                 *stage = SubmitStage::kNoResult;
@@ -631,15 +686,21 @@
                 this->AwaitResult(host, weak.lock());
               });
           return WithTimeout(this->loop, kj::mv(acceptance), accept_timeout)
-              .then([this, result_timeout, result = kj::mv(result)]() mutable {
-                kj::Promise<RunResult> read = result.then([](auto response) {
-                  const auto load = response.getLoad();
-                  return RunResult{
-                      .outcome = Read(response.getOutcome()),
-                      .report = Read(response.getReport()),
-                      .in_flight = static_cast<int>(load.getInFlight()),
-                      .queued = static_cast<int>(load.getQueued())};
-                });
+              .then([=, this, result = kj::mv(result),
+                     ticket = kj::mv(ticket)]() mutable {
+                kj::Promise<Ended> read = result.then(
+                    [=, this, ticket = kj::mv(ticket)](auto response) mutable {
+                      const auto load = response.getLoad();
+                      return Ended{
+                          .run = {.outcome = Read(response.getOutcome()),
+                                  .report = Read(response.getReport()),
+                                  .in_flight =
+                                      static_cast<int>(load.getInFlight()),
+                                  .queued = static_cast<int>(load.getQueued())},
+                          .left_out =
+                              LeftOutBody(this->loop, response.getOutcome(),
+                                          kj::mv(ticket), host, traffic)};
+                    });
                 return WithTimeout(this->loop, kj::mv(read), result_timeout);
               });
         });
@@ -648,10 +709,11 @@
     this->loop.AddTask(
         WithTimeout(this->loop, kj::mv(sent), total_timeout)
             .then(
-                [this, reply, host, number, weak](RunResult run_result) {
+                [this, promise, host, number, weak](Ended ended) {
                   this->RecordResponse(host, number);
                   StopAwaiting(weak.lock());
-                  reply->set_value({.run = std::move(run_result)});
+                  promise->set_value({.result = {.run = std::move(ended.run)},
+                                      .left_out = std::move(ended.left_out)});
                 },
                 [=, this](kj::Exception&& error) {
                   if (*stage == SubmitStage::kNotAccepted) {
@@ -659,12 +721,20 @@
                   } else {
                     StopAwaiting(weak.lock());
                   }
-                  reply->set_value(
-                      {.stage = *stage,
-                       .status = FromException(host, "submit", error)});
+                  promise->set_value({.result = {.stage = *stage,
+                                                 .status = FromException(
+                                                     host, "submit", error)}});
                 }));
   });
-  return future.get();
+  Reply reply = future.get();
+  if (reply.left_out != nullptr) {
+    const auto status = Complete(reply.result.run.outcome, *reply.left_out,
+                                 deadline - MonotonicNow());
+    if (!status.ok()) {
+      return {.stage = SubmitStage::kNoResult, .status = status};
+    }
+  }
+  return std::move(reply.result);
 }
 
 }  // namespace kingcupstair::rpc
--- a/components/rpc/peer_clients.h
+++ b/components/rpc/peer_clients.h
@@ -113,10 +113,12 @@
                                          Duration timeout);
   /// Returns what became of an attempt at `host`. The host fences an attempt
   /// that it has not accepted, or not yet forwarded to its upstream.
+  /// `body_timeout` bounds the wait for a long response body after the answer.
   absl::StatusOr<ResolveAnswer> Resolve(const std::string& host,
                                         const std::string& request_id,
                                         uint64_t incarnation,
-                                        Duration timeout);
+                                        Duration timeout,
+                                        Duration body_timeout);
 
   /// Reserves a slot. After an error, either no slot is reserved for this
   /// request, or a slot is reserved until the reservation expires.
@@ -131,7 +133,8 @@
                       Duration timeout);
 
   /// Submits a run. `accept_timeout` bounds the wait until the run is accepted,
-  /// `result_timeout` the wait for the result after that.
+  /// `result_timeout` the wait for the result after that, and the time that the
+  /// run may take the wait for the rest of a long response.
   SubmitResult Submit(const std::string& host,
                       const once::RunRequest& request,
                       Duration accept_timeout,
--- a/components/rpc/peer_server.cc
+++ b/components/rpc/peer_server.cc
@@ -13,12 +13,24 @@
 #include "components/rpc/credentials.h"
 #include "components/rpc/entry_stream.h"
 #include "components/rpc/network.h"
+#include "components/rpc/ticket.h"
 
 namespace kingcupstair::rpc {
 namespace {
 
 /// If more challenges than this are unused, the oldest one is discarded.
 constexpr size_t kMaxUnusedNonces = 1024;
+/// How long a result is kept for its sender beyond the time that the request
+/// may take.
+constexpr Duration kResultGrace{std::chrono::seconds(1)};
+/// How long a response is kept for a sender that has asked what became of its
+/// request, while the body is read in parts.
+constexpr Duration kResolvedBodyLifetime{std::chrono::seconds(10)};
+
+/// Returns the longest body that a sender takes with the outcome.
+size_t MaxInlineBytes(uint32_t wire_bytes) {
+  return wire_bytes == 0 ? kAnySize : wire_bytes;
+}
 
 std::string ToString(capnp::Data::Reader data) {
   return {reinterpret_cast<const char*>(data.begin()), data.size()};
@@ -43,32 +55,6 @@
   kj::Own<capnp::TwoPartyServer> server;
 };
 
-/// Implements wire::Ticket for one submitted run. Every call of `outcome`
-/// returns the same result.
-class PeerServer::TicketImpl final : public wire::Ticket::Server {
- public:
-  TicketImpl(kj::Promise<RunResult> result,
-             std::shared_ptr<HostTraffic> traffic)
-      : result(result.fork()), traffic(std::move(traffic)) {}
-
-  kj::Promise<void> outcome(OutcomeContext context) override {
-    return this->result.addBranch().then(
-        [context, traffic = this->traffic](RunResult run) mutable {
-          auto out = context.getResults();
-          Write(run.outcome, out.initOutcome());
-          Write(run.report, out.initReport());
-          auto load = out.initLoad();
-          load.setInFlight(static_cast<uint32_t>(run.in_flight));
-          load.setQueued(static_cast<uint32_t>(run.queued));
-          traffic->AddMessage(TrafficPurpose::kRun, out);
-        });
-  }
-
- private:
-  kj::ForkedPromise<RunResult> result;
-  std::shared_ptr<HostTraffic> traffic;
-};
-
 /// Implements wire::Peer for one authenticated connection.
 class PeerServer::PeerImpl final : public wire::Peer::Server {
  public:
@@ -227,8 +213,12 @@
     } else {
       this->state.handlers.submit(request, done);
     }
-    context.getResults().setTicket(
-        kj::heap<TicketImpl>(kj::mv(promise), this->traffic));
+    const uint32_t inline_bytes = context.getParams().getRun().getInlineBytes();
+    context.getResults().setTicket(kj::heap<Ticket>(
+        this->loop, kj::mv(promise),
+        Ticket::Options{.max_inline_bytes = MaxInlineBytes(inline_bytes),
+                        .lifetime = request.remaining_time + kResultGrace,
+                        .traffic = this->traffic}));
     return kj::READY_NOW;
   }
 
@@ -261,8 +251,20 @@
     const auto params = context.getParams();
     const ResolveAnswer answer = this->state.handlers.resolve(
         params.getRequestId(), params.getIncarnation());
+    const size_t max_inline_bytes = MaxInlineBytes(params.getInlineBytes());
     auto results = context.getResults();
-    Write(answer, results.initResolution());
+    auto resolution = results.initResolution();
+    Write(answer, resolution, max_inline_bytes);
+    if (resolution.isOutcome() &&
+        LeftOutBytes(resolution.getOutcome().asReader()) > 0) {
+      results.setTicket(
+          kj::heap<Ticket>(this->loop,
+                           RunResult{.outcome = std::get<once::Outcome>(
+                                         std::get<once::Resolution>(answer))},
+                           Ticket::Options{.max_inline_bytes = max_inline_bytes,
+                                           .lifetime = kResolvedBodyLifetime,
+                                           .traffic = this->traffic}));
+    }
     this->traffic->AddMessage(TrafficPurpose::kRun, results);
     return kj::READY_NOW;
   }
