The peers' port accepts again after it ran out of descriptors

Callers saw (peer_port_crowd_test): after 300 connections to the peers' port of a process with 200 descriptors, other hosts did not reach its upstreams any more, also once these connections were closed: 503 until a restart.

Cause: accept fails with "Too many open files", which the RPC library throws instead of failing the promise, and that ended the chain of promises that accepts.

The error is taken in both forms, the first of a series and its end are logged, and the next try follows after 100 ms.

--- a/components/rpc/peer_server.cc
+++ b/components/rpc/peer_server.cc
@@ -4,11 +4,14 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <utility>
 
 #include "components/base/cancellation.h"
+#include "components/base/error.h"
 #include "components/base/hash.h"
 #include "components/logging/log.h"
+#include "components/rpc/call_timeout.h"
 #include "components/rpc/convert.h"
 #include "components/rpc/credentials.h"
 #include "components/rpc/entry_stream.h"
@@ -20,6 +23,9 @@
 
 /// If more challenges than this are unused, the oldest one is discarded.
 constexpr size_t kMaxUnusedNonces = 1024;
+/// Pause after a connection could not be accepted, for want of descriptors for
+/// instance.
+constexpr Duration kAcceptRetryInterval{std::chrono::milliseconds(100)};
 /// How long a result is kept for its sender beyond the time that the request
 /// may take.
 constexpr Duration kResultGrace{std::chrono::seconds(1)};
@@ -46,6 +52,8 @@
   /// Challenges that no `enter` has used yet, oldest first.
   std::deque<std::string> nonces;
   kj::Own<kj::ConnectionReceiver> receiver;
+  /// When accepting connections began to fail; nothing while it works.
+  std::optional<Instant> accept_failing_since;
 };
 
 /// One connection to this server. The server of the RPC library uses the
@@ -376,14 +384,51 @@
   return status;
 }
 
+// The library throws the error of a connection that is ready to be accepted.
 kj::Promise<void> PeerServer::AcceptAll() {
-  return this->state->receiver->accept().then(
+  auto accepted =
+      kj::evalNow([this] { return this->state->receiver->accept(); });
+  return accepted.then(
       [this](kj::Own<kj::AsyncIoStream> stream) {
+        this->RecordAccept(absl::OkStatus());
         this->loop.AddTask(this->Serve(kj::mv(stream)));
         return this->AcceptAll();
+      },
+      [this](kj::Exception&& error) {
+        this->RecordAccept(FromException(ToText(this->state->options.listen),
+                                         "accept", error));
+        return this->loop.io()
+            .provider->getTimer()
+            .afterDelay(ToKj(kAcceptRetryInterval))
+            .then([this] { return this->AcceptAll(); });
       });
 }
 
+// A series of failures is logged at its beginning and at its end.
+void PeerServer::RecordAccept(const absl::Status& status) {
+  auto& failing_since = this->state->accept_failing_since;
+  if (status.ok() == !failing_since.has_value()) {
+    return;
+  }
+  if (!status.ok()) {
+    failing_since = MonotonicNow();
+    logging::Write(logging::Level::kWarning,
+                   "no connections of peers are accepted",
+                   {{.name = "step", .value = OriginOf(status).step},
+                    {.name = "peer", .value = OriginOf(status).peer},
+                    {.name = "error", .value = MessageOf(status)}});
+    return;
+  }
+  const Duration failed_for = MonotonicNow() - *failing_since;
+  failing_since.reset();
+  logging::Write(
+      logging::Level::kWarning, "connections of peers are accepted again",
+      {{.name = "failed_ms",
+        .value = std::to_string(
+            std::chrono::duration_cast<std::chrono::milliseconds>(failed_for)
+                .count())}});
+}
+
 kj::Promise<void> PeerServer::Serve(kj::Own<kj::AsyncIoStream> stream) {
   const auto entered = std::make_shared<bool>(false);
   auto connection = kj::heap<Connection>();
--- a/components/rpc/peer_server.h
+++ b/components/rpc/peer_server.h
@@ -41,6 +41,7 @@
   struct State;
 
   kj::Promise<void> AcceptAll();
+  void RecordAccept(const absl::Status& status);
   kj::Promise<void> Serve(kj::Own<kj::AsyncIoStream> stream);
 
   EventLoop& loop;
