News reaches each host without luck: one of three that are told is the next by name

config_spread_test failed by itself: a change was in force at two hosts of eight after 417 and 421 ms, with 250 ms for all but one.

Cause: a host that has news tells three random others. Now and then a host is picked by nobody, and learns the news when others tell again 400 ms later.

One of the three is now the next host in the order of the names, so that news which each host passes on reaches all; two stay random. As many messages are sent as before.

--- a/components/control/config_loop.cc
+++ b/components/control/config_loop.cc
@@ -297,8 +297,8 @@
   return true;
 }
 
-// The peers to tell are random, and a peer that needs to be told may be missed
-// the first time. A host that had the change from the store needs no second
+// A peer that needs to be told may be missed the first time, if the one before
+// it is silent. A host that had the change from the store needs no second
 // round: then the store serves changes to most others too.
 void ConfigLoop::SpreadAgainLater() {
   fibers::Launch("spread the configuration again", [this] {
--- a/components/control/gossip_loop.cc
+++ b/components/control/gossip_loop.cc
@@ -239,16 +239,17 @@
       .ok();
 }
 
-// Peers that are paused or cut off count as alive for some seconds, so all that
-// were picked may be silent.
+// A host that all others miss with their random picks is told by the one before
+// it. Peers that are paused or cut off count as alive for some seconds, so all
+// that were picked may be silent.
 void GossipLoop::SpreadNow() {
   int responded = 0;
   for (int round = 0; responded == 0 && round < kMaxSpreadRounds; ++round) {
     std::vector<std::string> targets;
     {
       const std::lock_guard lock(this->mutex);
-      targets = this->prober.RandomHostsExcept(this->AliveTargets(), "",
-                                               kMaxSpreadTargets);
+      targets = this->prober.HostsToTell(
+          this->AliveTargets(), this->fleet.settings.host, kMaxSpreadTargets);
     }
     responded = fibers::CallEach(targets, [this](const std::string& target) {
       return this->ExchangeWithRetry(target);
--- a/components/membership/prober.cc
+++ b/components/membership/prober.cc
@@ -36,4 +36,21 @@
   return chosen;
 }
 
+std::vector<std::string> Prober::HostsToTell(
+    const std::vector<std::string>& hosts,
+    const std::string& own_host,
+    size_t count) {
+  std::vector<std::string> others = hosts;
+  std::erase(others, own_host);
+  if (others.empty() || count == 0) {
+    return {};
+  }
+  std::sort(others.begin(), others.end());
+  auto next = std::upper_bound(others.begin(), others.end(), own_host);
+  const std::string successor = next == others.end() ? others.front() : *next;
+  auto chosen = this->RandomHostsExcept(others, successor, count - 1);
+  chosen.push_back(successor);
+  return chosen;
+}
+
 }  // namespace kingcupstair::membership
