An upstream that leaves does not end the search for a slot

Callers saw (shutdown_test on beside a load of 20): one request of 525 was refused with draining while other upstreams could have run it.

Cause: it waited in the queue of the host that was told to stop, and any refusal there ended the search.

A refusal that means that the upstream takes no request any more (draining, withdrawn, gone, another incarnation, isolated, not reached) now only removes that upstream, and the search goes on within its limits.

--- a/components/ingress/slot_search.cc
+++ b/components/ingress/slot_search.cc
@@ -21,6 +21,22 @@
              : load;
 }
 
+/// Returns whether an upstream that refuses for `reason` takes no request any
+/// more, however long it is waited for.
+bool IsOutOfUse(once::RefusalReason reason) {
+  switch (reason) {
+    case once::RefusalReason::kWrongIncarnation:
+    case once::RefusalReason::kWithdrawn:
+    case once::RefusalReason::kDraining:
+    case once::RefusalReason::kUpstreamGone:
+    case once::RefusalReason::kConnectFailed:
+    case once::RefusalReason::kIsolated:
+      return true;
+    default:
+      return false;
+  }
+}
+
 }  // namespace
 
 SlotSearch::SlotSearch(Options options) : options(options) {}
@@ -81,10 +97,28 @@
   return {};
 }
 
+// An upstream that leaves while a request waits in its queue must not end the
+// search for one elsewhere.
+void SlotSearch::Forget(const ChosenUpstream& choice) {
+  const auto is_choice = [&](const auto& each) {
+    return each.choice == choice;
+  };
+  std::erase_if(this->busier_than_usual, is_choice);
+  std::erase_if(this->without_free_slot, is_choice);
+  std::erase_if(this->unhealthy, is_choice);
+}
+
 void SlotSearch::OnRefused(const SlotStep& step,
                            const ChosenUpstream& choice,
                            const rpc::SlotAnswer& answer) {
   this->refusal = answer.refusal;
+  if (IsOutOfUse(answer.refusal.reason)) {
+    this->Forget(choice);
+    if (this->tried.insert(choice.upstream).second) {
+      ++this->tried_count;
+    }
+    return;
+  }
   if (step.kind == SlotStep::Kind::kQueue ||
       step.kind == SlotStep::Kind::kLastResort) {
     this->final_step_refused = true;
--- a/components/ingress/slot_search.h
+++ b/components/ingress/slot_search.h
@@ -50,7 +50,9 @@
 ///      it is more likely to serve the request than to fail it;
 ///   5. the queue of the least loaded upstream that had no free slot;
 ///   6. the upstream that is least likely to fail among the unhealthy ones.
-/// The first tries prefer the own availability zone.
+/// The first tries prefer the own availability zone. An upstream that turns out
+/// to be out of use, also while the request waits in its queue, is left out,
+/// and the search goes on.
 ///
 /// The order fits many ingresses with few requests each. No ingress knows how
 /// busy the upstreams are now. The guard of each upstream knows that exactly,
@@ -108,6 +110,8 @@
     double failure_probability = 0;
   };
 
+  /// Removes an upstream that takes no request any more.
+  void Forget(const ChosenUpstream& choice);
   /// Returns the upstream of `unhealthy` that is least likely to be failing.
   const UnhealthyUpstream& LeastUnhealthy() const;
   static ChosenUpstream LeastLoaded(const std::vector<LoadedUpstream>& all);
--- a/tests/ingress/slot_search_test.cc
+++ b/tests/ingress/slot_search_test.cc
@@ -53,6 +53,29 @@
   CHECK(search.Next().any_zone);
 }
 
+// Guards against requests that waited in the queue of a host when it was told
+// to stop, and were refused although other upstreams were there
+// (shutdown_test).
+TEST(SlotSearch, AnUpstreamThatLeavesDoesNotEndTheSearch) {
+  for (const auto reason :
+       {once::RefusalReason::kDraining, once::RefusalReason::kConnectFailed}) {
+    SlotSearch search({.max_tried_idle = 1, .max_tried = 3});
+    Refuse(search, "a", once::RefusalReason::kQueueFull, 8);
+    Refuse(search, "b", once::RefusalReason::kQueueFull, 9);
+    Refuse(search, "c", once::RefusalReason::kUpstreamUnhealthy);
+    SlotStep step = search.Next();
+    CHECK(step.kind == Kind::kTryDoubtful);
+    search.OnRefused(step, step.choice, Refused(reason));
+    for (const char* upstream : {"a", "b"}) {
+      step = search.Next();
+      CHECK(step.kind == Kind::kQueue);
+      STRCMP_EQUAL(upstream, step.choice.upstream.c_str());
+      search.OnRefused(step, step.choice, Refused(reason));
+    }
+    CHECK(search.Next().kind == Kind::kGiveUp);
+  }
+}
+
 // Load pattern: all slots of all upstreams are in use.
 TEST(SlotSearch, QueuesOnceAtTheLeastLoadedUpstreamAndThenGivesUp) {
   SlotSearch search({.max_tried_idle = 1, .max_tried = 2});
