The memory for bodies of other hosts bears any stated length

A host states the length of a body when it asks for a slot. A length near the largest number overflowed the sum, so that this body and others passed without memory. Only hosts with the fleet key can state one; nothing of this was seen.

The sum is compared without an addition that can overflow, and a single body counts as all the memory at most. PeerBodies, BearAnyStatedLength fails before. The bytes of a megabyte stand in one place now.

--- a/apps/kingcupstaird/daemon.cc
+++ b/apps/kingcupstaird/daemon.cc
@@ -52,10 +52,9 @@
 /// one more copy of a body while its message is read, and growth of the other
 /// messages.
 constexpr double kPeerBodyFraction = 0.62;
-constexpr double kBytesPerMb = 1e6;
 
 size_t MaxPeerBodyBytes(int memory_mb) {
-  return static_cast<size_t>(kPeerBodyFraction * kBytesPerMb * memory_mb);
+  return http::PartOfMemory(memory_mb, kPeerBodyFraction);
 }
 
 /// Descriptors that are kept for peers, the store, upstreams and operators: a
--- a/components/guard/peer_bodies.cc
+++ b/components/guard/peer_bodies.cc
@@ -38,16 +38,18 @@
   if (place != this->waiting.end()) {
     this->waiting.erase(place);
   }
+  // A single body of any length takes all the memory at most.
   this->held[request_id] = {
-      .lease = std::make_shared<LeasedBytes>(this->total, bytes),
+      .lease = std::make_shared<LeasedBytes>(
+          this->total, std::min(bytes, this->options.max_bytes)),
       .expires_at = expires_at};
   return true;
 }
 
 bool PeerBodies::Fits(size_t bytes) const {
-  return *this->total == 0 ||
-         *this->total + this->options.own_bytes() + bytes <=
-             this->options.max_bytes;
+  const size_t taken = *this->total + this->options.own_bytes();
+  return *this->total == 0 || (taken <= this->options.max_bytes &&
+                               bytes <= this->options.max_bytes - taken);
 }
 
 void PeerBodies::StopWaiting(const std::string& request_id) {
--- a/components/http/byte_lease.cc
+++ b/components/http/byte_lease.cc
@@ -9,7 +9,6 @@
 namespace kingcupstair::http {
 namespace {
 
-constexpr double kBytesPerMb = 1e6;
 /// Part of the memory of a process that is planned for messages. The rest is
 /// for the process itself (17 MB), the reserve for small messages, one long
 /// request and one long response beyond the budget, and copies while a body
@@ -59,9 +58,13 @@
   return {.used = process.budget.used(), .closed = process.closed};
 }
 
+size_t PartOfMemory(int memory_mb, double fraction) {
+  constexpr double kBytesPerMb = 1e6;
+  return static_cast<size_t>(memory_mb * kBytesPerMb * fraction);
+}
+
 size_t MessageBytesOf(int memory_mb) {
-  return static_cast<size_t>(static_cast<double>(memory_mb) * kBytesPerMb *
-                             kMessageFraction);
+  return PartOfMemory(memory_mb, kMessageFraction);
 }
 
 void BoundMessageMemory(int memory_mb) {
--- a/components/http/byte_lease.h
+++ b/components/http/byte_lease.h
@@ -11,6 +11,9 @@
 /// Sets the budget of this process. Call before the first lease is taken.
 void SetProcessByteBudget(const ByteBudget::Options& options);
 
+/// Returns the bytes of a part of `memory_mb` millions of bytes.
+size_t PartOfMemory(int memory_mb, double fraction);
+
 /// Returns the bytes of all messages for a process with `memory_mb` millions of
 /// bytes; 0 if the memory is not known.
 size_t MessageBytesOf(int memory_mb);
--- a/tests/guard/peer_bodies_test.cc
+++ b/tests/guard/peer_bodies_test.cc
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <limits>
+
 #include "tests/support/times.h"
 
 namespace kingcupstair::guard {
@@ -42,6 +44,20 @@
   CHECK_FALSE(this->TryHold("b", 1));
 }
 
+// Guards against a length stated by another host that overflows the sum, which
+// then let all others pass.
+TEST(PeerBodies, BearAnyStatedLength) {
+  constexpr size_t kLongest = std::numeric_limits<size_t>::max();
+  CHECK(this->TryHold("a", 1));
+  CHECK_FALSE(this->bodies.TryHold("b", kLongest, At(1'000)));
+  this->bodies.Drop("a");
+  CHECK(this->bodies.TryHold("b", kLongest, At(1'000)));
+  this->own_bytes = 1;
+  CHECK_FALSE(this->TryHold("c", 1));
+  this->bodies.Drop("b");
+  CHECK(this->TryHold("c", 1));
+}
+
 TEST(PeerBodies, GiveMemoryInTheOrderInWhichAttemptsBeganToWait) {
   CHECK(this->TryHold("a", 8));
   CHECK_FALSE(this->TryHold("long", 9));
