Logs tell how a configuration was read, how long that took and why a read failed

The log had one line when a configuration came into force. Whether it was late because the read was slow, failed, or the translation took long looked the same. Failed reads of the store were logged once, when the store became unreachable; failed fetches from other hosts not at all.

--- a/components/control/config_loop.cc
+++ b/components/control/config_loop.cc
@@ -45,6 +45,20 @@
                             : store::ContentVersion();
 }
 
+size_t BytesOf(const std::vector<store::KeyedEntry>& entries) {
+  size_t bytes = 0;
+  for (const store::KeyedEntry& entry : entries) {
+    bytes += entry.entry.value.size();
+  }
+  return bytes;
+}
+
+/// Returns how a configuration was read, for operators.
+std::string DescribeRead(size_t bytes, Instant start) {
+  return absl::StrCat(bytes, " bytes read in ",
+                      ToMillisRoundedUp(MonotonicNow() - start), " ms");
+}
+
 }  // namespace
 
 ConfigLoop::ConfigLoop(Fleet& fleet)
@@ -125,9 +139,20 @@
   return status.ok();
 }
 
+void ConfigLoop::LogFailedRead(const std::string& source,
+                               Instant start,
+                               const absl::Status& status) {
+  logging::Write(
+      logging::Level::kWarning, "the configuration could not be read",
+      {{.name = "source", .value = source},
+       {.name = "after_ms",
+        .value = absl::StrCat(ToMillisRoundedUp(MonotonicNow() - start))},
+       {.name = "error", .value = MessageOf(status)}});
+}
+
 void ConfigLoop::WatchSource(const site::OperatorRecords& source) {
   if (this->records.DropFormerRecords(MonotonicNow())) {
-    this->AdoptRecords(source);
+    this->AdoptRecords(source, "records of a former era dropped");
   }
   const auto revision = this->records.WatchFrom();
   if (revision.has_value()) {
@@ -138,11 +163,15 @@
 }
 
 void ConfigLoop::ReadRecords(const site::OperatorRecords& source) {
+  const Instant start = MonotonicNow();
   const auto listing =
       this->fleet.store.List(source.prefix, /*may_be_stale=*/false);
+  if (!listing.ok()) {
+    this->LogFailedRead(kStoreSource, start, listing.status());
+  }
   if (this->RecordStoreStatus(listing.status())) {
     this->records.OnListing(*listing, MonotonicNow());
-    this->AdoptRecords(source);
+    this->AdoptRecords(source, DescribeRead(BytesOf(listing->entries), start));
   }
 }
 
@@ -163,11 +192,14 @@
     return;
   }
   if (this->records.OnChanges(*changes)) {
-    this->AdoptRecords(source);
+    this->AdoptRecords(
+        source, absl::StrCat(BytesOf(changes->entries), " bytes from a watch"));
   }
 }
 
-void ConfigLoop::AdoptRecords(const site::OperatorRecords& source) {
+void ConfigLoop::AdoptRecords(const site::OperatorRecords& source,
+                              const std::string& read) {
+  const Instant start = MonotonicNow();
   const auto in_force = this->records.All();
   const config::Head head{
       .revision =
@@ -185,7 +217,10 @@
     return;
   }
   this->RecordAdjustments(rules->adjustments);
-  if (this->AdoptText(head, rules->text)) {
+  const std::string translated =
+      absl::StrCat(read, ", translated in ",
+                   ToMillisRoundedUp(MonotonicNow() - start), " ms");
+  if (this->AdoptText(head, rules->text, translated)) {
     return;
   }
   const config::ValidRules valid = config::KeepValidRules(rules->text);
@@ -198,10 +233,12 @@
         absl::StrCat("a rule is left out, ", config::ToText(error)));
   }
   this->RecordAdjustments(left_out);
-  this->AdoptText(head, valid.text);
+  this->AdoptText(head, valid.text, translated);
 }
 
-bool ConfigLoop::AdoptText(config::Head head, const std::string& text) {
+bool ConfigLoop::AdoptText(config::Head head,
+                           const std::string& text,
+                           const std::string& read) {
   const auto chunks = config::SplitIntoChunks(text);
   for (const config::Chunk& chunk : chunks) {
     head.chunks.push_back(chunk.id);
@@ -212,7 +249,7 @@
   for (const config::Chunk& chunk : chunks) {
     this->fleet.config.AddChunk(chunk.id, chunk.text);
   }
-  return this->Adopt(kStoreSource);
+  return this->Adopt(kStoreSource, read);
 }
 
 // The operators have a confirmation for all of the version. What can't be used
@@ -253,6 +290,8 @@
   if (!this->fleet.config.OfferHead(head_text)) {
     return;
   }
+  const Instant start = MonotonicNow();
+  size_t bytes = 0;
   for (const std::string& id : this->fleet.config.MissingChunks()) {
     const auto chunk = this->fleet.store.Get(store::ChunkKey(id));
     if (!chunk.ok() || !this->fleet.config.AddChunk(id, chunk->value)) {
@@ -262,32 +301,44 @@
                       {.name = "chunk", .value = id}});
       return;
     }
+    bytes += chunk->value.size();
   }
-  this->Adopt(kStoreSource);
+  this->Adopt(kStoreSource, DescribeRead(bytes, start));
 }
 
 bool ConfigLoop::FetchFromPeer(const std::string& peer) {
+  const Instant start = MonotonicNow();
+  size_t bytes = 0;
   const auto head = this->fleet.peers.Head(peer, kPeerTimeout);
-  if (!head.ok() || !this->fleet.config.OfferHead(*head)) {
+  if (!head.ok()) {
+    this->LogFailedRead(peer, start, head.status());
+    return false;
+  }
+  if (!this->fleet.config.OfferHead(*head)) {
     return false;
   }
   const auto missing = this->fleet.config.MissingChunks();
-  for (size_t start = 0; start < missing.size(); start += kMaxChunksPerCall) {
-    const size_t end = std::min(start + kMaxChunksPerCall, missing.size());
+  for (size_t first = 0; first < missing.size(); first += kMaxChunksPerCall) {
+    const size_t end = std::min(first + kMaxChunksPerCall, missing.size());
     const std::vector<std::string> ids(
-        missing.begin() + static_cast<std::ptrdiff_t>(start),
+        missing.begin() + static_cast<std::ptrdiff_t>(first),
         missing.begin() + static_cast<std::ptrdiff_t>(end));
     const auto texts = this->fleet.peers.Chunks(peer, ids, kPeerTimeout);
-    if (!texts.ok() || texts->size() != ids.size()) {
+    if (!texts.ok()) {
+      this->LogFailedRead(peer, start, texts.status());
       return false;
     }
     for (size_t i = 0; i < ids.size(); ++i) {
-      if (!this->fleet.config.AddChunk(ids[i], (*texts)[i])) {
+      if (i >= texts->size() ||
+          !this->fleet.config.AddChunk(ids[i], (*texts)[i])) {
+        this->LogFailedRead(peer, start,
+                            absl::NotFoundError("the peer lacks a chunk"));
         return false;
       }
+      bytes += (*texts)[i].size();
     }
   }
-  if (!this->Adopt(peer)) {
+  if (!this->Adopt(peer, DescribeRead(bytes, start))) {
     return false;
   }
   const std::lock_guard lock(this->mutex);
@@ -307,7 +358,8 @@
   });
 }
 
-bool ConfigLoop::Adopt(const std::string& source) {
+bool ConfigLoop::Adopt(const std::string& source, const std::string& read) {
+  const Instant start = MonotonicNow();
   const auto before = this->fleet.config.snapshot().Read();
   const Adoption adoption = this->fleet.config.TryAdopt();
   for (const config::RuleError& error : adoption.errors) {
@@ -316,8 +368,11 @@
          .detail = absl::StrCat("from ", source, ": ", ToText(error))});
   }
   if (adoption.changed) {
-    this->fleet.recorder.Record({.kind = "configuration_in_force",
-                                 .detail = absl::StrCat("from ", source)});
+    this->fleet.recorder.Record(
+        {.kind = "configuration_in_force",
+         .detail =
+             absl::StrCat("from ", source, ", ", read, ", adopted in ",
+                          ToMillisRoundedUp(MonotonicNow() - start), " ms")});
     this->fleet.spread_updates();
     if (source != kStoreSource) {
       this->SpreadAgainLater();
--- a/components/control/config_loop.h
+++ b/components/control/config_loop.h
@@ -43,18 +43,28 @@
   /// and sleeps for a back-off period after a failed call. Returns whether the
   /// call succeeded.
   bool RecordStoreStatus(const absl::Status& status);
+  /// Logs a failed try to read the configuration.
+  void LogFailedRead(const std::string& source,
+                     Instant start,
+                     const absl::Status& status);
   void ReadRecords(const site::OperatorRecords& source);
   void WatchRecords(const site::OperatorRecords& source, uint64_t revision);
-  void AdoptRecords(const site::OperatorRecords& source);
+  /// Adopts the records as last read if they are newer than the rules in force.
+  /// `read` tells how they were read.
+  void AdoptRecords(const site::OperatorRecords& source,
+                    const std::string& read);
   /// Offers a text of rules and adopts it. Returns false if it is invalid or
   /// not newer.
-  bool AdoptText(config::Head head, const std::string& text);
+  bool AdoptText(config::Head head,
+                 const std::string& text,
+                 const std::string& read);
   void RecordAdjustments(const std::vector<std::string>& adjustments);
   /// Records an event when the store has been restored from an older copy.
   void NoticeEra();
   void FetchFromStore(const std::string& head_text);
-  /// Returns true if the rules in force have changed.
-  bool Adopt(const std::string& source);
+  /// Returns true if the rules in force have changed. `read` tells how the new
+  /// ones were read.
+  bool Adopt(const std::string& source, const std::string& read);
   /// Tells a few peers of the configuration once more, after a delay.
   void SpreadAgainLater();
   /// Records an event for each zone and upstream that `after` takes out of
