A configuration that stops coming keeps no other out of force

What callers saw: with revision 1 in force, a host that had heard of revision 9 and never got its chunks refused what revisions 5 and 6 allow, although it had received both whole.

Cause: Replica had one pending head for all sources. The loop of the store and the loop of the peers filled it without knowing of each other: the higher head stayed, whoever had named it and fell silent, and an adoption dropped the chunks that the other loop had received.

Evidence: Replica, AHeadWhoseChunksDoNotComeKeepsNoOtherOut failed before (expected 6, was 1). AnAdoptionDropsNoChunkOfANewerVersion could not come as far as its check before, since nothing was adopted beside a pending head.

Each source now receives a configuration of its own (Reception), which is adopted if its revision is still above the active one. Nothing that a source does not send can stand in the way of another.

--- a/components/control/config_keeper.cc
+++ b/components/control/config_keeper.cc
@@ -1,30 +1,29 @@
 #include "components/control/config_keeper.h"
 
+#include <utility>
+
+#include "components/base/error.h"
+#include "components/logging/log.h"
+
 namespace kingcupstair::control {
 
-bool ConfigKeeper::OfferHead(const std::string& text) {
-  const auto head = config::DecodeHead(text);
+std::optional<config::Reception> ConfigKeeper::Receive(
+    const std::string& head_text) const {
+  auto head = config::DecodeHead(head_text);
   if (!head.ok()) {
-    return false;
+    logging::Write(logging::Level::kWarning,
+                   "the head of a configuration can't be read",
+                   {{.name = "error", .value = MessageOf(head.status())}});
+    return std::nullopt;
   }
   const std::lock_guard lock(this->mutex);
-  return this->replica.Offer(*head) == config::OfferResult::kPending;
-}
-
-std::vector<std::string> ConfigKeeper::MissingChunks() const {
-  const std::lock_guard lock(this->mutex);
-  return this->replica.MissingChunks();
-}
-
-bool ConfigKeeper::AddChunk(const std::string& id, const std::string& text) {
-  const std::lock_guard lock(this->mutex);
-  return this->replica.AddChunk(id, text);
+  return this->replica.Receive(*std::move(head));
 }
 
-Adoption ConfigKeeper::TryAdopt() {
+Adoption ConfigKeeper::Adopt(const config::Reception& received) {
   const std::lock_guard lock(this->mutex);
   const config::Head former = this->replica.ActiveHead();
-  const auto errors = this->replica.TryAdopt();
+  const auto errors = this->replica.Adopt(received);
   if (!errors.has_value()) {
     return {};
   }
--- a/components/control/config_keeper.h
+++ b/components/control/config_keeper.h
@@ -2,21 +2,23 @@
 #define COMPONENTS_CONTROL_CONFIG_KEEPER_H_
 
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "components/base/snapshot.h"
 #include "components/config/configuration.h"
+#include "components/config/reception.h"
 #include "components/config/replica.h"
 
 namespace kingcupstair::control {
 
-/// The result of an attempt to adopt the pending configuration.
+/// The result of an attempt to adopt a received configuration.
 struct Adoption {
   /// Whether another content is in force; a revision may have the same content
   /// as the one before.
   bool changed = false;
-  /// The errors for which the pending text was rejected; empty if it was not
+  /// The errors for which the text was rejected; empty if it was not
   /// rejected.
   std::vector<config::RuleError> errors;
 };
@@ -25,21 +27,13 @@
 /// under a lock, and a snapshot that requests read without locks.
 class ConfigKeeper {
  public:
-  /// Decodes a head and makes it the pending one if its revision is higher than
-  /// the active one. Returns false if the text can't be decoded or the revision
-  /// is not higher.
-  bool OfferHead(const std::string& text);
+  /// Decodes a head and begins to receive its configuration. Returns nullopt if
+  /// the text can't be decoded or the revision is not above the active one.
+  std::optional<config::Reception> Receive(const std::string& head_text) const;
 
-  /// Returns the ids of the chunks that the pending head still lacks.
-  std::vector<std::string> MissingChunks() const;
-
-  /// Adds a chunk of the pending head. Returns false if `text` is not the
-  /// content of the chunk `id`.
-  bool AddChunk(const std::string& id, const std::string& text);
-
-  /// Makes the pending configuration the active one if all its chunks are
-  /// present and its text is valid.
-  Adoption TryAdopt();
+  /// Makes a received configuration the active one if all its chunks are
+  /// present, its text is valid and its revision is still above the active one.
+  Adoption Adopt(const config::Reception& received);
 
   /// Returns the encoded head of the active configuration.
   std::string HeadText() const;
--- a/components/control/config_loop.cc
+++ b/components/control/config_loop.cc
@@ -243,13 +243,14 @@
   for (const config::Chunk& chunk : chunks) {
     head.chunks.push_back(chunk.id);
   }
-  if (!this->fleet.config.OfferHead(config::EncodeHead(head))) {
+  auto reception = this->fleet.config.Receive(config::EncodeHead(head));
+  if (!reception.has_value()) {
     return false;
   }
   for (const config::Chunk& chunk : chunks) {
-    this->fleet.config.AddChunk(chunk.id, chunk.text);
+    reception->AddChunk(chunk.id, chunk.text);
   }
-  return this->Adopt(kStoreSource, read);
+  return this->Adopt(*reception, kStoreSource, read);
 }
 
 // The operators have a confirmation for all of the version. What can't be used
@@ -287,14 +288,15 @@
 }
 
 void ConfigLoop::FetchFromStore(const std::string& head_text) {
-  if (!this->fleet.config.OfferHead(head_text)) {
+  auto reception = this->fleet.config.Receive(head_text);
+  if (!reception.has_value()) {
     return;
   }
   const Instant start = MonotonicNow();
   size_t bytes = 0;
-  for (const std::string& id : this->fleet.config.MissingChunks()) {
+  for (const std::string& id : reception->MissingChunks()) {
     const auto chunk = this->fleet.store.Get(store::ChunkKey(id));
-    if (!chunk.ok() || !this->fleet.config.AddChunk(id, chunk->value)) {
+    if (!chunk.ok() || !reception->AddChunk(id, chunk->value)) {
       logging::Write(logging::Level::kWarning,
                      "a chunk of the configuration could not be read",
                      {{.name = "step", .value = "read chunk"},
@@ -303,21 +305,13 @@
     }
     bytes += chunk->value.size();
   }
-  this->Adopt(kStoreSource, DescribeRead(bytes, start));
+  this->Adopt(*reception, kStoreSource, DescribeRead(bytes, start));
 }
 
-bool ConfigLoop::FetchFromPeer(const std::string& peer) {
-  const Instant start = MonotonicNow();
+absl::StatusOr<size_t> ConfigLoop::FetchChunks(const std::string& peer,
+                                               config::Reception& reception) {
   size_t bytes = 0;
-  const auto head = this->fleet.peers.Head(peer, kPeerTimeout);
-  if (!head.ok()) {
-    this->LogFailedRead(peer, start, head.status());
-    return false;
-  }
-  if (!this->fleet.config.OfferHead(*head)) {
-    return false;
-  }
-  const auto missing = this->fleet.config.MissingChunks();
+  const auto missing = reception.MissingChunks();
   for (size_t first = 0; first < missing.size(); first += kMaxChunksPerCall) {
     const size_t end = std::min(first + kMaxChunksPerCall, missing.size());
     const std::vector<std::string> ids(
@@ -325,20 +319,36 @@
         missing.begin() + static_cast<std::ptrdiff_t>(end));
     const auto texts = this->fleet.peers.Chunks(peer, ids, kPeerTimeout);
     if (!texts.ok()) {
-      this->LogFailedRead(peer, start, texts.status());
-      return false;
+      return texts.status();
     }
     for (size_t i = 0; i < ids.size(); ++i) {
-      if (i >= texts->size() ||
-          !this->fleet.config.AddChunk(ids[i], (*texts)[i])) {
-        this->LogFailedRead(peer, start,
-                            absl::NotFoundError("the peer lacks a chunk"));
-        return false;
+      if (i >= texts->size() || !reception.AddChunk(ids[i], (*texts)[i])) {
+        return absl::NotFoundError(
+            absl::StrCat(peer, " lacks the chunk ", ids[i]));
       }
       bytes += (*texts)[i].size();
     }
   }
-  if (!this->Adopt(peer, DescribeRead(bytes, start))) {
+  return bytes;
+}
+
+bool ConfigLoop::FetchFromPeer(const std::string& peer) {
+  const Instant start = MonotonicNow();
+  const auto head = this->fleet.peers.Head(peer, kPeerTimeout);
+  if (!head.ok()) {
+    this->LogFailedRead(peer, start, head.status());
+    return false;
+  }
+  auto reception = this->fleet.config.Receive(*head);
+  if (!reception.has_value()) {
+    return false;
+  }
+  const auto bytes = this->FetchChunks(peer, *reception);
+  if (!bytes.ok()) {
+    this->LogFailedRead(peer, start, bytes.status());
+    return false;
+  }
+  if (!this->Adopt(*reception, peer, DescribeRead(*bytes, start))) {
     return false;
   }
   const std::lock_guard lock(this->mutex);
@@ -358,10 +368,12 @@
   });
 }
 
-bool ConfigLoop::Adopt(const std::string& source, const std::string& read) {
+bool ConfigLoop::Adopt(const config::Reception& received,
+                       const std::string& source,
+                       const std::string& read) {
   const Instant start = MonotonicNow();
   const auto before = this->fleet.config.snapshot().Read();
-  const Adoption adoption = this->fleet.config.TryAdopt();
+  const Adoption adoption = this->fleet.config.Adopt(received);
   for (const config::RuleError& error : adoption.errors) {
     this->fleet.recorder.Record(
         {.kind = "configuration_refused",
--- a/components/control/config_loop.h
+++ b/components/control/config_loop.h
@@ -6,7 +6,9 @@
 #include <random>
 #include <string>
 
+#include "absl/status/statusor.h"
 #include "components/base/backoff.h"
+#include "components/config/reception.h"
 #include "components/control/fleet.h"
 #include "components/store/records_view.h"
 
@@ -62,9 +64,14 @@
   /// Records an event when the store has been restored from an older copy.
   void NoticeEra();
   void FetchFromStore(const std::string& head_text);
+  /// Fetches the missing chunks of a configuration. Returns the bytes read.
+  absl::StatusOr<size_t> FetchChunks(const std::string& peer,
+                                     config::Reception& reception);
   /// Returns true if the rules in force have changed. `read` tells how the new
   /// ones were read.
-  bool Adopt(const std::string& source, const std::string& read);
+  bool Adopt(const config::Reception& received,
+             const std::string& source,
+             const std::string& read);
   /// Tells a few peers of the configuration once more, after a delay.
   void SpreadAgainLater();
   /// Records an event for each zone and upstream that `after` takes out of
--- a/tests/config/replica_test.cc
+++ b/tests/config/replica_test.cc
@@ -27,17 +27,33 @@
       revision, "service s" + std::to_string(revision) + " # asked by: R\n");
 }
 
-void OfferAndTryAdopt(Replica& replica, const Version& version) {
-  replica.Offer(version.head);
+/// A text of several chunks.
+std::string LongText() {
+  constexpr int kLines = 2000;
+  std::string text;
+  for (int i = 0; i < kLines; ++i) {
+    text += "service s" + std::to_string(i) + " # asked by: R\n";
+  }
+  return text;
+}
+
+void AddAllChunks(Reception& reception, const Version& version) {
   for (const Chunk& chunk : version.chunks) {
-    replica.AddChunk(chunk.id, chunk.text);
+    reception.AddChunk(chunk.id, chunk.text);
+  }
+}
+
+void ReceiveAndAdopt(Replica& replica, const Version& version) {
+  auto reception = replica.Receive(version.head);
+  if (reception.has_value()) {
+    AddAllChunks(*reception, version);
+    replica.Adopt(*reception);
   }
-  replica.TryAdopt();
 }
 
 Configuration ActiveOf(const Version& version) {
   Replica replica;
-  OfferAndTryAdopt(replica, version);
+  ReceiveAndAdopt(replica, version);
   return *replica.ActiveConfiguration();
 }
 
@@ -47,28 +63,30 @@
 
 TEST(Replica, AdoptsOnlyWithAllChunks) {
   const Version version = ValidVersion(1);
-  CHECK(this->replica.Offer(version.head) == OfferResult::kPending);
-  CHECK_FALSE(this->replica.TryAdopt().has_value());
+  auto reception = this->replica.Receive(version.head);
+  CHECK(reception.has_value());
+  CHECK_FALSE(this->replica.Adopt(*reception).has_value());
   LONGS_EQUAL(0, this->replica.ActiveConfiguration()->revision());
-  CHECK(this->replica.AddChunk(version.chunks[0].id, version.chunks[0].text));
-  CHECK(this->replica.TryAdopt().has_value());
+  CHECK(reception->AddChunk(version.chunks[0].id, version.chunks[0].text));
+  CHECK(this->replica.Adopt(*reception).has_value());
   LONGS_EQUAL(1, this->replica.ActiveConfiguration()->revision());
 }
 
 TEST(Replica, NeverAdoptsOlderRevision) {
-  OfferAndTryAdopt(this->replica, ValidVersion(2));
-  CHECK(this->replica.Offer(ValidVersion(1).head) == OfferResult::kOlder);
-  OfferAndTryAdopt(this->replica, ValidVersion(1));
+  ReceiveAndAdopt(this->replica, ValidVersion(2));
+  CHECK_FALSE(this->replica.Receive(ValidVersion(1).head).has_value());
+  ReceiveAndAdopt(this->replica, ValidVersion(1));
   LONGS_EQUAL(2, this->replica.ActiveConfiguration()->revision());
 }
 
 TEST(Replica, AdoptsTheSameContentAtAHigherRevision) {
   const Version first = ValidVersion(1);
-  OfferAndTryAdopt(this->replica, first);
+  ReceiveAndAdopt(this->replica, first);
   Version again = first;
   again.head.revision = 3;
-  CHECK(this->replica.Offer(again.head) == OfferResult::kPending);
-  CHECK(this->replica.TryAdopt().has_value());
+  const auto reception = this->replica.Receive(again.head);
+  CHECK(reception.has_value());
+  CHECK(this->replica.Adopt(*reception).has_value());
   LONGS_EQUAL(3, this->replica.ActiveConfiguration()->revision());
   CHECK(*this->replica.ActiveConfiguration() ==
         ActiveOf(MakeVersion(3, this->replica.ActiveText())));
@@ -76,18 +94,52 @@
 
 TEST(Replica, RejectsChunkWhoseTextDoesNotMatchItsId) {
   const Version version = ValidVersion(1);
-  this->replica.Offer(version.head);
-  CHECK_FALSE(this->replica.AddChunk(version.chunks[0].id, "other text"));
+  auto reception = this->replica.Receive(version.head);
+  CHECK(reception.has_value());
+  CHECK_FALSE(reception->AddChunk(version.chunks[0].id, "other text"));
+  CHECK_FALSE(reception->IsComplete());
 }
 
 TEST(Replica, KeepsActiveRevisionIfTextIsInvalid) {
-  OfferAndTryAdopt(this->replica, ValidVersion(1));
-  OfferAndTryAdopt(this->replica, MakeVersion(2, "nonsense # asked by: R\n"));
+  ReceiveAndAdopt(this->replica, ValidVersion(1));
+  ReceiveAndAdopt(this->replica, MakeVersion(2, "nonsense # asked by: R\n"));
   LONGS_EQUAL(1, this->replica.ActiveConfiguration()->revision());
-  OfferAndTryAdopt(this->replica, ValidVersion(3));
+  ReceiveAndAdopt(this->replica, ValidVersion(3));
   LONGS_EQUAL(3, this->replica.ActiveConfiguration()->revision());
 }
 
+TEST(Replica, AHeadWhoseChunksDoNotComeKeepsNoOtherOut) {
+  ReceiveAndAdopt(this->replica, ValidVersion(1));
+  auto silent = this->replica.Receive(ValidVersion(9).head);
+  ReceiveAndAdopt(this->replica, ValidVersion(5));
+  ReceiveAndAdopt(this->replica, ValidVersion(6));
+  LONGS_EQUAL(6, this->replica.ActiveConfiguration()->revision());
+  AddAllChunks(*silent, ValidVersion(9));
+  CHECK(this->replica.Adopt(*silent).has_value());
+  LONGS_EQUAL(9, this->replica.ActiveConfiguration()->revision());
+}
+
+TEST(Replica, AnAdoptionDropsNoChunkOfANewerVersion) {
+  const Version newer = MakeVersion(9, LongText());
+  auto reception = this->replica.Receive(newer.head);
+  reception->AddChunk(newer.chunks[0].id, newer.chunks[0].text);
+  ReceiveAndAdopt(this->replica, ValidVersion(5));
+  LONGS_EQUAL(5, this->replica.ActiveConfiguration()->revision());
+  for (size_t i = 1; i < newer.chunks.size(); ++i) {
+    reception->AddChunk(newer.chunks[i].id, newer.chunks[i].text);
+  }
+  CHECK(this->replica.Adopt(*reception).has_value());
+  LONGS_EQUAL(9, this->replica.ActiveConfiguration()->revision());
+}
+
+TEST(Replica, AReceptionIsNotAdoptedOverANewerVersion) {
+  auto late = this->replica.Receive(ValidVersion(5).head);
+  AddAllChunks(*late, ValidVersion(5));
+  ReceiveAndAdopt(this->replica, ValidVersion(9));
+  CHECK_FALSE(this->replica.Adopt(*late).has_value());
+  LONGS_EQUAL(9, this->replica.ActiveConfiguration()->revision());
+}
+
 TEST(Replica, ActiveRevisionNeverDecreases) {
   const bool property_holds =
       rc::check("the active revision never decreases", [] {
@@ -97,9 +149,13 @@
             *rc::gen::container<std::vector<int>>(40, rc::gen::inRange(1, 12));
         for (const int offer : offers) {
           const Version version = ValidVersion(static_cast<uint64_t>(offer));
-          replica.Offer(version.head);
+          auto reception = replica.Receive(version.head);
           if (offer % 3 != 0) {
-            OfferAndTryAdopt(replica, version);
+            ReceiveAndAdopt(replica, version);
+          }
+          if (reception.has_value()) {
+            AddAllChunks(*reception, version);
+            replica.Adopt(*reception);
           }
           RC_ASSERT(replica.ActiveConfiguration()->revision() >= highest);
           highest = replica.ActiveConfiguration()->revision();
