A read of the store may take as long as its bytes keep coming

What callers saw: hosts with links of 10 Mbit/s had a configuration of 2,800 routes late, and those whose watch had ended could not read it: each listing was cut off after one second and begun anew, with a growing delay. Until a watch or another host brought it, they refused what the new version allows.

Cause: the timeout of a call to the store bounded the whole response. A record of 0.71 MB is 0.95 MB on the wire, 0.76 s of an idle link of 10 Mbit/s; the longest record of 1 MB takes longer than the timeout on any such link.

StoreClient, AListingThatTakesLongerThanTheTimeoutIsRead failed before.

The timeout now bounds the time until the response begins; from then on it may take 12 s, while no pause is longer than a second. A store that is silent is noticed as before, and so is a response that stops coming.

--- a/components/http/client.cc
+++ b/components/http/client.cc
@@ -238,7 +238,8 @@
 ReadResult Receive(const Call& call, Connection& connection, Instant deadline) {
   ResponseReader reader({.server = call.server,
                          .without_body = call.request.method == "HEAD",
-                         .deadline = deadline},
+                         .deadline = deadline,
+                         .transfer_timeout = call.transfer_timeout},
                         connection.stream, connection.buffer);
   for (int discarded = 0; discarded <= kMaxDiscardedResponses; ++discarded) {
     ReadResult response = reader.ReadNext();
--- a/components/http/client.h
+++ b/components/http/client.h
@@ -38,8 +38,12 @@
 struct Call {
   Endpoint server;
   Request request;
-  /// Timeout of the whole exchange.
+  /// Timeout of the whole exchange, or until the response begins if
+  /// `transfer_timeout` is set.
   Duration timeout{std::chrono::seconds(5)};
+  /// If not zero, a response that has begun in time may take this long while it
+  /// keeps coming.
+  Duration transfer_timeout{};
   /// Timeout of opening a connection.
   Duration connect_timeout{std::chrono::seconds(1)};
   /// Allows an idle keep-alive connection to be reused. Set to false where a
--- a/components/http/response_reader.cc
+++ b/components/http/response_reader.cc
@@ -27,6 +27,9 @@
 /// of a body what the smallest chunks need.
 constexpr size_t kMaxFramingBytes = size_t{4} * kMaxHeadBytes;
 constexpr size_t kMaxFramingPerBodyByte = 8;
+/// Longest pause between two parts of a response whose transfer has a timeout
+/// of its own.
+constexpr Duration kMaxTransferPause{std::chrono::seconds(1)};
 constexpr Duration kMemoryPollInterval{std::chrono::milliseconds(5)};
 constexpr int kFirstInterimStatus = 100;
 constexpr int kSwitchingProtocols = 101;
@@ -199,13 +202,29 @@
   if (MonotonicNow() >= this->options.deadline) {
     return beast::error::timeout;
   }
+  if (this->transferring) {
+    this->stream.expires_after(
+        std::min(this->options.deadline - MonotonicNow(), kMaxTransferPause));
+  }
   const auto received = fibers::Await([&](auto handler) {
     this->stream.async_read_some(this->buffer.prepare(kReceiveBytes), handler);
   });
   this->buffer.commit(received.bytes);
+  if (!received.error) {
+    this->AllowTransfer();
+  }
   return received.error;
 }
 
+void ResponseReader::AllowTransfer() {
+  if (this->transferring || this->options.transfer_timeout == Duration{}) {
+    return;
+  }
+  this->transferring = true;
+  this->options.deadline = std::max(
+      this->options.deadline, MonotonicNow() + this->options.transfer_timeout);
+}
+
 beast::error_code ResponseReader::CountFraming(size_t bytes,
                                                size_t body_bytes) {
   this->framing_bytes += bytes;
--- a/components/http/response_reader.h
+++ b/components/http/response_reader.h
@@ -33,6 +33,9 @@
     /// The responses have no body, whatever their heads say.
     bool without_body = false;
     Instant deadline;
+    /// If not zero, a response that has begun by the deadline may take this
+    /// long from then on, while it keeps coming.
+    Duration transfer_timeout{};
   };
 
   ResponseReader(Options options,
@@ -47,6 +50,8 @@
   ReadResult ReadOne();
   /// Receives more bytes into the buffer.
   boost::beast::error_code Receive();
+  /// Moves the deadline of a response that has begun.
+  void AllowTransfer();
   /// Adds to the bytes that belong to no body. Returns an error if they are too
   /// many for `body_bytes` of body.
   boost::beast::error_code CountFraming(size_t bytes, size_t body_bytes);
@@ -54,6 +59,8 @@
   Options options;
   boost::beast::tcp_stream& stream;
   boost::beast::flat_buffer& buffer;
+  /// Whether the deadline is that of the transfer.
+  bool transferring = false;
   /// Bytes of all responses read here that are not part of a body.
   size_t framing_bytes = 0;
 };
--- a/components/store/client.cc
+++ b/components/store/client.cc
@@ -27,6 +27,7 @@
       {.server = this->options.server,
        .request = request,
        .timeout = timeout,
+       .transfer_timeout = this->options.transfer_timeout,
        .reuse_connection = reuse_connection && request.method == "GET" &&
                            this->may_reuse_connections->load(),
        .detect_silence = true,
--- a/components/store/client.h
+++ b/components/store/client.h
@@ -19,10 +19,13 @@
  public:
   struct Options {
     Endpoint server;
-    /// Timeout of a call. A watch adds its waiting time. The default is four
-    /// times the response time of a store that is 60 times slower than its
-    /// usual 4 ms.
+    /// Timeout of a call until its response begins. A watch adds its waiting
+    /// time. The default is four times the response time of a store that is 60
+    /// times slower than its usual 4 ms.
     Duration timeout{std::chrono::seconds(1)};
+    /// Timeout of a response that has begun, while it keeps coming. The default
+    /// is what ten of the longest values of 1 MB take on a link of 10 Mbit/s.
+    Duration transfer_timeout{std::chrono::seconds(12)};
     Protocol protocol = FleetProtocol();
   };
 
--- a/tests/http/raw_server.h
+++ b/tests/http/raw_server.h
@@ -1,6 +1,7 @@
 #ifndef TESTS_HTTP_RAW_SERVER_H_
 #define TESTS_HTTP_RAW_SERVER_H_
 
+#include <chrono>
 #include <string>
 #include <thread>
 #include <vector>
@@ -22,6 +23,9 @@
     bool reset = false;
     /// Sent once a further request has arrived on the connection, unless empty.
     std::string next = {};
+    /// Parts in which the text is sent, with a pause after each.
+    int parts = 1;
+    std::chrono::milliseconds pause{};
   };
 
   explicit RawServer(std::vector<Reply> replies);
@@ -30,6 +34,7 @@
   Endpoint Address() const { return this->endpoint; }
 
  private:
+  static void SendText(int connection, const Reply& reply);
   void Run();
 
   std::vector<Reply> replies;
--- a/tests/store/client_test.cc
+++ b/tests/store/client_test.cc
@@ -2,6 +2,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <chrono>
 #include <functional>
 #include <future>
 #include <string>
@@ -56,8 +57,45 @@
   return pages;
 }
 
+/// Lists from a store with one entry whose value comes in `parts`, with `pause`
+/// after each. Returns whether the listing is whole.
+bool ListsLongValue(int parts, std::chrono::milliseconds pause) {
+  constexpr size_t kValueBytes = 1'000'000;
+  static auto* workers = new fibers::WorkerPool(1);
+  const RawServer server({{.text = "HTTP/1.1 200 OK\r\nContent-Length: " +
+                                   std::to_string(kValueBytes) + "\r\n\r\n" +
+                                   std::string(kValueBytes, 'v'),
+                           .parts = parts,
+                           .pause = pause}});
+  Protocol protocol = FleetProtocol();
+  protocol.list = [](const ListCall&) { return http::Request{}; };
+  protocol.read_listing = [](const http::Response& response) {
+    return Listing{
+        .entries = {{.key = "a",
+                     .entry = {.value = response.body.text(), .version = 1}}}};
+  };
+  const Client client({.server = server.Address(), .protocol = protocol});
+  std::promise<bool> ended;
+  workers->Spawn([&] {
+    const auto listing = client.List("a", false);
+    ended.set_value(listing.ok() &&
+                    listing->entries.at(0).entry.value.size() == kValueBytes);
+  });
+  return ended.get_future().get();
+}
+
 TEST_GROUP(StoreClient){};
 
+// A host with a link of 10 Mbit/s never had a large configuration: each read
+// was cut off after one second and begun anew.
+TEST(StoreClient, AListingThatTakesLongerThanTheTimeoutIsRead) {
+  CHECK(ListsLongValue(20, std::chrono::milliseconds(100)));
+}
+
+TEST(StoreClient, AListingThatStopsComingIsAnError) {
+  CHECK_FALSE(ListsLongValue(2, std::chrono::milliseconds(2500)));
+}
+
 // A listing without end filled the memory of the process.
 TEST(StoreClient, AListingThatDoesNotEndIsAnError) {
   LONGS_EQUAL(
