Reads of the store do not wait for the memory of clients' messages

What callers saw: while clients held the memory for messages with long responses that they read slowly, a host could not read a configuration of over 64 KiB, and refused what the confirmed version allows.

Cause: the reader of responses takes memory from the budget of clients' messages for every response, also for those of the store, in order behind the others.

Evidence: StoreClient, AListingDoesNotWaitForTheMemoryOfClients failed before.

Responses of the store are not counted there. They are bounded by the longest response that is read, and by the memory for unfinished responses of one server.

--- a/components/http/client.cc
+++ b/components/http/client.cc
@@ -239,7 +239,8 @@
   ResponseReader reader({.server = call.server,
                          .without_body = call.request.method == "HEAD",
                          .deadline = deadline,
-                         .transfer_timeout = call.transfer_timeout},
+                         .transfer_timeout = call.transfer_timeout,
+                         .counts_as_message = call.counts_as_message},
                         connection.stream, connection.buffer);
   for (int discarded = 0; discarded <= kMaxDiscardedResponses; ++discarded) {
     ReadResult response = reader.ReadNext();
--- a/components/http/client.h
+++ b/components/http/client.h
@@ -57,6 +57,9 @@
   /// Sends keep-alive probes over a new connection, so that a connection that
   /// has gone silent is found long before the timeout of a long exchange.
   bool detect_silence = false;
+  /// Counts the response in the memory of messages of callers. Set to false for
+  /// responses that must not wait for callers.
+  bool counts_as_message = true;
   /// Longest time that a reused connection may have been idle. A shorter
   /// timeout in the server's Keep-Alive header takes precedence.
   Duration max_idle_time{std::chrono::seconds(4)};
--- a/components/http/response_reader.cc
+++ b/components/http/response_reader.cc
@@ -144,7 +144,9 @@
   parser.body_limit(kMaxResponseBodyBytes);
   parser.skip(this->options.without_body);
   MemoryShare share(this->options.server);
-  const ByteLeasePtr lease = ByteLease::Take(ByteBudget::Kind::kResponse);
+  const ByteLeasePtr lease = this->options.counts_as_message
+                                 ? ByteLease::Take(ByteBudget::Kind::kResponse)
+                                 : nullptr;
   bool needs_more = false;
   while (!parser.is_done()) {
     beast::error_code error;
--- a/components/http/response_reader.h
+++ b/components/http/response_reader.h
@@ -36,6 +36,8 @@
     /// If not zero, a response that has begun by the deadline may take this
     /// long from then on, while it keeps coming.
     Duration transfer_timeout{};
+    /// Counts the response in the memory of messages of callers.
+    bool counts_as_message = true;
   };
 
   ResponseReader(Options options,
--- a/components/store/client.cc
+++ b/components/store/client.cc
@@ -31,6 +31,7 @@
        .reuse_connection = reuse_connection && request.method == "GET" &&
                            this->may_reuse_connections->load(),
        .detect_silence = true,
+       .counts_as_message = false,
        .cancellation = cancellation});
   this->may_reuse_connections->store(result.ok());
   if (!result.ok()) {
--- a/tests/store/client_test.cc
+++ b/tests/store/client_test.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "components/fibers/worker_pool.h"
+#include "components/http/byte_lease.h"
 #include "tests/http/raw_server.h"
 #include "tests/support/times.h"
 
@@ -96,6 +97,21 @@
   CHECK_FALSE(ListsLongValue(2, std::chrono::milliseconds(2500)));
 }
 
+// The configuration stayed out of force while clients read long responses
+// slowly.
+TEST(StoreClient, AListingDoesNotWaitForTheMemoryOfClients) {
+  http::SetProcessByteBudget({.bytes = 100'000});
+  {
+    const auto beyond =
+        http::ByteLease::Take(http::ByteBudget::Kind::kResponse);
+    const auto waits = http::ByteLease::Take(http::ByteBudget::Kind::kResponse);
+    CHECK(beyond->TryGrow(200'000) == http::ByteBudget::Grant::kGranted);
+    CHECK(waits->TryGrow(200'000) == http::ByteBudget::Grant::kWait);
+    CHECK(ListsLongValue(1, {}));
+  }
+  http::SetProcessByteBudget({});
+}
+
 // A listing without end filled the memory of the process.
 TEST(StoreClient, AListingThatDoesNotEndIsAnError) {
   LONGS_EQUAL(
