--- a/components/config/chunks.cc
+++ b/components/config/chunks.cc
@@ -7,12 +7,17 @@
 namespace kingcupstair::config {
 namespace {
 
-constexpr uint64_t kMeanLinesPerChunk = 128;
+/// One line in this many ends a chunk. A chunk that has more lines is long: one
+/// line in fewer ends it, so that no change of a line changes a long text.
+constexpr uint64_t kLinesPerEnd = 64;
+constexpr uint64_t kLinesPerEndOfLongChunk = 8;
 constexpr size_t kMaxChunkBytes = 256 * 1024;
 constexpr size_t kIdHexDigits = 32;
 
-bool IsChunkEnd(std::string_view line) {
-  return StableHash(line) % kMeanLinesPerChunk == 0;
+bool IsChunkEnd(std::string_view line, size_t lines_before) {
+  const uint64_t lines =
+      lines_before < kLinesPerEnd ? kLinesPerEnd : kLinesPerEndOfLongChunk;
+  return StableHash(line) % lines == 0;
 }
 
 }  // namespace
@@ -24,9 +29,11 @@
 std::vector<Chunk> SplitIntoChunks(std::string_view text) {
   std::vector<Chunk> chunks;
   std::string pending;
+  size_t pending_lines = 0;
   const auto finish_chunk = [&] {
     chunks.push_back({.id = ChunkId(pending), .text = pending});
     pending.clear();
+    pending_lines = 0;
   };
   while (!text.empty()) {
     const size_t end = std::min(text.find('\n'), text.size() - 1) + 1;
@@ -36,7 +43,7 @@
     }
     pending.append(line);
     text.remove_prefix(end);
-    if (IsChunkEnd(line)) {
+    if (IsChunkEnd(line, pending_lines++)) {
       finish_chunk();
     }
   }
--- a/components/config/chunks.h
+++ b/components/config/chunks.h
@@ -20,7 +20,7 @@
 std::string ChunkId(std::string_view text);
 
 /// Splits a text into chunks. Chunk boundaries depend on the content of lines,
-/// so a change to one line changes the ids of at most two chunks.
+/// so a change to one line changes the ids of few chunks.
 std::vector<Chunk> SplitIntoChunks(std::string_view text);
 
 }  // namespace kingcupstair::config
