The version of the configuration is read without parsing all of it

The record was parsed whole twice: once for its version, once for its rules.

The version is found by a parser that stops there.

--- a/tests/platform/operator_records_test.cc
+++ b/tests/platform/operator_records_test.cc
@@ -223,6 +223,22 @@
                config.FindByKeyDigest(Sha256Hex("key"))->name.c_str());
 }
 
+TEST(OperatorRecords, TheContentVersionIsTheOutermostNumberOfThatName) {
+  const auto version = [](const std::string& value) {
+    return ReadContentVersion({Record("op/evacuate/z", "{\"version\":1}"),
+                               Record("op/config", value)});
+  };
+  LONGS_EQUAL(7, version(R"({"version":7,"resources":[{"version":8}]})"));
+  LONGS_EQUAL(7,
+              version(R"({"resources":[{"version":8},[1,{}]],"version":7})"));
+  LONGS_EQUAL(7, version(R"({"a":{"version":8},"b":"version","version":7})"));
+  LONGS_EQUAL(0, version(R"({"version":"7"})"));
+  LONGS_EQUAL(0, version(R"({"version":{"version":7}})"));
+  LONGS_EQUAL(0, version(R"([{"version":7}])"));
+  LONGS_EQUAL(0, version("not JSON"));
+  LONGS_EQUAL(0, ReadContentVersion({}));
+}
+
 TEST(OperatorRecords, MissingOrUnreadableConfigurationIsAnError) {
   CHECK_FALSE(TranslateRecords({}).ok());
   CHECK_FALSE(TranslateRecords({Record("op/config", "not JSON")}).ok());
