A watch that brings a change is not ended because a peer had it first

A host ends its watch if another host has had a change for 0.5 s that the watch has not brought, and lists the records anew.

Evidence: StoreClient, AWatchThatBringsAChangeIsNotCancelled failed before.

Once a response has begun, a cancellation of the watch has no effect. A response that stops coming ends by its own timeout.

--- a/components/control/config_loop.cc
+++ b/components/control/config_loop.cc
@@ -185,7 +185,7 @@
        .after = revision,
        .wait = this->records.WatchTime(this->WatchTime(), MonotonicNow()),
        .cancellation = cancellation});
-  if (cancellation->IsCancelled()) {
+  if (!changes.ok() && cancellation->IsCancelled()) {
     this->records.Invalidate();
     return;
   }
@@ -274,7 +274,8 @@
                                     this->WatchTime(), cancellation)
           : this->fleet.store.Get(store::kHeadKey);
   this->head_up_to_date = false;
-  const bool ended = cancellation != nullptr && cancellation->IsCancelled();
+  const bool ended =
+      !entry.ok() && cancellation != nullptr && cancellation->IsCancelled();
   if (ended || !this->RecordStoreStatus(entry.status())) {
     return;
   }
--- a/components/http/client.cc
+++ b/components/http/client.cc
@@ -236,11 +236,17 @@
 
 /// Reads responses until one to this request is complete.
 ReadResult Receive(const Call& call, Connection& connection, Instant deadline) {
+  const auto on_begin = [&call] {
+    if (call.finish_begun_response && call.cancellation != nullptr) {
+      call.cancellation->OnCancel(nullptr);
+    }
+  };
   ResponseReader reader({.server = call.server,
                          .without_body = call.request.method == "HEAD",
                          .deadline = deadline,
                          .transfer_timeout = call.transfer_timeout,
-                         .counts_as_message = call.counts_as_message},
+                         .counts_as_message = call.counts_as_message,
+                         .on_begin = on_begin},
                         connection.stream, connection.buffer);
   for (int discarded = 0; discarded <= kMaxDiscardedResponses; ++discarded) {
     ReadResult response = reader.ReadNext();
--- a/components/http/client.h
+++ b/components/http/client.h
@@ -66,6 +66,8 @@
   /// Cancels the exchange and closes its connection; may be null. A request
   /// that is cancelled before its connection is open is not sent.
   CancellationPtr cancellation;
+  /// A cancellation has no effect once the response has begun.
+  bool finish_begun_response = false;
   /// Keeps the request from being sent, and has no effect afterwards. For
   /// requests that must not be aborted once the server may run them. May be
   /// null.
--- a/components/http/response_reader.cc
+++ b/components/http/response_reader.cc
@@ -204,7 +204,7 @@
   if (MonotonicNow() >= this->options.deadline) {
     return beast::error::timeout;
   }
-  if (this->transferring) {
+  if (this->begun && this->options.transfer_timeout > Duration{}) {
     this->stream.expires_after(
         std::min(this->options.deadline - MonotonicNow(), kMaxTransferPause));
   }
@@ -212,19 +212,21 @@
     this->stream.async_read_some(this->buffer.prepare(kReceiveBytes), handler);
   });
   this->buffer.commit(received.bytes);
-  if (!received.error) {
-    this->AllowTransfer();
+  if (!received.error && !std::exchange(this->begun, true)) {
+    this->OnBegin();
   }
   return received.error;
 }
 
-void ResponseReader::AllowTransfer() {
-  if (this->transferring || this->options.transfer_timeout == Duration{}) {
-    return;
+void ResponseReader::OnBegin() {
+  if (this->options.transfer_timeout > Duration{}) {
+    this->options.deadline =
+        std::max(this->options.deadline,
+                 MonotonicNow() + this->options.transfer_timeout);
+  }
+  if (this->options.on_begin) {
+    this->options.on_begin();
   }
-  this->transferring = true;
-  this->options.deadline = std::max(
-      this->options.deadline, MonotonicNow() + this->options.transfer_timeout);
 }
 
 beast::error_code ResponseReader::CountFraming(size_t bytes,
--- a/components/http/response_reader.h
+++ b/components/http/response_reader.h
@@ -1,6 +1,7 @@
 #ifndef COMPONENTS_HTTP_RESPONSE_READER_H_
 #define COMPONENTS_HTTP_RESPONSE_READER_H_
 
+#include <functional>
 #include <string>
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -38,6 +39,8 @@
     Duration transfer_timeout{};
     /// Counts the response in the memory of messages of callers.
     bool counts_as_message = true;
+    /// Called when the first bytes of a response have come; may be empty.
+    std::function<void()> on_begin;
   };
 
   ResponseReader(Options options,
@@ -53,7 +56,7 @@
   /// Receives more bytes into the buffer.
   boost::beast::error_code Receive();
   /// Moves the deadline of a response that has begun.
-  void AllowTransfer();
+  void OnBegin();
   /// Adds to the bytes that belong to no body. Returns an error if they are too
   /// many for `body_bytes` of body.
   boost::beast::error_code CountFraming(size_t bytes, size_t body_bytes);
@@ -61,8 +64,8 @@
   Options options;
   boost::beast::tcp_stream& stream;
   boost::beast::flat_buffer& buffer;
-  /// Whether the deadline is that of the transfer.
-  bool transferring = false;
+  /// Whether bytes of a response have come.
+  bool begun = false;
   /// Bytes of all responses read here that are not part of a body.
   size_t framing_bytes = 0;
 };
--- a/components/store/client.cc
+++ b/components/store/client.cc
@@ -32,7 +32,8 @@
                            this->may_reuse_connections->load(),
        .detect_silence = true,
        .counts_as_message = false,
-       .cancellation = cancellation});
+       .cancellation = cancellation,
+       .finish_begun_response = true});
   this->may_reuse_connections->store(result.ok());
   if (!result.ok()) {
     return ErrorAt(result.failure.status.code(),
--- a/tests/store/client_test.cc
+++ b/tests/store/client_test.cc
@@ -5,7 +5,9 @@
 #include <chrono>
 #include <functional>
 #include <future>
+#include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "components/fibers/worker_pool.h"
@@ -112,6 +114,40 @@
   http::SetProcessByteBudget({});
 }
 
+// A host on a slow link gave up the change that its watch was bringing because
+// another host had it half a second before.
+TEST(StoreClient, AWatchThatBringsAChangeIsNotCancelled) {
+  static auto* workers = new fibers::WorkerPool(1);
+  const RawServer server({{.text = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n"
+                                   "\r\n0123456789",
+                           .parts = 10,
+                           .pause = std::chrono::milliseconds(50)},
+                          {.text = "", .hold_open = true}});
+  Protocol protocol = FleetProtocol();
+  protocol.watch = [](const WatchCall&) { return http::Request{}; };
+  protocol.read_changes = [](const http::Response& response) {
+    return Changes{.revision = response.body.size()};
+  };
+  const Client client({.server = server.Address(), .protocol = protocol});
+  const auto watch = [&](Duration cancelled_after) {
+    const auto cancellation = std::make_shared<Cancellation>();
+    std::promise<absl::StatusOr<Changes>> ended;
+    workers->Spawn([&] {
+      ended.set_value(client.WatchPrefix(
+          {.wait = std::chrono::seconds(20), .cancellation = cancellation}));
+    });
+    std::this_thread::sleep_for(cancelled_after);
+    cancellation->Cancel();
+    return ended.get_future().get();
+  };
+  const auto begun = watch(Millis(200));
+  CHECK(begun.ok());
+  LONGS_EQUAL(10, begun->revision);
+  const Instant start = MonotonicNow();
+  CHECK_FALSE(watch(Millis(200)).ok());
+  CHECK(MonotonicNow() - start < std::chrono::seconds(10));
+}
+
 // A listing without end filled the memory of the process.
 TEST(StoreClient, AListingThatDoesNotEndIsAnError) {
   LONGS_EQUAL(
