--- a/tests/platform/operator_records_test.cc
+++ b/tests/platform/operator_records_test.cc
@@ -223,6 +223,38 @@
                config.FindByKeyDigest(Sha256Hex("key"))->name.c_str());
 }
 
+// The rules of entries that stay from one version to the next are kept.
+TEST(OperatorRecords, AVersionHasTheSameRulesWhateverCameBefore) {
+  const std::string route = R"({"resourceType":"routes","metadata":{"name":"r"},
+    "spec":{"host":"a.example","prefix":"/a/","service":"lote"}})";
+  const std::string other_route = R"({"resourceType":"routes","metadata":{},
+    "spec":{"host":"a.example","prefix":"/a/","service":"humedad"}})";
+  const std::string growers = R"({"resourceType":"tenants",
+    "metadata":{"name":"growers"},"spec":{"apiKeys":["one","two"]}})";
+  const std::string packers = R"({"resourceType":"tenants",
+    "metadata":{"name":"packers"},"spec":{"apiKeys":["two",3]}})";
+  const std::string lote = R"({"resourceType":"services",
+    "metadata":{"name":"lote"},"spec":{"warmupPerS":-1}})";
+  const auto list = [](const std::vector<std::string>& entries) {
+    std::string text = "{\"resources\":[";
+    for (const std::string& entry : entries) {
+      text += (text.back() == '[' ? "" : ",") + entry;
+    }
+    return text + "]}";
+  };
+  RecordTranslator translator;
+  for (const std::string& value :
+       {list({route, growers, packers, lote}), list({other_route, route}),
+        list({packers, growers, growers}), list({}), list({"5", "{}", lote}),
+        list({route, "nonsense"}), list({route, R"({"spec":})"}),
+        list({lote, lote, route, packers, growers})}) {
+    const auto rules = translator.Translate({Record("op/config", value)});
+    const auto fresh = TranslateRecords({Record("op/config", value)});
+    CHECK(rules.ok() == fresh.ok());
+    CHECK(!rules.ok() || *rules == *fresh);
+  }
+}
+
 TEST(OperatorRecords, TheContentVersionIsTheOutermostNumberOfThatName) {
   const auto version = [](const std::string& value) {
     return ReadContentVersion({Record("op/evacuate/z", "{\"version\":1}"),
