Long request bodies pass between hosts in parts

A body of 67,108,864 bytes did not pass between hosts at all: the RPC library takes no message of that length.

Cause: the body went with the run in one message, so each host had it in memory twice, as a body and in the message, and nothing counted the second copy. The class: a copy that a library makes is memory that no bound covers.

A body of over 64 KiB is left out of the run. The host of the upstream reads it in parts of 256 KiB and hands the run to the guard when it is whole. Whoever resolves the attempt before that is told that it has not run, and the guard refuses it when the body comes; this is how a late run was handled before. The receiver states the bound with the slot, so that a host of an earlier version still gets the whole body.

BodySource, ABodyOf64MiBPassesBetweenHosts fails if the body goes with the run, as it did. peer_bodies, long_body, once, silent_run, stopped_host, shutdown and severed_connections tests pass.

--- a/components/rpc/convert_run.cc
+++ b/components/rpc/convert_run.cc
@@ -175,7 +175,9 @@
           .queued = static_cast<int>(in.getLoad().getQueued())};
 }
 
-void Write(const once::RunRequest& request, wire::Run::Builder out) {
+void Write(const once::RunRequest& request,
+           wire::Run::Builder out,
+           size_t max_body_bytes) {
   out.setRequestId(request.request_id);
   out.setIncarnation(request.incarnation);
   out.setOrganisation(request.organisation);
@@ -190,7 +192,12 @@
   out.setTimeLeftMicros(ToMicros(request.remaining_time));
   out.setMethod(request.request.method);
   out.setTarget(request.request.target);
-  out.setBody(ToData(request.request.body.text()));
+  const std::string& body = request.request.body.text();
+  if (body.size() > max_body_bytes) {
+    out.setLeftOutBytes(body.size());
+  } else {
+    out.setBody(ToData(body));
+  }
   WriteHeaders(
       request.request.headers,
       out.initHeaders(static_cast<unsigned>(request.request.headers.size())));
