--- a/CI/mutants.sh
+++ b/CI/mutants.sh
@@ -88,7 +88,7 @@
 mutant end_runs components/guard/guard.cc 's/  for (const CancellationPtr\& call : calls) {/  for (const CancellationPtr\& call : std::vector<CancellationPtr>()) {/' io StoppingIngress
 mutant hedge_at_stop components/retry/hedge_time.cc 's/return std::min(started + delay, .*/return std::max(started + delay, std::min(earliest, latest));/' unit HedgeTime
 mutant pipelined_at_stop components/http/server_connection.cc 's/ \&\& !this->server->stopping ? kMaxPipelined/ ? kMaxPipelined/' io HttpServer
-mutant never_reverts components/config/replica.cc 's/if (offered.revision < this->head.revision)/if (false)/; s/if (offered.revision == this->head.revision)/if (false)/' unit Replica
+mutant never_reverts components/config/replica.cc 's/if (offered.revision <= this->head.revision)/if (false)/; s/candidate.revision <= this->head.revision ||/false ||/' unit Replica
 mutant write_id components/store/publisher.cc 's/if (current->head.write_id == head.write_id)/if (false)/' process config
 mutant era_revision components/store/publisher.cc 's/next.era = std::max(next.era, era);/;/' process store_restore
 mutant version_held_back components/ingress/rollout_board.cc 's/!rollout.has_other_version \&\& !rollout.judge.is_rolled_back() \&\&/true || !rollout.has_other_version ||/' unit RolloutChoice
