--- a/components/guard/guard_slots.cc
+++ b/components/guard/guard_slots.cc
@@ -10,9 +10,6 @@
 /// How long a reserved slot is kept for its request: several round trips
 /// between zones on a slow host.
 constexpr Duration kReservationLifetime{std::chrono::milliseconds(800)};
-/// Least bytes a second with which a body comes from another host: a quarter of
-/// a link of 10 Mbit/s. A slot is kept for as long as the body may take.
-constexpr double kLeastBodyBytesPerSecond = 312'500;
 /// Maximum number of requests at risk at one upstream; see CountRequestsAtRisk.
 /// A healthy busy upstream responds about every 150 ms, and about one such
 /// request arrives in that time. If the upstream hangs, all requests within
@@ -24,16 +21,6 @@
 constexpr Duration kMaxTimeWithoutStart{std::chrono::milliseconds(700)};
 constexpr Duration kBodyMemoryPollInterval{std::chrono::milliseconds(20)};
 
-/// Returns how long the slot of a request is kept until the request is here.
-Duration ReservationTime(const once::SlotRequest& request) {
-  const double seconds =
-      static_cast<double>(request.body_bytes) / kLeastBodyBytesPerSecond;
-  const double left = ToSeconds(request.remaining_time);
-  return kReservationLifetime +
-         std::chrono::duration_cast<Duration>(
-             std::chrono::duration<double>(std::min(seconds, left)));
-}
-
 }  // namespace
 
 rpc::SlotAnswer Guard::Reserve(const once::SlotRequest& request) {
@@ -56,7 +43,7 @@
       .ticket = ticket,
       .upstream = request.upstream,
       .non_retryable = request.non_retryable,
-      .expires_at = MonotonicNow() + ReservationTime(request)};
+      .expires_at = MonotonicNow() + kReservationLifetime};
   return this->SlotAnswerFor(request.upstream, {}, true);
 }
 
--- a/components/rpc/convert.h
+++ b/components/rpc/convert.h
@@ -50,10 +50,7 @@
 void Write(const SlotAnswer& answer, wire::SlotAnswer::Builder out);
 SlotAnswer Read(wire::SlotAnswer::Reader in);
 
-/// Leaves out a body of more than `max_body_bytes`.
-void Write(const once::RunRequest& request,
-           wire::Run::Builder out,
-           size_t max_body_bytes = kAnySize);
+void Write(const once::RunRequest& request, wire::Run::Builder out);
 once::RunRequest Read(wire::Run::Reader in);
 
 /// Leaves out a response body of more than `max_body_bytes`.
--- a/components/rpc/convert_run.cc
+++ b/components/rpc/convert_run.cc
@@ -175,9 +175,7 @@
           .queued = static_cast<int>(in.getLoad().getQueued())};
 }
 
-void Write(const once::RunRequest& request,
-           wire::Run::Builder out,
-           size_t max_body_bytes) {
+void Write(const once::RunRequest& request, wire::Run::Builder out) {
   out.setRequestId(request.request_id);
   out.setIncarnation(request.incarnation);
   out.setOrganisation(request.organisation);
@@ -192,12 +190,7 @@
   out.setTimeLeftMicros(ToMicros(request.remaining_time));
   out.setMethod(request.request.method);
   out.setTarget(request.request.target);
-  const std::string& body = request.request.body.text();
-  if (body.size() > max_body_bytes) {
-    out.setLeftOutBytes(body.size());
-  } else {
-    out.setBody(ToData(body));
-  }
+  out.setBody(ToData(request.request.body.text()));
   WriteHeaders(
       request.request.headers,
       out.initHeaders(static_cast<unsigned>(request.request.headers.size())));
--- a/components/rpc/peer.capnp
+++ b/components/rpc/peer.capnp
@@ -127,9 +127,6 @@
   refusal @1 :Refusal;
   report @2 :Upstream;
   load @3 :Load;
-  inlineBytes @4 :UInt32;
-  # A request body of this size or less comes with the run; a longer one may be
-  # left out. 0 if this host takes any body with the run only.
 }
 
 struct Gossip {
@@ -282,14 +279,6 @@
   inlineBytes @16 :UInt32;
   # A response body of this size or less comes with the outcome; a longer one is
   # left out. 0 if the sender takes any body with the outcome.
-  leftOutBytes @17 :UInt64;
-  # Size of a request body that is left out; 0 if `body` is whole.
-  source @18 :BodySource;
-  # Gives a body that is left out.
-}
-
-interface BodySource {
-  part @0 (offset :UInt64, size :UInt32) -> (bytes :Data);
 }
 
 interface Ticket {
--- a/components/rpc/peer.capnp.h
+++ b/components/rpc/peer.capnp.h
@@ -74,9 +74,6 @@
 CAPNP_DECLARE_SCHEMA(cabf1792afc55f0f);
 CAPNP_DECLARE_SCHEMA(b429ba7d891a564b);
 CAPNP_DECLARE_SCHEMA(a761dc9d05e2daa7);
-CAPNP_DECLARE_SCHEMA(bd141e0b736ab2a1);
-CAPNP_DECLARE_SCHEMA(fef924bb6ef03a0f);
-CAPNP_DECLARE_SCHEMA(9018d9f3b5971a46);
 CAPNP_DECLARE_SCHEMA(cecafe743a9fd3be);
 CAPNP_DECLARE_SCHEMA(8258553f25ee808b);
 CAPNP_DECLARE_SCHEMA(b7a2ffdf9a5d2fd2);
@@ -952,56 +949,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a761dc9d05e2daa7, 8, 10)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct BodySource {
-  BodySource() = delete;
-
-#if !CAPNP_LITE
-  class Client;
-  class Server;
-#endif  // !CAPNP_LITE
-
-  struct PartParams;
-  struct PartResults;
-
-  #if !CAPNP_LITE
-  struct _capnpPrivate {
-    CAPNP_DECLARE_INTERFACE_HEADER(bd141e0b736ab2a1)
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-  };
-  #endif  // !CAPNP_LITE
-};
-
-struct BodySource::PartParams {
-  PartParams() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fef924bb6ef03a0f, 2, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct BodySource::PartResults {
-  PartResults() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9018d9f3b5971a46, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(a761dc9d05e2daa7, 7, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -4622,8 +4570,6 @@
   inline bool hasLoad() const;
   inline  ::kingcupstair::rpc::wire::Load::Reader getLoad() const;
 
-  inline  ::uint32_t getInlineBytes() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4676,9 +4622,6 @@
   inline void adoptLoad(::capnp::Orphan< ::kingcupstair::rpc::wire::Load>&& value);
   inline ::capnp::Orphan< ::kingcupstair::rpc::wire::Load> disownLoad();
 
-  inline  ::uint32_t getInlineBytes();
-  inline void setInlineBytes( ::uint32_t value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6264,13 +6207,6 @@
 
   inline  ::uint32_t getInlineBytes() const;
 
-  inline  ::uint64_t getLeftOutBytes() const;
-
-  inline bool hasSource() const;
-#if !CAPNP_LITE
-  inline  ::kingcupstair::rpc::wire::BodySource::Client getSource() const;
-#endif  // !CAPNP_LITE
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -6386,18 +6322,6 @@
   inline  ::uint32_t getInlineBytes();
   inline void setInlineBytes( ::uint32_t value);
 
-  inline  ::uint64_t getLeftOutBytes();
-  inline void setLeftOutBytes( ::uint64_t value);
-
-  inline bool hasSource();
-#if !CAPNP_LITE
-  inline  ::kingcupstair::rpc::wire::BodySource::Client getSource();
-  inline void setSource( ::kingcupstair::rpc::wire::BodySource::Client&& value);
-  inline void setSource( ::kingcupstair::rpc::wire::BodySource::Client& value);
-  inline void adoptSource(::capnp::Orphan< ::kingcupstair::rpc::wire::BodySource>&& value);
-  inline ::capnp::Orphan< ::kingcupstair::rpc::wire::BodySource> disownSource();
-#endif  // !CAPNP_LITE
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6416,222 +6340,6 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::kingcupstair::rpc::wire::BodySource::Client getSource();
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-#if !CAPNP_LITE
-class BodySource::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef BodySource Calls;
-  typedef BodySource Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::kingcupstair::rpc::wire::BodySource::PartParams,  ::kingcupstair::rpc::wire::BodySource::PartResults> partRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class BodySource::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef BodySource Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::kingcupstair::rpc::wire::BodySource::PartParams PartParams;
-  typedef  ::kingcupstair::rpc::wire::BodySource::PartResults PartResults;
-  typedef ::capnp::CallContext<PartParams, PartResults> PartContext;
-  virtual ::kj::Promise<void> part(PartContext context);
-
-  inline  ::kingcupstair::rpc::wire::BodySource::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::kingcupstair::rpc::wire::BodySource>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class BodySource::PartParams::Reader {
-public:
-  typedef PartParams Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getOffset() const;
-
-  inline  ::uint32_t getSize() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class BodySource::PartParams::Builder {
-public:
-  typedef PartParams Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getOffset();
-  inline void setOffset( ::uint64_t value);
-
-  inline  ::uint32_t getSize();
-  inline void setSize( ::uint32_t value);
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class BodySource::PartParams::Pipeline {
-public:
-  typedef PartParams Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class BodySource::PartResults::Reader {
-public:
-  typedef PartResults Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasBytes() const;
-  inline  ::capnp::Data::Reader getBytes() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class BodySource::PartResults::Builder {
-public:
-  typedef PartResults Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasBytes();
-  inline  ::capnp::Data::Builder getBytes();
-  inline void setBytes( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initBytes(unsigned int size);
-  inline void adoptBytes(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownBytes();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class BodySource::PartResults::Pipeline {
-public:
-  typedef PartResults Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -9643,20 +9351,6 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t SlotAnswer::Reader::getInlineBytes() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t SlotAnswer::Builder::getInlineBytes() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void SlotAnswer::Builder::setInlineBytes( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
 inline bool Gossip::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -11634,145 +11328,6 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Run::Reader::getLeftOutBytes() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Run::Builder::getLeftOutBytes() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
-}
-inline void Run::Builder::setLeftOutBytes( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Run::Reader::hasSource() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
-}
-inline bool Run::Builder::hasSource() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
-}
-#if !CAPNP_LITE
-inline  ::kingcupstair::rpc::wire::BodySource::Client Run::Reader::getSource() const {
-  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::BodySource>::get(_reader.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS));
-}
-inline  ::kingcupstair::rpc::wire::BodySource::Client Run::Builder::getSource() {
-  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::BodySource>::get(_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS));
-}
-inline  ::kingcupstair::rpc::wire::BodySource::Client Run::Pipeline::getSource() {
-  return  ::kingcupstair::rpc::wire::BodySource::Client(_typeless.getPointerField(9).asCap());
-}
-inline void Run::Builder::setSource( ::kingcupstair::rpc::wire::BodySource::Client&& cap) {
-  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::BodySource>::set(_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(cap));
-}
-inline void Run::Builder::setSource( ::kingcupstair::rpc::wire::BodySource::Client& cap) {
-  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::BodySource>::set(_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS), cap);
-}
-inline void Run::Builder::adoptSource(
-    ::capnp::Orphan< ::kingcupstair::rpc::wire::BodySource>&& value) {
-  ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::BodySource>::adopt(_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::kingcupstair::rpc::wire::BodySource> Run::Builder::disownSource() {
-  return ::capnp::_::PointerHelpers< ::kingcupstair::rpc::wire::BodySource>::disown(_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS));
-}
-#endif  // !CAPNP_LITE
-
-#if !CAPNP_LITE
-inline BodySource::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr) {}
-inline BodySource::Client::Client(
-    ::kj::Own< ::capnp::ClientHook>&& hook)
-    : ::capnp::Capability::Client(::kj::mv(hook)) {}
-template <typename _t, typename>
-inline BodySource::Client::Client(::kj::Own<_t>&& server)
-    : ::capnp::Capability::Client(::kj::mv(server)) {}
-template <typename _t, typename>
-inline BodySource::Client::Client(::kj::Promise<_t>&& promise)
-    : ::capnp::Capability::Client(::kj::mv(promise)) {}
-inline BodySource::Client::Client(::kj::Exception&& exception)
-    : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::kingcupstair::rpc::wire::BodySource::Client& BodySource::Client::operator=(Client& other) {
-  ::capnp::Capability::Client::operator=(other);
-  return *this;
-}
-inline  ::kingcupstair::rpc::wire::BodySource::Client& BodySource::Client::operator=(Client&& other) {
-  ::capnp::Capability::Client::operator=(kj::mv(other));
-  return *this;
-}
-
-#endif  // !CAPNP_LITE
-inline  ::uint64_t BodySource::PartParams::Reader::getOffset() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t BodySource::PartParams::Builder::getOffset() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void BodySource::PartParams::Builder::setOffset( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint32_t BodySource::PartParams::Reader::getSize() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t BodySource::PartParams::Builder::getSize() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void BodySource::PartParams::Builder::setSize( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool BodySource::PartResults::Reader::hasBytes() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool BodySource::PartResults::Builder::hasBytes() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Data::Reader BodySource::PartResults::Reader::getBytes() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Data::Builder BodySource::PartResults::Builder::getBytes() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void BodySource::PartResults::Builder::setBytes( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Data::Builder BodySource::PartResults::Builder::initBytes(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void BodySource::PartResults::Builder::adoptBytes(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Data> BodySource::PartResults::Builder::disownBytes() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
 #if !CAPNP_LITE
 inline Ticket::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/components/rpc/peer_clients.cc
+++ b/components/rpc/peer_clients.cc
@@ -6,7 +6,6 @@
 
 #include <capnp/rpc-twoparty.h>
 
-#include "components/rpc/body_source.h"
 #include "components/rpc/call_timeout.h"
 #include "components/rpc/convert.h"
 #include "components/rpc/credentials.h"
@@ -79,9 +78,6 @@
   bool is_watched = false;
   /// Consecutive checks without a response.
   int quiet_checks = 0;
-  /// A longer body of a request may be left out; 0 if the host takes any body
-  /// with the run only, as those of earlier versions do.
-  uint32_t inline_request_bytes = 0;
   std::shared_ptr<HostTraffic> traffic;
   kj::Own<kj::NetworkAddress> address;
   kj::Own<kj::AsyncIoStream> stream;
@@ -623,19 +619,13 @@
                                                 Duration timeout) {
   return this->Call<SlotAnswer>(
       host, "reserve", timeout,
-      [this, host, slot](wire::Peer::Client& peer,
-                         const std::shared_ptr<HostTraffic>& traffic) {
+      [slot](wire::Peer::Client& peer,
+             const std::shared_ptr<HostTraffic>& traffic) {
         auto request = peer.reserveRequest();
         Write(slot, request.initSlot());
         traffic->AddMessage(TrafficPurpose::kSlot, request);
-        return request.send().then([this, host](auto response) {
-          const auto link = this->state->links.find(host);
-          if (link != this->state->links.end() && link->second != nullptr) {
-            link->second->inline_request_bytes =
-                response.getAnswer().getInlineBytes();
-          }
-          return Read(response.getAnswer());
-        });
+        return request.send().then(
+            [](auto response) { return Read(response.getAnswer()); });
       });
 }
 
@@ -679,16 +669,11 @@
     const uint64_t number = link.number;
     const std::weak_ptr<Link> weak = this->state->links[host];
     auto stage = std::make_shared<SubmitStage>(SubmitStage::kNotAccepted);
-    const size_t max_body_bytes =
-        link.inline_request_bytes == 0 ? kAnySize : link.inline_request_bytes;
     auto sent = KJ_ASSERT_NONNULL(link.peer).addBranch().then(
         [=, this, traffic = link.traffic](wire::Peer::Client peer) {
           auto request = peer.submitRequest();
           auto out = request.initRun();
-          Write(run, out, max_body_bytes);
-          if (out.getLeftOutBytes() > 0) {
-            out.setSource(kj::heap<BodySource>(run.request.body, traffic));
-          }
+          Write(run, out);
           out.setInlineBytes(kInlineBodyBytes);
           traffic->AddMessage(TrafficPurpose::kRun, request);
           auto accepted = request.send();
--- a/components/rpc/peer_server.cc
+++ b/components/rpc/peer_server.cc
@@ -2,10 +2,8 @@
 
 #include <capnp/rpc-twoparty.h>
 
-#include <algorithm>
 #include <deque>
 #include <map>
-#include <memory>
 #include <optional>
 #include <utility>
 
@@ -13,7 +11,6 @@
 #include "components/base/error.h"
 #include "components/base/hash.h"
 #include "components/logging/log.h"
-#include "components/rpc/body_source.h"
 #include "components/rpc/call_timeout.h"
 #include "components/rpc/convert.h"
 #include "components/rpc/credentials.h"
@@ -36,11 +33,6 @@
 /// request, while the body is read in parts.
 constexpr Duration kResolvedBodyLifetime{std::chrono::seconds(10)};
 
-/// A longer body of a request may be left out of the run.
-constexpr uint32_t kInlineBodyBytes = 64 * 1024;
-/// Longest body of a request that is read in parts.
-constexpr size_t kMaxLeftOutBytes = size_t{1} << 30;
-
 /// Returns the longest body that a sender takes with the outcome.
 size_t MaxInlineBytes(uint32_t wire_bytes) {
   return wire_bytes == 0 ? kAnySize : wire_bytes;
@@ -218,19 +210,23 @@
     return kj::READY_NOW;
   }
 
+  // Refuses a request over a connection that its sender has since replaced: the
+  // sender may already have resolved the request as "not run".
   kj::Promise<void> submit(SubmitContext context) override {
-    const auto run = context.getParams().getRun();
-    const once::RunRequest request = Read(run);
-    const size_t left_out_bytes = run.getLeftOutBytes();
+    const once::RunRequest request = Read(context.getParams().getRun());
+    auto [promise, done] = this->MakeReply<RunResult>();
+    if (this->IsReplaced()) {
+      done(RunResult{.outcome =
+                         once::NotRun{.reason = once::RefusalReason::kFenced}});
+    } else {
+      this->state.handlers.submit(request, done);
+    }
+    const uint32_t inline_bytes = context.getParams().getRun().getInlineBytes();
     context.getResults().setTicket(kj::heap<Ticket>(
-        this->loop,
-        left_out_bytes == 0
-            ? this->Run(request)
-            : this->RunWithBody(request, run.getSource(), left_out_bytes),
-        Ticket::Options{
-            .max_inline_bytes = MaxInlineBytes(run.getInlineBytes()),
-            .lifetime = request.remaining_time + kResultGrace,
-            .traffic = this->traffic}));
+        this->loop, kj::mv(promise),
+        Ticket::Options{.max_inline_bytes = MaxInlineBytes(inline_bytes),
+                        .lifetime = request.remaining_time + kResultGrace,
+                        .traffic = this->traffic}));
     return kj::READY_NOW;
   }
 
@@ -248,7 +244,6 @@
           abandoned->OnCancel({});
           auto results = context.getResults();
           Write(answer, results.initAnswer());
-          results.getAnswer().setInlineBytes(kInlineBodyBytes);
           traffic->AddMessage(TrafficPurpose::kSlot, results);
         })
         .attach(kj::defer([abandoned] { abandoned->Cancel(); }));
@@ -283,51 +278,6 @@
   }
 
  private:
-  // Refuses a request over a connection that its sender has since replaced: the
-  // sender may already have resolved the request as "not run".
-  kj::Promise<RunResult> Run(const once::RunRequest& request) {
-    auto [promise, done] = this->MakeReply<RunResult>();
-    if (this->IsReplaced()) {
-      done(RunResult{.outcome =
-                         once::NotRun{.reason = once::RefusalReason::kFenced}});
-    } else {
-      this->state.handlers.submit(request, done);
-    }
-    return kj::mv(promise);
-  }
-
-  // A sender that asks what became of the request before its body is here is
-  // told that it has not run, and the request is refused when the body comes. A
-  // body that does not come frees its slot, also if the connection breaks.
-  kj::Promise<RunResult> RunWithBody(const once::RunRequest& request,
-                                     wire::BodySource::Client source,
-                                     size_t bytes) {
-    if (bytes > kMaxLeftOutBytes) {
-      return KJ_EXCEPTION(FAILED, "the body is longer than a request may be");
-    }
-    const Instant start = MonotonicNow();
-    auto body =
-        WithTimeout(this->loop, ReadBody(kj::mv(source), bytes, this->traffic),
-                    request.remaining_time);
-    const auto arrived = std::make_shared<bool>(false);
-    return body
-        .then([this, request, start, arrived](std::string text) {
-          *arrived = true;
-          once::RunRequest whole = request;
-          whole.request.body = http::Body(std::move(text));
-          whole.remaining_time = std::max(
-              Duration{}, request.remaining_time - (MonotonicNow() - start));
-          return this->Run(whole);
-        })
-        .attach(kj::defer([this, request, arrived] {
-          if (!*arrived) {
-            this->state.handlers.cancel(request.request_id,
-                                        request.incarnation);
-          }
-        }))
-        .attach(this->thisCap());
-  }
-
   static bool IsShard(unsigned number) {
     return number < static_cast<unsigned>(limits::kShardCount);
   }
