--- a/components/config/chunks.cc
+++ b/components/config/chunks.cc
@@ -7,8 +7,8 @@
 namespace kingcupstair::config {
 namespace {
 
-/// One line in this many ends a chunk. A chunk that has more lines is long: one
-/// line in fewer ends it, so that no change of a line changes a long text.
+/// On average one line in this many ends a chunk. A chunk that has more lines
+/// ends at one line in kLinesPerEndOfLongChunk, which keeps chunks short.
 constexpr uint64_t kLinesPerEnd = 64;
 constexpr uint64_t kLinesPerEndOfLongChunk = 8;
 constexpr size_t kMaxChunkBytes = 256 * 1024;
